--- /dev/null
+++ b/cmd/standin-target/main.go
@@ -0,0 +1,38 @@
+// Command standin-target runs the stand-in for a target, for tests and the
+// demo only.
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"tamarackquay/standin/target"
+)
+
+const readHeaderTimeout = 10 * time.Second
+
+func main() {
+	var listen string
+	var slots int
+	var mode target.Mode
+	command := &cobra.Command{
+		Use:   "standin-target --listen IP:PORT",
+		Short: "Stand in for a target with slots and an execution ledger",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			server := &http.Server{Addr: listen, Handler: target.New(slots, mode).Handler(), ReadHeaderTimeout: readHeaderTimeout}
+			return server.ListenAndServe()
+		},
+	}
+	command.Flags().StringVar(&listen, "listen", "127.0.0.1:9000", "address to listen on")
+	command.Flags().IntVar(&slots, "slots", 12, "requests that run at a time")
+	command.Flags().IntVar(&mode.ServiceMS, "service-ms", 5, "time that each request runs")
+	if err := command.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/tamarackd/main.go
@@ -0,0 +1,50 @@
+// Command tamarackd is the one process of the system on each target VM.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"tamarackquay/internal/adapter/settings"
+)
+
+// exitFindings is the exit code for input with findings.
+const exitFindings = 2
+
+func main() {
+	if err := newCommand().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func newCommand() *cobra.Command {
+	var file string
+	var checkOnly bool
+	command := &cobra.Command{
+		Use:           "tamarackd --config FILE",
+		Short:         "Serve callers and spread configuration on one target VM",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(*cobra.Command, []string) error {
+			loaded, found := settings.Load(file)
+			if len(found) > 0 {
+				fmt.Fprintln(os.Stderr, found.Error())
+				os.Exit(exitFindings)
+			}
+			if checkOnly {
+				fmt.Println("settings are good")
+				return nil
+			}
+			return run(loaded)
+		},
+	}
+	command.Flags().StringVar(&file, "config", "", "settings file (TOML)")
+	command.Flags().BoolVar(&checkOnly, "check-config", false, "report every finding in the settings and exit")
+	// The flag exists: it was declared above.
+	_ = command.MarkFlagRequired("config")
+	return command
+}
--- /dev/null
+++ b/cmd/tamarackd/run.go
@@ -0,0 +1,213 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"tamarackquay/internal/adapter/auditlog"
+	"tamarackquay/internal/adapter/callerhttp"
+	"tamarackquay/internal/adapter/metrics"
+	"tamarackquay/internal/adapter/operatorhttp"
+	"tamarackquay/internal/adapter/peerforward"
+	"tamarackquay/internal/adapter/peertls"
+	"tamarackquay/internal/adapter/peerws"
+	"tamarackquay/internal/adapter/platformhttp"
+	"tamarackquay/internal/adapter/settings"
+	"tamarackquay/internal/adapter/targethttp"
+	"tamarackquay/internal/distribution"
+	"tamarackquay/internal/membership"
+	"tamarackquay/internal/node"
+)
+
+// Times of a planned stop.
+const (
+	closeTimeout      = 5 * time.Second
+	readHeaderTimeout = 10 * time.Second
+	idleSweep         = 15 * time.Second
+)
+
+// wallClock implements port.Clock.
+type wallClock struct{}
+
+func (wallClock) Now() time.Time { return time.Now() }
+
+// daemon holds the parts of a running process that must be closed.
+type daemon struct {
+	log       *log.Logger
+	node      *node.Node
+	peers     *peerws.Client
+	forward   *peerforward.Client
+	callers   *http.Server
+	peerSide  *http.Server
+	operators *http.Server
+}
+
+func run(s settings.Settings) error {
+	logger := newLogger(s)
+	identity, err := peertls.Load(peertls.Files{
+		Certificate: s.Peers.CertificateFile, Key: s.Peers.KeyFile, Authorities: s.Peers.AuthorityFiles,
+	})
+	if err != nil {
+		return err
+	}
+	d := newDaemon(s, logger, identity)
+	failed := make(chan error, 3)
+	if err := d.listen(s, identity, failed); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		d.node.Run(ctx)
+	}()
+	go d.sweepIdle(ctx)
+	logger.Info().Str("callers", s.Listen.Callers).Str("peers", s.Listen.Peers).Msg("serving")
+	err = waitForStop(failed)
+	d.stop()
+	cancel()
+	<-stopped
+	d.peers.Close()
+	d.forward.Close()
+	return err
+}
+
+func newLogger(s settings.Settings) *log.Logger {
+	return &log.Logger{
+		Level:      log.ParseLevel(s.Log.Level),
+		TimeFormat: time.RFC3339Nano,
+		Context:    log.NewContext(nil).Str("node", s.VM.ID).Value(),
+		Writer:     &log.IOWriter{Writer: os.Stderr},
+	}
+}
+
+func newDaemon(s settings.Settings, logger *log.Logger, identity *peertls.Config) *daemon {
+	clock := wallClock{}
+	trail := auditlog.New(logger)
+	meter := metrics.New()
+	d := &daemon{
+		log:     logger,
+		peers:   peerws.NewClient(identity, clock.Now),
+		forward: peerforward.NewClient(identity, clock.Now),
+	}
+	d.node = node.New(nodeConfig(s), node.Ports{
+		Platform: platformhttp.New(s.Platform.URL, s.Platform.ReadTimeout.Std(), s.Platform.WatchTimeout.Std()),
+		Peers:    d.peers,
+		Forward:  d.forward,
+		Target:   targethttp.New(s.Target.Address, s.Target.MaxConnections),
+		Clock:    clock,
+		Audit:    trail,
+		Meter:    meter,
+		Log:      logger,
+	})
+	d.callers = callerhttp.NewServer(d.node, callerhttp.Limits{
+		HeaderBytes: s.Requests.MaxHeaderBytes, BodyBytes: s.Requests.MaxBodyBytes,
+	})
+	d.peerSide = newPeerServer(d.node, clock.Now)
+	d.operators = operatorhttp.NewServer(d.node, trail, meter)
+	return d
+}
+
+func nodeConfig(s settings.Settings) node.Config {
+	return node.Config{
+		Self: membership.VM{
+			ID: s.VM.ID, FailureDomain: s.VM.FailureDomain, Region: s.VM.Region, Service: s.VM.Service,
+			PeerAddress: s.Listen.Peers, CallerAddress: s.Listen.Callers,
+		},
+		Seeds:        s.Peers.Seeds,
+		Heartbeat:    s.Peers.Heartbeat.Std(),
+		ListInterval: s.Platform.ListInterval.Std(),
+		Readers:      s.Platform.Readers,
+		Distribution: distribution.DefaultConfig(),
+		Membership:   membership.Config{SuspectAfter: s.Peers.SuspectAfter.Std(), ForgetAfter: s.Peers.ForgetAfter.Std()},
+		QueuePerSlot: s.Requests.QueuePerSlot,
+		MaxAttempts:  s.Requests.MaxAttempts,
+		Drain:        s.Requests.Drain.Std(),
+		Seed:         uint64(time.Now().UnixNano()),
+	}
+}
+
+func newPeerServer(n *node.Node, now func() time.Time) *http.Server {
+	e := echo.New()
+	e.HideBanner = true
+	e.GET(peerws.Path, echo.WrapHandler(peerws.NewServer(n)))
+	e.Any(peerforward.Prefix+"/*", echo.WrapHandler(peerforward.NewHandler(n, now)))
+	return &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout}
+}
+
+func (d *daemon) listen(s settings.Settings, identity *peertls.Config, failed chan<- error) error {
+	callers, err := net.Listen("tcp", s.Listen.Callers)
+	if err != nil {
+		return errors.Wrap(err, "callers' listener")
+	}
+	peers, err := net.Listen("tcp", s.Listen.Peers)
+	if err != nil {
+		return errors.Wrap(err, "peers' listener")
+	}
+	operators, err := net.Listen("tcp", s.Listen.Operators)
+	if err != nil {
+		return errors.Wrap(err, "operators' listener")
+	}
+	go serve(d.callers, callers, failed)
+	go serve(d.peerSide, tls.NewListener(peers, identity.Server), failed)
+	go serve(d.operators, operators, failed)
+	return nil
+}
+
+func serve(server *http.Server, listener net.Listener, failed chan<- error) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		failed <- err
+	}
+}
+
+// waitForStop returns nil on SIGTERM or SIGINT, and the error of a listener
+// that failed.
+func waitForStop(failed <-chan error) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-signals:
+		return nil
+	case err := <-failed:
+		return err
+	}
+}
+
+// stop is the graceful shutdown: the node finishes what runs before any
+// listener is closed, so that no answer is cut.
+func (d *daemon) stop() {
+	d.log.Info().Msg("stopping")
+	d.node.Stop(context.Background())
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for _, server := range []*http.Server{d.callers, d.peerSide, d.operators} {
+		if err := server.Shutdown(ctx); err != nil {
+			d.log.Warn().Err(err).Msg("listener closed late")
+		}
+	}
+	d.log.Info().Msg("stopped")
+}
+
+func (d *daemon) sweepIdle(ctx context.Context) {
+	ticker := time.NewTicker(idleSweep)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			d.peers.CloseIdle()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -0,0 +1,50 @@
+// Package callerhttp serves callers over HTTP.
+package callerhttp
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"tamarackquay/internal/adapter/callhttp"
+	"tamarackquay/internal/port"
+)
+
+// Entry serves one caller's request; it is the only writer of the answer.
+type Entry interface {
+	ServeCaller(w http.ResponseWriter, r *http.Request)
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int64
+}
+
+// readHeaderTimeout ends connections that dribble their headers.
+const readHeaderTimeout = 10 * time.Second
+
+// NewServer returns the callers' server; the caller of NewServer binds it.
+func NewServer(entry Entry, limits Limits) *http.Server {
+	e := echo.New()
+	e.HideBanner = true
+	e.Any("/*", func(c echo.Context) error {
+		serve(entry, limits, c.Response(), c.Request())
+		return nil
+	})
+	return &http.Server{
+		Handler:           e,
+		MaxHeaderBytes:    limits.HeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout,
+	}
+}
+
+func serve(entry Entry, limits Limits, w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength > limits.BodyBytes {
+		callhttp.WriteError(w, port.Refuse(port.ReasonBodyTooLarge, 0, "the body is over %d bytes", limits.BodyBytes))
+		return
+	}
+	r.Body = http.MaxBytesReader(w, r.Body, limits.BodyBytes)
+	entry.ServeCaller(w, r)
+}
--- /dev/null
+++ b/internal/adapter/callhttp/outcome.go
@@ -0,0 +1,90 @@
+package callhttp
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tamarackquay/internal/port"
+)
+
+// statusOf maps reasons onto the status that fits them best; others are 503.
+var statusOf = map[port.Reason]int{
+	port.ReasonUnknownToken: http.StatusUnauthorized,
+	port.ReasonUnknownRoute: http.StatusNotFound,
+	port.ReasonMethod:       http.StatusMethodNotAllowed,
+	port.ReasonNoGrant:      http.StatusForbidden,
+	port.ReasonLimit:        http.StatusTooManyRequests,
+	port.ReasonQueueFull:    http.StatusTooManyRequests,
+	port.ReasonBodyTooLarge: http.StatusRequestEntityTooLarge,
+	port.ReasonBadRequest:   http.StatusBadRequest,
+}
+
+// Outcome is the JSON body of an answer that is not the target's.
+type Outcome struct {
+	Outcome      string      `json:"outcome"`
+	Reason       port.Reason `json:"reason,omitempty"`
+	Detail       string      `json:"detail"`
+	RetryAfterMS int64       `json:"retry_after_ms,omitempty"`
+}
+
+// WriteError answers with the outcome that err stands for.
+func WriteError(w http.ResponseWriter, err error) {
+	var refusal *port.Refusal
+	if errors.As(err, &refusal) {
+		writeRefusal(w, refusal)
+		return
+	}
+	w.Header().Set(HeaderOutcome, OutcomeUnknown)
+	writeOutcome(w, http.StatusBadGateway, Outcome{Outcome: OutcomeUnknown, Detail: err.Error()})
+}
+
+func writeRefusal(w http.ResponseWriter, refusal *port.Refusal) {
+	status, ok := statusOf[refusal.Reason]
+	if !ok {
+		status = http.StatusServiceUnavailable
+	}
+	header := w.Header()
+	header.Set(HeaderOutcome, OutcomeDidNotRun)
+	header.Set(HeaderReason, string(refusal.Reason))
+	SetRetryAfter(header, refusal.RetryAfter)
+	writeOutcome(w, status, Outcome{
+		Outcome: OutcomeDidNotRun, Reason: refusal.Reason, Detail: refusal.Detail,
+		RetryAfterMS: refusal.RetryAfter.Milliseconds(),
+	})
+}
+
+func writeOutcome(w http.ResponseWriter, status int, outcome Outcome) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The caller may be gone; there is no one else to tell.
+	_ = json.NewEncoder(w).Encode(outcome)
+}
+
+// maxOutcomeBytes bounds the JSON body that a peer's refusal carries.
+const maxOutcomeBytes = 16 << 10
+
+// ReadError returns the outcome that a peer's response stands for, or nil if
+// the response is a target's answer. It must be given only responses of proven
+// peers.
+func ReadError(response *http.Response) error {
+	kind := response.Header.Get(HeaderOutcome)
+	if kind == "" {
+		return nil
+	}
+	defer response.Body.Close()
+	var outcome Outcome
+	// Without a readable body the header alone still tells the outcome.
+	_ = json.NewDecoder(io.LimitReader(response.Body, maxOutcomeBytes)).Decode(&outcome)
+	if kind == OutcomeDidNotRun {
+		return &port.Refusal{
+			Reason:     port.Reason(response.Header.Get(HeaderReason)),
+			RetryAfter: time.Duration(outcome.RetryAfterMS) * time.Millisecond,
+			Detail:     outcome.Detail,
+		}
+	}
+	return &port.Unknown{Stage: "owner", Cause: errors.New(outcome.Detail)}
+}
--- /dev/null
+++ b/internal/adapter/metrics/metrics.go
@@ -0,0 +1,46 @@
+// Package metrics keeps the node's counters and gauges and renders them in the
+// Prometheus text format.
+package metrics
+
+import (
+	"fmt"
+	"io"
+
+	vm "github.com/VictoriaMetrics/metrics"
+
+	"tamarackquay/internal/port"
+)
+
+// labelName is the one label that a metric's series differ by.
+const labelName = "by"
+
+// Meter implements port.Meter.
+type Meter struct{ set *vm.Set }
+
+var _ port.Meter = (*Meter)(nil)
+
+// New returns a meter without series.
+func New() *Meter { return &Meter{set: vm.NewSet()} }
+
+// Count implements port.Meter.
+func (m *Meter) Count(metric port.Metric, label string, n int) {
+	m.set.GetOrCreateCounter(series(metric, label)).Add(n)
+}
+
+// Set implements port.Meter.
+func (m *Meter) Set(metric port.Metric, label string, value float64) {
+	m.set.GetOrCreateGauge(series(metric, label), nil).Set(value)
+}
+
+func series(metric port.Metric, label string) string {
+	if label == "" {
+		return string(metric)
+	}
+	return fmt.Sprintf("%s{%s=%q}", metric, labelName, label)
+}
+
+// Write renders all series and those of the Go runtime and process.
+func (m *Meter) Write(w io.Writer) {
+	m.set.WritePrometheus(w)
+	vm.WriteProcessMetrics(w)
+}
--- /dev/null
+++ b/internal/adapter/peertls/issue.go
@@ -0,0 +1,91 @@
+package peertls
+
+import (
+	"bytes"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// serialBits is the size of a random certificate serial number, as RFC 5280
+// allows it.
+const serialBits = 127
+
+// Pair is a certificate with its key, both as PEM.
+type Pair struct {
+	Certificate []byte
+	Key         []byte
+}
+
+// IssueAuthority makes a self-signed authority for peers.
+func IssueAuthority(name string, now time.Time, life time.Duration) (*Pair, error) {
+	template, key, err := newTemplate(name, now, life)
+	if err != nil {
+		return nil, err
+	}
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	return sign(template, template, key, key)
+}
+
+// IssuePeer makes a certificate that proves its holder to be a peer.
+func IssuePeer(authority *Pair, name string, now time.Time, life time.Duration) (*Pair, error) {
+	parent, err := tls.X509KeyPair(authority.Certificate, authority.Key)
+	if err != nil {
+		return nil, errors.Wrap(err, "authority")
+	}
+	template, key, err := newTemplate(name, now, life)
+	if err != nil {
+		return nil, err
+	}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	return sign(template, parent.Leaf, key, parent.PrivateKey)
+}
+
+func newTemplate(name string, now time.Time, life time.Duration) (*x509.Certificate, *ecdsa.PrivateKey, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "peer key")
+	}
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "serial number")
+	}
+	template := &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		// An hour of leeway for VMs whose clocks run behind.
+		NotBefore: now.Add(-time.Hour),
+		NotAfter:  now.Add(life),
+	}
+	return template, key, nil
+}
+
+func sign(template, parent *x509.Certificate, key *ecdsa.PrivateKey, signer any) (*Pair, error) {
+	raw, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, signer)
+	if err != nil {
+		return nil, errors.Wrap(err, "sign certificate")
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode key")
+	}
+	return &Pair{Certificate: encodePEM("CERTIFICATE", raw), Key: encodePEM("PRIVATE KEY", private)}, nil
+}
+
+func encodePEM(kind string, raw []byte) []byte {
+	var out bytes.Buffer
+	// Writing to a buffer can't fail.
+	_ = pem.Encode(&out, &pem.Block{Type: kind, Bytes: raw})
+	return out.Bytes()
+}
--- /dev/null
+++ b/internal/adapter/peerws/codec_test.go
@@ -0,0 +1,36 @@
+package peerws
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"tamarackquay/internal/port"
+	"tamarackquay/internal/snapshot"
+)
+
+func TestMessagesSurviveTheWire(t *testing.T) {
+	sent := port.Announce{From: "vm-1", Version: snapshot.Version{Epoch: 1, Revision: 7}, Root: snapshot.HashOf([]byte("x"))}
+	raw, err := encode(sent, 3, 0)
+	assert.NilError(t, err)
+	frame, got, err := decode(raw)
+	assert.NilError(t, err)
+	assert.Equal(t, frame.Question, uint64(3))
+	assert.DeepEqual(t, got, sent)
+}
+
+// Whatever bytes a broken peer sends, decoding ends in a message or in a typed
+// error: a crash here would let one peer take a domain down.
+func FuzzDecode(f *testing.F) {
+	for _, message := range []port.Message{port.Heartbeat{}, port.PartsReply{Parts: [][]byte{{1}}}, port.Busy{RetryAfter: 1}} {
+		raw, err := encode(message, 1, 2)
+		assert.NilError(f, err)
+		f.Add(raw)
+		f.Add(raw[:len(raw)/2])
+	}
+	f.Add([]byte{0xbf, 0x9f, 0xff})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		_, message, err := decode(raw)
+		assert.Check(t, err != nil || message != nil)
+	})
+}
--- /dev/null
+++ b/internal/adapter/platformhttp/platformhttp.go
@@ -0,0 +1,150 @@
+// Package platformhttp reads the platform's configuration service and VM list
+// over HTTP, as the platform publishes them:
+//
+//	GET /v1/config/KEY               the value, its revision in Revision
+//	GET /v1/config/KEY?after=N       the same once its revision passes N, or 304
+//	GET /v1/vms                      the VM list as JSON
+package platformhttp
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tamarackquay/internal/membership"
+	"tamarackquay/internal/port"
+	"tamarackquay/internal/snapshot"
+)
+
+const (
+	manifestKey    = "manifest"
+	revisionHeader = "Revision"
+	// maxListBytes bounds the VM list: 1,600 VMs take about 400 KB.
+	maxListBytes = 4 << 20
+)
+
+// Client implements port.Platform.
+type Client struct {
+	base string
+	http *http.Client
+	// read bounds a plain read; watch bounds a waiting one and must be above
+	// the platform's own wait.
+	read  time.Duration
+	watch time.Duration
+}
+
+var _ port.Platform = (*Client)(nil)
+
+// New returns a client of the platform at base, for example
+// "http://10.0.0.5:7000".
+func New(base string, read, watch time.Duration) *Client {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: read}).DialContext,
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     time.Minute,
+	}
+	return &Client{base: base, http: &http.Client{Transport: transport}, read: read, watch: watch}
+}
+
+// Manifest implements port.Platform.
+func (c *Client) Manifest(ctx context.Context) (port.Value, error) {
+	return c.get(ctx, c.read, "/v1/config/"+manifestKey, snapshot.MaxPartBytes)
+}
+
+// WatchManifest implements port.Platform.
+func (c *Client) WatchManifest(ctx context.Context, after uint64) (port.Value, error) {
+	path := "/v1/config/" + manifestKey + "?after=" + strconv.FormatUint(after, 10)
+	return c.get(ctx, c.watch, path, snapshot.MaxPartBytes)
+}
+
+// Part implements port.Platform.
+func (c *Client) Part(ctx context.Context, hash snapshot.Hash) ([]byte, error) {
+	value, err := c.get(ctx, c.read, "/v1/config/part/"+hash.String(), snapshot.MaxPartBytes)
+	return value.Content, err
+}
+
+// VMs implements port.Platform.
+func (c *Client) VMs(ctx context.Context) ([]membership.Record, error) {
+	value, err := c.get(ctx, c.read, "/v1/vms", maxListBytes)
+	if err != nil {
+		return nil, err
+	}
+	var list []Listed
+	if err := json.Unmarshal(value.Content, &list); err != nil {
+		return nil, errors.Wrap(err, "VM list")
+	}
+	records := make([]membership.Record, len(list))
+	for i := range list {
+		records[i] = list[i].record()
+	}
+	return records, nil
+}
+
+// Listed is one VM of the platform's list.
+type Listed struct {
+	ID            string `json:"id"`
+	FailureDomain string `json:"failure_domain"`
+	Region        string `json:"region"`
+	Service       string `json:"service"`
+	PeerAddress   string `json:"peer_address"`
+	CallerAddress string `json:"caller_address"`
+	Departing     bool   `json:"departing"`
+}
+
+func (l *Listed) record() membership.Record {
+	state := membership.Live
+	if l.Departing {
+		state = membership.Departing
+	}
+	return membership.Record{
+		VM: membership.VM{
+			ID: l.ID, FailureDomain: l.FailureDomain, Region: l.Region, Service: l.Service,
+			PeerAddress: l.PeerAddress, CallerAddress: l.CallerAddress,
+		},
+		State: state,
+	}
+}
+
+func (c *Client) get(ctx context.Context, limit time.Duration, path string, maxBytes int64) (port.Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
+	if err != nil {
+		return port.Value{}, errors.Wrap(err, "platform request")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return port.Value{}, errors.Wrap(port.ErrUnreachable, err.Error())
+	}
+	defer response.Body.Close()
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotModified:
+		return port.Value{}, port.ErrUnchanged
+	case http.StatusNotFound:
+		return port.Value{}, port.ErrNotFound
+	default:
+		return port.Value{}, errors.Wrapf(port.ErrUnreachable, "platform answered %d", response.StatusCode)
+	}
+	return readValue(response, maxBytes)
+}
+
+// readValue reads a whole value. An answer cut short ends in an error by its
+// Content-Length, so that half a manifest is never taken for a whole one.
+func readValue(response *http.Response, maxBytes int64) (port.Value, error) {
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxBytes+1))
+	if err != nil {
+		return port.Value{}, errors.Wrap(port.ErrUnreachable, "platform answer was cut short: "+err.Error())
+	}
+	if int64(len(content)) > maxBytes {
+		return port.Value{}, errors.Errorf("platform value is over %d bytes", maxBytes)
+	}
+	revision, _ := strconv.ParseUint(response.Header.Get(revisionHeader), 10, 64)
+	return port.Value{Revision: revision, Content: content}, nil
+}
--- /dev/null
+++ b/internal/command/command.go
@@ -0,0 +1,104 @@
+// Package command holds what tamarackctl's subcommands share; each subcommand
+// has a folder of its own.
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"tamarackquay/internal/contract"
+	"tamarackquay/internal/finding"
+)
+
+// Exit codes of tamarackctl.
+const (
+	ExitFine     = 0
+	ExitFindings = 1
+	ExitUsage    = 2
+)
+
+// ErrFindings ends a command whose findings have been printed.
+var ErrFindings = errors.New("findings")
+
+// Format is how a command prints its result.
+type Format string
+
+// The formats.
+const (
+	FormatText Format = "text"
+	FormatJSON Format = "json"
+)
+
+// AddFormat declares the --output flag.
+func AddFormat(command *cobra.Command, format *Format) {
+	command.Flags().StringVar((*string)(format), "output", string(FormatText), "text or json")
+}
+
+// Check refuses formats that don't exist.
+func (f Format) Check() error {
+	if f != FormatText && f != FormatJSON {
+		return errors.Errorf("--output %q: write text or json", f)
+	}
+	return nil
+}
+
+// PrintJSON writes value indented.
+func PrintJSON(w io.Writer, value any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+// PrintFindings writes findings in the format and returns ErrFindings if there
+// are any.
+func PrintFindings(w io.Writer, format Format, found finding.List) error {
+	if format == FormatJSON {
+		if err := PrintJSON(w, append(finding.List{}, found...)); err != nil {
+			return err
+		}
+	} else {
+		for _, f := range found {
+			fmt.Fprintln(w, f)
+		}
+	}
+	if len(found) > 0 {
+		return ErrFindings
+	}
+	return nil
+}
+
+// ReadContracts reads and checks every .toml file of a directory, in the order
+// of their names.
+func ReadContracts(dir string) (*contract.Set, finding.List) {
+	names, err := filepath.Glob(filepath.Join(dir, "*.toml"))
+	if err == nil && len(names) == 0 {
+		err = errors.New("no .toml file in it")
+	}
+	if err != nil {
+		return nil, unreadable(dir, err)
+	}
+	slices.Sort(names)
+	var sources []contract.Source
+	var found finding.List
+	for _, name := range names {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			found = append(found, unreadable(name, err)...)
+			continue
+		}
+		sources = append(sources, contract.Source{Name: name, Text: text})
+	}
+	set, faults := contract.Parse(sources)
+	return set, append(found, faults...)
+}
+
+func unreadable(file string, err error) finding.List {
+	return finding.List{{Code: finding.CodeUnreadable, File: file, Problem: err.Error(), Hint: "name a directory of contracts"}}
+}
--- /dev/null
+++ b/internal/contract/parse_test.go
@@ -0,0 +1,81 @@
+package contract
+
+import (
+	"os"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestExamplesAreGood(t *testing.T) {
+	for _, dir := range []string{"co-operative", "lighting-records"} {
+		var sources []Source
+		for _, name := range []string{"services.toml", "contracts.toml"} {
+			file := "../../examples/" + dir + "/" + name
+			text, err := os.ReadFile(file)
+			assert.NilError(t, err)
+			sources = append(sources, Source{Name: file, Text: text})
+		}
+		_, found := Parse(sources)
+		assert.NilError(t, found.AsError())
+	}
+}
+
+// Faults of form and of meaning in two contracts come together with their
+// lines, so that an operator mends all of them in one go.
+func TestFindingsCarryTheirPlace(t *testing.T) {
+	source := `[[service]]
+name = "tally"
+slots = 4
+max_connections = 10
+committed = { a = 1 }
+[[contract]]
+customer = "one"
+token_hashes = ["zz"]
+classes = ["crew"]
+[[contract.grant]]
+service = "tally"
+share = 0.6
+limit = 0.5
+[[contract]]
+customer = "two"
+token_hashes = ["aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"]
+classes = ["crew"]
+colour = "red"
+[[contract.grant]]
+service = "tally"
+share = 0.5
+limit = 1.0
+[[contract.route]]
+name = "r"
+prefix = "/r"
+service = "nowhere"
+class = "crew"
+deadline = "1s"
+stall = "1s"
+`
+	_, found := Parse([]Source{{Name: "c.toml", Text: []byte(source)}})
+	type place struct {
+		Line int
+		Code string
+	}
+	var places []place
+	for _, f := range found {
+		places = append(places, place{f.Line, string(f.Code)})
+	}
+	assert.DeepEqual(t, places, []place{
+		{8, string(CodeBadToken)}, {13, string(CodeLimitBelow)}, {18, "unknown-key"},
+		{21, string(CodeOvercommitted)}, {26, string(CodeUnknownService)},
+	})
+}
+
+// Whatever an operator's file holds, parsing ends in a set or in findings.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("[[service]]\nname = 1\n"))
+	f.Add([]byte("[[contract]]\n[[contract.grant]]\nshare = nan\n"))
+	f.Add([]byte("a = [\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		set, _ := Parse([]Source{{Name: "f.toml", Text: text}})
+		assert.Check(t, set != nil)
+	})
+}
--- /dev/null
+++ b/internal/node/mesh_test.go
@@ -0,0 +1,212 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+
+	"tamarackquay/internal/contract"
+	"tamarackquay/internal/distribution"
+	"tamarackquay/internal/membership"
+	"tamarackquay/internal/port"
+	"tamarackquay/internal/snapshot"
+	"tamarackquay/internal/tomlfile"
+	"tamarackquay/standin/memnet"
+)
+
+// mesh is a number of nodes on an in-memory network, in the virtual time of a
+// synctest bubble.
+type mesh struct {
+	t        *testing.T
+	network  *memnet.Network
+	platform *memnet.Platform
+	nodes    []*meshNode
+	version  snapshot.Version
+	root     snapshot.Hash
+}
+
+type meshNode struct {
+	*Node
+	vm     membership.VM
+	cancel context.CancelFunc
+	done   chan struct{}
+
+	mu sync.Mutex
+	// applied are the versions that the node put in force, in order.
+	applied []snapshot.Version
+}
+
+// Record implements port.Audit: it keeps the history of applied versions.
+func (m *meshNode) Record(event port.AuditEvent) {
+	if event.Kind != port.AuditApplied {
+		return
+	}
+	version, err := snapshot.ParseVersion(event.Version)
+	if err == nil {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.applied = append(m.applied, version)
+	}
+}
+
+func (m *meshNode) history() []snapshot.Version {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.applied)
+}
+
+type virtualClock struct{}
+
+func (virtualClock) Now() time.Time { return time.Now() }
+
+type silentMeter struct{}
+
+func (silentMeter) Count(port.Metric, string, int)   {}
+func (silentMeter) Set(port.Metric, string, float64) {}
+
+type noTarget struct{}
+
+func (noTarget) Do(context.Context, *port.Call) (*port.Answer, error) {
+	return &port.Answer{Status: http.StatusOK, Header: http.Header{}, Body: http.NoBody}, nil
+}
+
+// meshVM is VM number i of a mesh: domains of equal size, two to a region.
+func meshVM(i, domains int) membership.VM {
+	domain := i % domains
+	return membership.VM{
+		ID: fmt.Sprintf("vm-%03d", i), FailureDomain: fmt.Sprintf("domain-%d", domain),
+		Region: fmt.Sprintf("region-%d", domain/2), Service: "tally",
+		PeerAddress: fmt.Sprintf("10.0.%d.%d:8081", i/250, i%250+1),
+	}
+}
+
+func newMesh(t *testing.T, count, domains int) *mesh {
+	m := &mesh{t: t, network: memnet.New(), platform: memnet.NewPlatform()}
+	var list []membership.Record
+	for i := range count {
+		list = append(list, membership.Record{VM: meshVM(i, domains), State: membership.Live})
+	}
+	m.platform.SetVMs(list)
+	for i := range count {
+		m.nodes = append(m.nodes, m.start(meshVM(i, domains)))
+	}
+	return m
+}
+
+func (m *mesh) start(vm membership.VM) *meshNode {
+	mn := &meshNode{vm: vm, done: make(chan struct{})}
+	mn.Node = New(Config{
+		Self: vm, Seeds: []string{meshVM(0, 1).PeerAddress}, Heartbeat: time.Second, ListInterval: 5 * time.Second,
+		Readers: 2, Distribution: distribution.DefaultConfig(), Membership: membership.DefaultConfig(),
+		QueuePerSlot: 4, MaxAttempts: 3, Drain: time.Minute, Seed: uint64(len(m.nodes)) + 1,
+	}, Ports{
+		Platform: m.platform, Peers: m.network.Peers(vm), Target: noTarget{}, Clock: virtualClock{},
+		Audit: mn, Meter: silentMeter{}, Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
+	})
+	m.network.Attach(vm, mn.Node)
+	ctx, cancel := context.WithCancel(context.Background())
+	mn.cancel = cancel
+	go func() {
+		defer close(mn.done)
+		mn.Run(ctx)
+	}()
+	return mn
+}
+
+// kill takes a node away as SIGKILL does: it says nothing to anyone.
+func (m *mesh) kill(mn *meshNode) {
+	m.network.Detach(mn.vm)
+	mn.cancel()
+	<-mn.done
+}
+
+func (m *mesh) stopAll() {
+	for _, mn := range m.nodes {
+		m.kill(mn)
+	}
+}
+
+// meshSet is a small good configuration; deadline tells versions apart.
+func meshSet(deadline time.Duration) *contract.Set {
+	return &contract.Set{
+		Services: []contract.Service{{Name: "tally", Slots: 4, MaxConnections: 10, Committed: map[string]int{"domain-0": 1}}},
+		Contracts: []contract.Contract{{
+			Customer: "co-operative", TokenHashes: []string{contract.HashToken("token")}, Classes: []string{"crew"},
+			Grants: []contract.Grant{{Service: "tally", Share: 0.5, Limit: 1}},
+			Routes: []contract.Route{{Name: "tallies", Prefix: "/", Service: "tally", Class: "crew",
+				Deadline: tomlfile.Duration(deadline), Stall: tomlfile.Duration(time.Second)}},
+		}},
+	}
+}
+
+// publish puts the next version out and returns it.
+func (m *mesh) publish() snapshot.Version {
+	m.version = snapshot.Version{Epoch: 1, Revision: m.version.Revision + 1}
+	set := meshSet(time.Duration(m.version.Revision) * time.Second)
+	publication, err := snapshot.Build(set, snapshot.Origin{Version: m.version, Parent: m.root})
+	assert.NilError(m.t, err)
+	m.root = publication.Manifest.Root
+	assert.NilError(m.t, m.platform.Publish(publication))
+	return m.version
+}
+
+// behind counts nodes that don't have the last published version in force.
+func (m *mesh) behind() int {
+	count := 0
+	for _, mn := range m.nodes {
+		if current := mn.Snapshot(); current == nil || current.Version() != m.version {
+			count++
+		}
+	}
+	return count
+}
+
+// converge sleeps until every node has the last version, and returns how long
+// that took in virtual time.
+func (m *mesh) converge(limit time.Duration) time.Duration {
+	m.t.Helper()
+	start := time.Now()
+	for m.behind() > 0 {
+		assert.Assert(m.t, time.Since(start) < limit, "%d of %d nodes are behind after %s", m.behind(), len(m.nodes), limit)
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+// checkHistory proves that no node ever returned to an older version.
+func (m *mesh) checkHistory() {
+	m.t.Helper()
+	for _, mn := range m.nodes {
+		applied := mn.history()
+		for i := 1; i < len(applied); i++ {
+			assert.Check(m.t, applied[i].NewerThan(applied[i-1]), "%s applied %s after %s", mn.vm.ID, applied[i], applied[i-1])
+		}
+	}
+}
+
+func TestVersionReachesEveryNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, 12, 4)
+		defer m.stopAll()
+		m.network.Delay(func(from, to membership.VM) time.Duration {
+			if from.Region != to.Region {
+				return 20 * time.Millisecond
+			}
+			return 500 * time.Microsecond
+		})
+		m.publish()
+		m.converge(15 * time.Second)
+		m.publish()
+		m.converge(3 * time.Second)
+		m.checkHistory()
+	})
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,176 @@
+// Package node connects the decisions with the ports: a control loop that
+// learns and spreads configuration and membership, and the path of requests.
+//
+// One goroutine, the control loop, owns the distribution state and the
+// membership table. It publishes immutable pictures of both through atomic
+// pointers, so that requests read them without locks and keep the picture they
+// started with.
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"tamarackquay/internal/distribution"
+	"tamarackquay/internal/membership"
+	"tamarackquay/internal/port"
+	"tamarackquay/internal/routing"
+	"tamarackquay/internal/snapshot"
+)
+
+// Config is what a node needs to know besides its ports.
+type Config struct {
+	Self membership.VM
+	// Seeds are peer addresses to try while the platform's list can't be had.
+	Seeds        []string
+	Heartbeat    time.Duration
+	ListInterval time.Duration
+	// Readers is how many nodes of a failure domain watch the platform.
+	Readers      int
+	Distribution distribution.Config
+	Membership   membership.Config
+	// QueuePerSlot bounds the requests that wait at the local target.
+	QueuePerSlot int
+	// MaxAttempts bounds how many targets one request is offered to.
+	MaxAttempts int
+	// Drain bounds how long a planned stop waits for running requests.
+	Drain time.Duration
+	// Seed starts the node's random numbers.
+	Seed uint64
+}
+
+// Ports are the node's connections to the world.
+type Ports struct {
+	Platform port.Platform
+	Peers    port.Peers
+	Forward  port.Forwarder
+	Target   port.Target
+	Clock    port.Clock
+	Audit    port.Audit
+	Meter    port.Meter
+	Log      *log.Logger
+}
+
+// Node is one running process of the system.
+type Node struct {
+	config Config
+	ports  Ports
+	place  routing.Place
+
+	events   chan event
+	current  atomic.Pointer[snapshot.Snapshot]
+	view     atomic.Pointer[membership.View]
+	status   atomic.Pointer[Status]
+	ready    atomic.Bool
+	stopping atomic.Bool
+	// running counts requests that this node serves as entry or owner.
+	running atomic.Int64
+
+	gate *gate
+	load *loadCounter
+
+	randomMu sync.Mutex
+	random   *rand.Rand
+
+	// The control loop's own state; no other goroutine touches it.
+	state      *distribution.State
+	table      *membership.Table
+	self       membership.Record
+	background sync.WaitGroup
+	reading    bool
+}
+
+// New returns a node that has not started.
+func New(config Config, ports Ports) *Node {
+	now := ports.Clock.Now()
+	self := membership.Record{VM: config.Self, Incarnation: uint64(now.UnixNano()), State: membership.Live}
+	n := &Node{
+		config: config,
+		ports:  ports,
+		place:  routing.Place{FailureDomain: config.Self.FailureDomain, Region: config.Self.Region},
+		events: make(chan event, eventBacklog),
+		gate:   newGate(ports.Clock),
+		load:   newLoadCounter(),
+		random: rand.New(rand.NewPCG(config.Seed, self.Incarnation)),
+		state:  distribution.New(config.Distribution, now),
+		table:  membership.NewTable(config.Membership, self, now),
+		self:   self,
+	}
+	n.publish(now)
+	return n
+}
+
+// event is something that happened, to be handled by the control loop.
+type event func(ctx context.Context, now time.Time)
+
+// eventBacklog is how many events may wait for the control loop; senders wait
+// when it is full.
+const eventBacklog = 256
+
+// Snapshot returns the configuration in force, or nil.
+func (n *Node) Snapshot() *snapshot.Snapshot { return n.current.Load() }
+
+// View returns the membership as last published.
+func (n *Node) View() *membership.View { return n.view.Load() }
+
+// Ready reports whether the node takes new requests.
+func (n *Node) Ready() bool { return n.ready.Load() && !n.stopping.Load() }
+
+// Run drives the control loop until ctx ends. Requests may be served before,
+// while and after it runs; without it nothing new is learned.
+func (n *Node) Run(ctx context.Context) {
+	n.audit(port.AuditEvent{Kind: port.AuditStarted, Subject: n.config.Self.ID})
+	n.background.Go(func() { n.watchList(ctx) })
+	ticker := time.NewTicker(n.config.Heartbeat)
+	defer ticker.Stop()
+	n.tick(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			n.background.Wait()
+			return
+		case e := <-n.events:
+			now := n.ports.Clock.Now()
+			e(ctx, now)
+			n.publish(now)
+		case <-ticker.C:
+			n.tick(ctx)
+		}
+	}
+}
+
+// post hands an event to the control loop, or drops it when ctx ends first. The
+// event gets the loop's own context: what it starts must outlive the message
+// that brought it, or a pull begun by an announce would be cancelled as soon as
+// the announcing peer had finished sending.
+func (n *Node) post(ctx context.Context, e event) {
+	select {
+	case n.events <- e:
+	case <-ctx.Done():
+	}
+}
+
+// publish makes the control loop's state visible to requests.
+func (n *Node) publish(now time.Time) {
+	view := n.table.View(now)
+	n.view.Store(view)
+	n.ready.Store(n.state.Ready(now))
+	n.status.Store(n.newStatus(view))
+}
+
+func (n *Node) audit(event port.AuditEvent) {
+	event.Time = n.ports.Clock.Now()
+	event.VM = n.config.Self.ID
+	n.ports.Audit.Record(event)
+}
+
+func (n *Node) pick(below int) int {
+	n.randomMu.Lock()
+	defer n.randomMu.Unlock()
+	return n.random.IntN(below)
+}
--- /dev/null
+++ b/internal/port/audit.go
@@ -0,0 +1,42 @@
+package port
+
+import (
+	"time"
+
+	"tamarackquay/internal/finding"
+)
+
+// AuditKind names what happened.
+type AuditKind string
+
+// The kinds of audit events.
+const (
+	AuditStarted       AuditKind = "started"
+	AuditApplied       AuditKind = "version-applied"
+	AuditRefused       AuditKind = "version-refused"
+	AuditMemberChanged AuditKind = "member-changed"
+	AuditStopping      AuditKind = "stopping"
+	AuditStopped       AuditKind = "stopped"
+	AuditPlatformDown  AuditKind = "platform-down"
+	AuditPlatformUp    AuditKind = "platform-up"
+	AuditPaused        AuditKind = "paused"
+)
+
+// AuditEvent is one entry of the trail.
+type AuditEvent struct {
+	Time time.Time `json:"time"`
+	Kind AuditKind `json:"kind"`
+	VM   string    `json:"vm"`
+	// Version and Root are set on events that concern a configuration
+	// version.
+	Version string `json:"version,omitempty"`
+	Root    string `json:"root,omitempty"`
+	// PublishedBy and PublishedAt come from the version's manifest.
+	PublishedBy string     `json:"published_by,omitempty"`
+	PublishedAt *time.Time `json:"published_at,omitempty"`
+	// From is the peer that the news came from, "platform", or empty.
+	From     string       `json:"from,omitempty"`
+	Subject  string       `json:"subject,omitempty"`
+	Detail   string       `json:"detail,omitempty"`
+	Findings finding.List `json:"findings,omitempty"`
+}
--- /dev/null
+++ b/internal/port/metric.go
@@ -0,0 +1,23 @@
+package port
+
+// Metric names a counter or gauge as operators see it. docs/METRICS.md gives
+// each one's unit and the alert that it serves.
+type Metric string
+
+// The metrics.
+const (
+	// MetricAnswered counts requests answered by a target, by route.
+	MetricAnswered Metric = "tamarack_requests_answered_total"
+	// MetricRefused counts refusals to callers, by reason.
+	MetricRefused Metric = "tamarack_requests_refused_total"
+	// MetricUnknown counts requests whose outcome is unknown, by route.
+	MetricUnknown Metric = "tamarack_requests_unknown_total"
+	// MetricApplied counts versions put in force.
+	MetricApplied Metric = "tamarack_versions_applied_total"
+	// MetricVersionRefused counts versions that failed their checks.
+	MetricVersionRefused Metric = "tamarack_versions_refused_total"
+	// MetricPlatformReads counts reads of the platform, by result.
+	MetricPlatformReads Metric = "tamarack_platform_reads_total"
+	// MetricLiveMembers is the number of members that take new work.
+	MetricLiveMembers Metric = "tamarack_members_live"
+)
--- /dev/null
+++ b/internal/port/refusal.go
@@ -0,0 +1,68 @@
+package port
+
+import (
+	"fmt"
+	"time"
+)
+
+// Reason says why a request was refused, in a form that callers may act on.
+type Reason string
+
+// The reasons. Every refusal promises that the request did not run.
+const (
+	ReasonNotReady      Reason = "not-ready"
+	ReasonStopping      Reason = "stopping"
+	ReasonUnknownToken  Reason = "unknown-token"
+	ReasonUnknownRoute  Reason = "unknown-route"
+	ReasonMethod        Reason = "method-not-allowed"
+	ReasonNoTarget      Reason = "no-target"
+	ReasonQueueFull     Reason = "queue-full"
+	ReasonDeadline      Reason = "deadline"
+	ReasonLimit         Reason = "limit"
+	ReasonNoGrant       Reason = "no-grant"
+	ReasonDraining      Reason = "draining"
+	ReasonBehind        Reason = "behind"
+	ReasonWrongOwner    Reason = "wrong-owner"
+	ReasonShed          Reason = "shed"
+	ReasonUnreachable   Reason = "unreachable"
+	ReasonBodyTooLarge  Reason = "body-too-large"
+	ReasonRetriesSpent  Reason = "retries-spent"
+	ReasonBadRequest    Reason = "bad-request"
+	ReasonDuplicateCall Reason = "duplicate-call"
+)
+
+// Refusal is the error of a request that is proven not to have run.
+type Refusal struct {
+	Reason Reason
+	// RetryAfter tells the caller when to come back; zero means that coming
+	// back unchanged won't help.
+	RetryAfter time.Duration
+	// Detail is one sentence for a person.
+	Detail string
+}
+
+// Error renders the refusal for logs.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("refused, did not run: %s: %s", r.Reason, r.Detail)
+}
+
+// Refuse makes a refusal that a later try may pass.
+func Refuse(reason Reason, retryAfter time.Duration, format string, args ...any) *Refusal {
+	return &Refusal{Reason: reason, RetryAfter: retryAfter, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Unknown is the error of a request that may have run: bytes reached the
+// target, and no whole answer came back.
+type Unknown struct {
+	// Stage says how far the request had come.
+	Stage string
+	Cause error
+}
+
+// Error renders the outcome for logs.
+func (u *Unknown) Error() string {
+	return fmt.Sprintf("outcome unknown at %s: %v", u.Stage, u.Cause)
+}
+
+// Unwrap gives the cause.
+func (u *Unknown) Unwrap() error { return u.Cause }
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Runs all tests with the race detector. Tests that KNOWN-RED.txt names are run
+# apart and printed; they don't change the verdict.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+GO=${GO:-go}
+
+known=$(grep -vE '^\s*(#|$)' KNOWN-RED.txt || true)
+skip=$(sed -nE 's/.*-run '"'"'?\^?(Test[A-Za-z0-9_]+).*/\1/p' <<<"$known" | paste -sd'|')
+
+"$GO" test -race -timeout 5m ${skip:+-skip "^($skip)\$"} ./...
+
+if [ -n "$known" ]; then
+  echo "known red (KNOWN-RED.txt):"
+  echo "$known"
+fi
--- /dev/null
+++ b/standin/platform/platform.go
@@ -0,0 +1,236 @@
+// Package platform is a stand-in for the platform's configuration service and
+// VM list, for tests and the demo only. It speaks the published protocol and
+// can be told to misbehave in the ways that users have seen.
+package platform
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"golang.org/x/time/rate"
+
+	"tamarackquay/internal/adapter/platformhttp"
+	"tamarackquay/internal/snapshot"
+)
+
+// ReadBudget is how many reads a second the platform gives all readers.
+const ReadBudget = 2000
+
+// watchWait is how long a watch waits for news.
+const watchWait = 20 * time.Second
+
+const manifestKey = "manifest"
+
+// Mode says how the stand-in misbehaves.
+type Mode struct {
+	// Down refuses every read.
+	Down bool `json:"down"`
+	// Stale serves what was published when the mode was set.
+	Stale bool `json:"stale"`
+	// SlowMS delays each answer.
+	SlowMS int `json:"slow_ms"`
+	// CutShort ends each answer in the middle.
+	CutShort bool `json:"cut_short"`
+	// ListLagMS delays each change of the VM list.
+	ListLagMS int `json:"list_lag_ms"`
+}
+
+// Stats counts what readers asked.
+type Stats struct {
+	Reads      uint64 `json:"reads"`
+	OverBudget uint64 `json:"over_budget"`
+	Bytes      uint64 `json:"bytes"`
+}
+
+type value struct {
+	revision uint64
+	content  []byte
+}
+
+// Platform is the stand-in. It is safe for concurrent use.
+type Platform struct {
+	budget *rate.Limiter
+
+	reads, over, bytes atomic.Uint64
+
+	mu       sync.Mutex
+	mode     Mode
+	values   map[string]value
+	frozen   map[string]value
+	revision uint64
+	changed  chan struct{}
+	vms      []platformhttp.Listed
+}
+
+// New returns an empty platform.
+func New() *Platform {
+	return &Platform{
+		budget:  rate.NewLimiter(ReadBudget, ReadBudget),
+		values:  map[string]value{},
+		changed: make(chan struct{}),
+	}
+}
+
+// Publish takes an operator's publication: the parts first, the manifest last.
+func (p *Platform) Publish(publication *snapshot.Publication) error {
+	raw, err := publication.Manifest.Encode()
+	if err != nil {
+		return err
+	}
+	for hash, part := range publication.Parts {
+		p.Put("part/"+hash.String(), part)
+	}
+	p.Put(manifestKey, raw)
+	return nil
+}
+
+// Put stores one value as an operator would.
+func (p *Platform) Put(key string, content []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision++
+	p.values[key] = value{revision: p.revision, content: content}
+	p.wake()
+}
+
+// wake ends all waiting watches' sleep; the caller holds mu.
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// SetMode changes how the stand-in misbehaves.
+func (p *Platform) SetMode(mode Mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if mode.Stale && !p.mode.Stale {
+		p.frozen = make(map[string]value, len(p.values))
+		for key, v := range p.values {
+			p.frozen[key] = v
+		}
+	}
+	p.mode = mode
+	p.wake()
+}
+
+// SetVMs changes the VM list, after the lag that the mode sets.
+func (p *Platform) SetVMs(vms []platformhttp.Listed) {
+	p.mu.Lock()
+	lag := time.Duration(p.mode.ListLagMS) * time.Millisecond
+	p.mu.Unlock()
+	time.AfterFunc(lag, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.vms = vms
+	})
+}
+
+// Stats returns the counts so far.
+func (p *Platform) Stats() Stats {
+	return Stats{Reads: p.reads.Load(), OverBudget: p.over.Load(), Bytes: p.bytes.Load()}
+}
+
+// Handler serves readers under /v1 and operators and tests under /admin.
+func (p *Platform) Handler() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	readers := e.Group("/v1", p.misbehave)
+	readers.GET("/config/*", p.readConfig)
+	readers.GET("/vms", p.readVMs)
+	e.PUT("/admin/config/*", p.putConfig)
+	e.PUT("/admin/mode", p.putMode)
+	e.PUT("/admin/vms", p.putVMs)
+	e.GET("/admin/stats", func(c echo.Context) error { return c.JSON(http.StatusOK, p.Stats()) })
+	return e
+}
+
+func (p *Platform) misbehave(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		p.reads.Add(1)
+		p.mu.Lock()
+		mode := p.mode
+		p.mu.Unlock()
+		if mode.SlowMS > 0 {
+			time.Sleep(time.Duration(mode.SlowMS) * time.Millisecond)
+		}
+		if mode.Down {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		if !p.budget.Allow() {
+			p.over.Add(1)
+			return c.NoContent(http.StatusTooManyRequests)
+		}
+		return next(c)
+	}
+}
+
+func (p *Platform) readConfig(c echo.Context) error {
+	key := c.Param("*")
+	after, _ := strconv.ParseUint(c.QueryParam("after"), 10, 64)
+	deadline := time.NewTimer(watchWait)
+	defer deadline.Stop()
+	for {
+		v, ok, changed := p.lookup(key)
+		switch {
+		case ok && v.revision > after:
+			c.Response().Header().Set("Revision", strconv.FormatUint(v.revision, 10))
+			return p.send(c, v.content)
+		case after == 0:
+			return c.NoContent(http.StatusNotFound)
+		}
+		select {
+		case <-changed:
+			if p.isDown() {
+				return c.NoContent(http.StatusServiceUnavailable)
+			}
+		case <-deadline.C:
+			return c.NoContent(http.StatusNotModified)
+		case <-c.Request().Context().Done():
+			return nil
+		}
+	}
+}
+
+func (p *Platform) isDown() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode.Down
+}
+
+func (p *Platform) lookup(key string) (value, bool, chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	values := p.values
+	if p.mode.Stale {
+		values = p.frozen
+	}
+	v, ok := values[key]
+	return v, ok, p.changed
+}
+
+// send writes a value; with CutShort it ends the connection after half of it.
+func (p *Platform) send(c echo.Context, content []byte) error {
+	p.mu.Lock()
+	cut := p.mode.CutShort
+	p.mu.Unlock()
+	p.bytes.Add(uint64(len(content)))
+	if !cut {
+		return c.Blob(http.StatusOK, echo.MIMEOctetStream, content)
+	}
+	c.Response().Header().Set(echo.HeaderContentLength, strconv.Itoa(len(content)))
+	c.Response().WriteHeader(http.StatusOK)
+	// The error is the point: the connection is about to be cut.
+	_, _ = c.Response().Write(content[:len(content)/2])
+	panic(http.ErrAbortHandler)
+}
+
+func (p *Platform) readVMs(c echo.Context) error {
+	p.mu.Lock()
+	vms := p.vms
+	p.mu.Unlock()
+	return c.JSON(http.StatusOK, vms)
+}
--- /dev/null
+++ b/test/process/path_test.go
@@ -0,0 +1,122 @@
+package process
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tamarackquay/standin/platform"
+	"tamarackquay/standin/target"
+)
+
+// sixVMs is the smallest fleet that has each service in both failure domains.
+func sixVMs() []spec {
+	var specs []spec
+	for _, service := range []string{"tally", "returns", "archive"} {
+		for _, domain := range []string{"a", "b"} {
+			specs = append(specs, spec{id: domain + "-" + service, domain: domain + "-1", region: domain, service: service})
+		}
+	}
+	return specs
+}
+
+// A caller's three kinds of request enter at a node of another service and are
+// answered whole by a target behind another node. A changed contract is then in
+// force on every node.
+func TestWholePath(t *testing.T) {
+	f := newFleet(t, sixVMs()...)
+	f.publish(testContracts("5s"))
+	f.waitVersion()
+	f.waitMembers("a-archive", 6)
+
+	tally := f.call("a-archive", http.MethodGet, "/tallies/hwy1", "")
+	assert.NilError(t, tally.err)
+	assert.Equal(t, tally.status, http.StatusOK)
+	assert.Equal(t, tally.header.Get("Tamarack-Owner"), "a-tally")
+
+	filed := f.call("a-archive", http.MethodPost, "/returns/4711", "signed")
+	assert.NilError(t, filed.err)
+	assert.Equal(t, filed.status, http.StatusCreated)
+	assert.Equal(t, len(f.ledger("a-returns"))+len(f.ledger("b-returns")), 1)
+
+	const size = 20 << 20
+	archive := f.call("a-tally", http.MethodGet, fmt.Sprintf("/archive/video?bytes=%d", size), "")
+	assert.NilError(t, archive.err)
+	digest := sha256.Sum256(archive.body)
+	assert.Equal(t, hex.EncodeToString(digest[:]), target.ArchiveDigest("/archive/video", size))
+
+	f.publish(testContracts("6s"))
+	f.waitVersion()
+}
+
+// Callers elsewhere keep getting whole answers while one node is killed in the
+// middle of a run: its target is lost, and the other domain's takes over.
+func TestKilledNodeLeavesOthersServing(t *testing.T) {
+	f := newFleet(t, sixVMs()...)
+	f.publish(testContracts("5s"))
+	f.waitVersion()
+	f.waitMembers("b-archive", 6)
+
+	const calls = 60
+	var failures sync.Map
+	var callers sync.WaitGroup
+	for i := range calls {
+		callers.Go(func() {
+			r := f.call("b-archive", http.MethodGet, fmt.Sprintf("/tallies/%d", i), "")
+			if r.err != nil || r.status != http.StatusOK {
+				failures.Store(i, fmt.Sprintf("status %d, %v, %s", r.status, r.err, r.body))
+			}
+		})
+		if i == calls/3 {
+			f.nodes["b-tally"].process.signal(syscall.SIGKILL)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	callers.Wait()
+	failures.Range(func(i, why any) bool {
+		t.Errorf("call %v: %v", i, why)
+		return true
+	})
+}
+
+// A platform that cuts its answers short leaves the nodes on the version they
+// have; once it is well again the new version comes into force. Half a manifest
+// must never pass for a whole one.
+func TestPlatformAnswersCutShort(t *testing.T) {
+	f := newFleet(t, sixVMs()...)
+	f.publish(testContracts("5s"))
+	f.waitVersion()
+	first := f.version
+	f.setPlatform(platform.Mode{CutShort: true})
+	f.publish(testContracts("6s"))
+	time.Sleep(500 * time.Millisecond)
+	for _, id := range f.order {
+		status, err := f.status(id)
+		assert.NilError(t, err)
+		assert.Equal(t, status.Applied, first)
+	}
+	f.setPlatform(platform.Mode{})
+	f.waitVersion()
+}
+
+// A target that breaks off in the middle of an archive gives the caller a
+// broken answer, never a clean end after half the bytes.
+func TestBrokenArchiveIsVisiblyBroken(t *testing.T) {
+	f := newFleet(t, sixVMs()...)
+	f.publish(testContracts("5s"))
+	f.waitVersion()
+	f.waitMembers("a-tally", 6)
+	for _, id := range []string{"a-archive", "b-archive"} {
+		f.setTarget(id, target.Mode{CutBodyAfter: 100_000})
+	}
+	const size = 4 << 20
+	r := f.call("a-tally", http.MethodGet, fmt.Sprintf("/archive/video?bytes=%d", size), "")
+	assert.Check(t, r.err != nil, "status %d with %d bytes passed for whole", r.status, len(r.body))
+}
