Tell serving on old configuration from ready; note platform, members and refusals

Cause: /readyz knew only ready and not ready, and the audit kinds for the platform and for members were never recorded; the log stream repeated one JSON key per finding, so that readers kept only the last (shown red by TestLogLineCarriesEveryFinding). Ruled out: calls in each place that reads the platform or changes members, which would put the trail into four owners' files; one event per member, since a lost region would push everything else out of 2,048 events. Change: observers around the platform and audit ports, health judged by a pure function from five facts, a round of gauges and member events at most once a second. Conclusion: an operator reads from one page whether a node is behind and why.

--- a/internal/adapter/auditlog/auditlog.go
+++ b/internal/adapter/auditlog/auditlog.go
@@ -15,6 +15,10 @@
 // events each, several hours.
 const Capacity = 2048
 
+// Stream marks the log lines of the audit trail, so that a collector can keep
+// them apart and for longer.
+const Stream = "audit"
+
 // Trail implements port.Audit. It is safe for concurrent use.
 type Trail struct {
 	log *log.Logger
@@ -31,7 +35,7 @@
 
 // Record implements port.Audit.
 func (t *Trail) Record(event port.AuditEvent) {
-	t.log.Info().Str("stream", "audit").Object("event", logged(event)).Msg(string(event.Kind))
+	t.log.Info().Str("stream", Stream).Object("event", logged(event)).Msg(string(event.Kind))
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.events) < Capacity {
@@ -56,9 +60,11 @@
 
 // MarshalObject implements log.ObjectMarshaler.
 func (l logged) MarshalObject(e *log.Entry) {
-	e.Str("vm", l.VM).Str("version", l.Version).Str("from", l.From).Str("published_by", l.PublishedBy)
-	e.Str("subject", l.Subject).Str("detail", l.Detail).Int("findings", len(l.Findings))
-	for _, f := range l.Findings {
-		e.Str("finding", f.String())
+	e.Time("time", l.Time).Str("vm", l.VM).Str("version", l.Version).Str("root", l.Root)
+	e.Str("from", l.From).Str("published_by", l.PublishedBy).Str("subject", l.Subject).Str("detail", l.Detail)
+	findings := make([]string, len(l.Findings))
+	for i, f := range l.Findings {
+		findings[i] = f.String()
 	}
+	e.Strs("findings", findings)
 }
--- a/internal/adapter/operatorhttp/operatorhttp.go
+++ b/internal/adapter/operatorhttp/operatorhttp.go
@@ -2,6 +2,7 @@
 package operatorhttp
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -12,9 +13,20 @@
 	"tamarackquay/internal/port"
 )
 
+// The paths that operators ask.
+const (
+	// PathAlive answers 200 while the process runs.
+	PathAlive = "/healthz"
+	// PathReady answers 200 while the node takes requests and 503 while it
+	// doesn't; the body's first word is the node's health state.
+	PathReady   = "/readyz"
+	PathStatus  = "/status"
+	PathAudit   = "/audit"
+	PathMetrics = "/metrics"
+)
+
 // Node is what the pages show.
 type Node interface {
-	Ready() bool
 	Status() node.Status
 }
 
@@ -34,20 +46,25 @@
 func NewServer(n Node, trail Trail, meter Meter) *http.Server {
 	e := echo.New()
 	e.HideBanner = true
-	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
-	e.GET("/readyz", func(c echo.Context) error { return ready(c, n) })
-	e.GET("/status", func(c echo.Context) error { return c.JSON(http.StatusOK, n.Status()) })
-	e.GET("/audit", func(c echo.Context) error { return c.JSON(http.StatusOK, trail.Events()) })
-	e.GET("/metrics", func(c echo.Context) error {
+	e.GET(PathAlive, func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET(PathReady, func(c echo.Context) error { return ready(c, n.Status().Health) })
+	e.GET(PathStatus, func(c echo.Context) error { return c.JSON(http.StatusOK, n.Status()) })
+	e.GET(PathAudit, func(c echo.Context) error { return c.JSON(http.StatusOK, trail.Events()) })
+	e.GET(PathMetrics, func(c echo.Context) error {
 		meter.Write(c.Response())
 		return nil
 	})
 	return &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout}
 }
 
-func ready(c echo.Context, n Node) error {
-	if !n.Ready() {
-		return c.String(http.StatusServiceUnavailable, "not ready\n")
+func ready(c echo.Context, health node.Health) error {
+	code := http.StatusServiceUnavailable
+	if health.Serving() {
+		code = http.StatusOK
+	}
+	body := fmt.Sprintf("%s since %s\n", health.State, health.Since.UTC().Format(time.RFC3339))
+	for _, reason := range health.Reasons {
+		body += reason + "\n"
 	}
-	return c.String(http.StatusOK, "ready\n")
+	return c.String(code, body)
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -54,6 +54,7 @@
 	var refusal *port.Refusal
 	if errors.As(err, &refusal) {
 		n.ports.Meter.Count(port.MetricRefused, string(refusal.Reason), 1)
+		n.observer.refusals.add(refusal.Reason)
 	} else {
 		n.ports.Meter.Count(port.MetricUnknown, route, 1)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,8 +71,9 @@
 	// running counts requests that this node serves as entry or owner.
 	running atomic.Int64
 
-	gate *gate
-	load *loadCounter
+	gate     *gate
+	load     *loadCounter
+	observer *observer
 
 	randomMu sync.Mutex
 	random   *rand.Rand
@@ -101,6 +102,7 @@
 		table:  membership.NewTable(config.Membership, self, now),
 		self:   self,
 	}
+	n.observe(now)
 	n.publish(now)
 	return n
 }
@@ -160,7 +162,7 @@
 	view := n.table.View(now)
 	n.view.Store(view)
 	n.ready.Store(n.state.Ready(now))
-	n.status.Store(n.newStatus(view))
+	n.status.Store(n.newStatus(now, view))
 }
 
 func (n *Node) audit(event port.AuditEvent) {
--- /dev/null
+++ b/internal/node/observer.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"time"
+
+	"tamarackquay/internal/membership"
+	"tamarackquay/internal/port"
+)
+
+// observePeriod is the least time between two rounds of gauges and of member
+// events: what happens faster is seen together.
+const observePeriod = time.Second
+
+// observer notes what operators ask about later: how the platform answers,
+// which versions and requests were refused, and how members change. It decides
+// nothing.
+type observer struct {
+	started  time.Time
+	platform *observedPlatform
+	versions *recentRefusals
+	refusals *refusalTally
+
+	// The control loop's own state.
+	members memberTrail
+	last    time.Time
+}
+
+// observe puts the node's observers around its ports.
+func (n *Node) observe(now time.Time) {
+	versions := &recentRefusals{inner: n.ports.Audit}
+	platform := observePlatform(n.ports, n.platformChanged)
+	n.ports.Audit = versions
+	n.ports.Platform = platform
+	n.observer = &observer{
+		started: now, platform: platform, versions: versions, refusals: newRefusalTally(now),
+		members: memberTrail{self: n.config.Self.ID}, last: now,
+	}
+}
+
+func (n *Node) platformChanged(contact PlatformContact) {
+	kind := port.AuditPlatformUp
+	if contact.State == PlatformUnreachable {
+		kind = port.AuditPlatformDown
+	}
+	n.audit(port.AuditEvent{Kind: kind, Subject: "platform", Detail: contact.Problem})
+}
+
+// observe sets gauges and records what changed since the last round.
+func (o *observer) observe(n *Node, now time.Time, s *Status, view *membership.View) {
+	if now.Sub(o.last) < observePeriod {
+		return
+	}
+	o.last = now
+	for _, event := range o.members.compare(view.Records) {
+		n.audit(event)
+	}
+	for _, event := range o.refusals.due(now) {
+		n.audit(event)
+	}
+	n.setGauges(now, s, view)
+}
+
+func (n *Node) setGauges(now time.Time, s *Status, view *membership.View) {
+	meter := n.ports.Meter
+	live := 0
+	for _, targets := range view.Targets {
+		live += len(targets)
+	}
+	running, waiting := n.gate.counts()
+	meter.Set(port.MetricLiveMembers, "", float64(live))
+	meter.Set(port.MetricSlotsRunning, "", float64(running))
+	meter.Set(port.MetricQueueWaiting, "", float64(waiting))
+	meter.Set(port.MetricRequestsOpen, "", float64(n.running.Load()))
+	meter.Set(port.MetricVersionEpoch, "", float64(s.Applied.Epoch))
+	meter.Set(port.MetricVersionRevision, "", float64(s.Applied.Revision))
+	meter.Set(port.MetricReportedRevision, "", float64(s.Reported.Revision))
+	if !s.PublishedAt.IsZero() {
+		meter.Set(port.MetricConfigurationAge, "", now.Sub(s.PublishedAt).Seconds())
+	}
+	meter.Set(port.MetricPlatformReachable, "", flag(s.Platform.State == PlatformReachable))
+	for _, state := range []HealthState{HealthReady, HealthOldConfiguration, HealthNotReady, HealthStopping} {
+		meter.Set(port.MetricHealth, string(state), flag(s.Health.State == state))
+	}
+}
+
+func flag(on bool) float64 {
+	if on {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/node/platformcontact.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tamarackquay/internal/membership"
+	"tamarackquay/internal/port"
+	"tamarackquay/internal/snapshot"
+)
+
+// PlatformState is how the node's own reads of the platform fare.
+type PlatformState string
+
+// The states. A node that is no reader may have nothing to tell.
+const (
+	PlatformNotRead     PlatformState = "not-read"
+	PlatformReachable   PlatformState = "reachable"
+	PlatformUnreachable PlatformState = "unreachable"
+)
+
+// PlatformContact is what the node saw of the platform.
+type PlatformContact struct {
+	State PlatformState `json:"state"`
+	// Since is when the state began; zero while nothing was read.
+	Since time.Time `json:"since"`
+	// LastAnswer is when the platform last answered; zero if it never did.
+	LastAnswer time.Time `json:"last_answer"`
+	Problem    string    `json:"problem,omitempty"`
+}
+
+// unreachableAfter is how many reads in a row must fail before the platform
+// counts as unreachable. One lost connection is no outage.
+const unreachableAfter = 3
+
+// The results by which reads of the platform are counted.
+const (
+	readAnswered  = "answered"
+	readUnchanged = "unchanged"
+	readNotFound  = "not-found"
+	readFailed    = "failed"
+)
+
+// observedPlatform is a port.Platform that notes how each read fares.
+type observedPlatform struct {
+	inner port.Platform
+	clock port.Clock
+	meter port.Meter
+	// changed is called without the lock when the platform becomes
+	// unreachable or reachable again.
+	changed func(contact PlatformContact)
+
+	mu       sync.Mutex
+	contact  PlatformContact
+	failures int
+}
+
+func observePlatform(ports Ports, changed func(PlatformContact)) *observedPlatform {
+	return &observedPlatform{inner: ports.Platform, clock: ports.Clock, meter: ports.Meter, changed: changed,
+		contact: PlatformContact{State: PlatformNotRead}}
+}
+
+// Manifest implements port.Platform.
+func (p *observedPlatform) Manifest(ctx context.Context) (port.Value, error) {
+	value, err := p.inner.Manifest(ctx)
+	p.note(ctx, err)
+	return value, err
+}
+
+// WatchManifest implements port.Platform.
+func (p *observedPlatform) WatchManifest(ctx context.Context, after uint64) (port.Value, error) {
+	value, err := p.inner.WatchManifest(ctx, after)
+	p.note(ctx, err)
+	return value, err
+}
+
+// Part implements port.Platform.
+func (p *observedPlatform) Part(ctx context.Context, hash snapshot.Hash) ([]byte, error) {
+	raw, err := p.inner.Part(ctx, hash)
+	p.note(ctx, err)
+	return raw, err
+}
+
+// VMs implements port.Platform.
+func (p *observedPlatform) VMs(ctx context.Context) ([]membership.Record, error) {
+	list, err := p.inner.VMs(ctx)
+	p.note(ctx, err)
+	return list, err
+}
+
+// state returns what was seen so far.
+func (p *observedPlatform) state() PlatformContact {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.contact
+}
+
+// note takes the result of one read. A read that the node itself cancelled
+// tells nothing of the platform.
+func (p *observedPlatform) note(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	p.meter.Count(port.MetricPlatformReads, readResult(err), 1)
+	if contact, moved := p.update(err); moved {
+		p.changed(contact)
+	}
+}
+
+func (p *observedPlatform) update(err error) (PlatformContact, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	before := p.contact.State
+	if readResult(err) != readFailed {
+		p.failures = 0
+		p.contact.LastAnswer = now
+		p.enter(PlatformReachable, now, "")
+	} else if p.failures++; p.failures >= unreachableAfter {
+		p.enter(PlatformUnreachable, now, err.Error())
+	}
+	// The first answer after the start is no news.
+	moved := before != p.contact.State && (before != PlatformNotRead || p.contact.State == PlatformUnreachable)
+	return p.contact, moved
+}
+
+func (p *observedPlatform) enter(state PlatformState, now time.Time, problem string) {
+	if p.contact.State != state {
+		p.contact.State = state
+		p.contact.Since = now
+	}
+	p.contact.Problem = problem
+}
+
+func readResult(err error) string {
+	switch {
+	case err == nil:
+		return readAnswered
+	case errors.Is(err, port.ErrUnchanged):
+		return readUnchanged
+	case errors.Is(err, port.ErrNotFound):
+		return readNotFound
+	}
+	return readFailed
+}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"tamarackquay/internal/membership"
 	"tamarackquay/internal/port"
 	"tamarackquay/internal/snapshot"
@@ -8,26 +10,59 @@
 
 // Status is what operators see of a node.
 type Status struct {
-	VM       membership.VM       `json:"vm"`
-	Ready    bool                `json:"ready"`
-	Stopping bool                `json:"stopping"`
-	Applied  snapshot.Version    `json:"applied"`
-	Root     snapshot.Hash       `json:"root"`
-	Reported snapshot.Version    `json:"reported"`
-	Running  int                 `json:"running"`
-	Waiting  int                 `json:"waiting"`
-	Members  []membership.Record `json:"members"`
+	VM       membership.VM `json:"vm"`
+	Ready    bool          `json:"ready"`
+	Stopping bool          `json:"stopping"`
+	Health   Health        `json:"health"`
+	// Started is when the process began.
+	Started time.Time        `json:"started"`
+	Applied snapshot.Version `json:"applied"`
+	Root    snapshot.Hash    `json:"root"`
+	// AppliedAt is when this node put the version in force, by its own clock;
+	// zero while it has none. PublishedBy and PublishedAt are the publisher's
+	// words in the manifest.
+	AppliedAt   time.Time        `json:"applied_at"`
+	PublishedBy string           `json:"published_by"`
+	PublishedAt time.Time        `json:"published_at"`
+	Reported    snapshot.Version `json:"reported"`
+	Platform    PlatformContact  `json:"platform"`
+	// Running and Waiting are requests at the local target's slots and queue.
+	Running int                 `json:"running"`
+	Waiting int                 `json:"waiting"`
+	Members []membership.Record `json:"members"`
+	// RefusedVersions are the last ones, oldest first.
+	RefusedVersions []RefusedVersion `json:"refused_versions,omitempty"`
+	// RefusedRequests counts refusals to callers since the start, by reason.
+	RefusedRequests map[port.Reason]int `json:"refused_requests,omitempty"`
 
 	// beat is the answer to a peer's heartbeat.
 	beat port.Heartbeat
 }
 
-func (n *Node) newStatus(view *membership.View) *Status {
-	s := &Status{VM: n.config.Self, Applied: n.state.AppliedVersion(), Reported: n.state.Reported(), Members: view.Records}
+// newStatus makes the part of the status that the control loop owns. It runs on
+// the control loop each time something happened.
+func (n *Node) newStatus(now time.Time, view *membership.View) *Status {
+	s := &Status{VM: n.config.Self, Started: n.observer.started, Members: view.Records,
+		Applied: n.state.AppliedVersion(), Reported: n.state.Reported(), Platform: n.observer.platform.state()}
 	if applied := n.state.Applied(); applied != nil {
 		s.Root = applied.Root()
+		s.PublishedBy = applied.Manifest().PublishedBy
+		s.PublishedAt = applied.Manifest().PublishedAt
+	}
+	previous := n.status.Load()
+	if previous == nil {
+		previous = &Status{}
 	}
+	s.AppliedAt = previous.AppliedAt
+	if s.Applied != previous.Applied {
+		s.AppliedAt = now
+	}
+	state, reasons := judgeHealth(healthFacts{
+		stopping: n.stopping.Load(), ready: n.ready.Load(), applied: s.Applied, reported: s.Reported, platform: s.Platform,
+	})
+	s.Health = previous.Health.next(now, state, reasons)
 	s.beat = n.heartbeat()
+	n.observer.observe(n, now, s, view)
 	return s
 }
 
@@ -36,6 +71,11 @@
 	s := *n.status.Load()
 	s.Ready = n.Ready()
 	s.Stopping = n.stopping.Load()
+	if s.Stopping && s.Health.State != HealthStopping {
+		s.Health = Health{State: HealthStopping, Since: n.ports.Clock.Now(), Reasons: []string{"planned stop"}}
+	}
 	s.Running, s.Waiting = n.gate.counts()
+	s.RefusedVersions = n.observer.versions.versions()
+	s.RefusedRequests = n.observer.refusals.totals()
 	return s
 }
--- a/internal/port/audit.go
+++ b/internal/port/audit.go
@@ -20,6 +20,9 @@
 	AuditPlatformDown  AuditKind = "platform-down"
 	AuditPlatformUp    AuditKind = "platform-up"
 	AuditPaused        AuditKind = "paused"
+	// AuditRequestsRefused sums up the refusals of requests of one reason over
+	// a minute: Subject is the reason, Detail the count.
+	AuditRequestsRefused AuditKind = "requests-refused"
 )
 
 // AuditEvent is one entry of the trail.
--- a/internal/port/metric.go
+++ b/internal/port/metric.go
@@ -20,4 +20,24 @@
 	MetricPlatformReads Metric = "tamarack_platform_reads_total"
 	// MetricLiveMembers is the number of members that take new work.
 	MetricLiveMembers Metric = "tamarack_members_live"
+	// MetricSlotsRunning is the number of the local target's slots in use.
+	MetricSlotsRunning Metric = "tamarack_slots_running"
+	// MetricQueueWaiting is the number of requests that wait for a slot.
+	MetricQueueWaiting Metric = "tamarack_queue_waiting"
+	// MetricRequestsOpen is the number of requests that the node serves as
+	// entry or owner.
+	MetricRequestsOpen Metric = "tamarack_requests_open"
+	// MetricVersionEpoch and MetricVersionRevision are the version in force.
+	MetricVersionEpoch    Metric = "tamarack_version_epoch"
+	MetricVersionRevision Metric = "tamarack_version_revision"
+	// MetricReportedRevision is the highest revision that anyone reported.
+	MetricReportedRevision Metric = "tamarack_version_reported_revision"
+	// MetricConfigurationAge is the time since the version in force was
+	// published, in seconds.
+	MetricConfigurationAge Metric = "tamarack_configuration_age_seconds"
+	// MetricPlatformReachable is 1 while the node's own reads of the platform
+	// are answered.
+	MetricPlatformReachable Metric = "tamarack_platform_reachable"
+	// MetricHealth is 1 for the state that the node is in, by state.
+	MetricHealth Metric = "tamarack_health"
 )
