tamarackctl: diff, explain and audit; build refuses a lost update

Cause: an operator could build from an old parent and silently take back what another had published; status ended at the first node that did not answer; no command told what a change means for a customer or which line gave a limit. Ruled out: comparing roots alone, since a change that was published and taken back has the old root again; a list of fields in the diff, since a key added to contracts later would be left out (the test alters every field by reflection); a diff of lines, which does not show that a service's slots moved every customer's share. Conclusion: TestBuildRefusesToDropAnotherOperatorsChange and its neighbours run the commands as an operator would.

--- a/internal/adapter/callhttp/outcome.go
+++ b/internal/adapter/callhttp/outcome.go
@@ -21,6 +21,8 @@
 	port.ReasonQueueFull:    http.StatusTooManyRequests,
 	port.ReasonBodyTooLarge: http.StatusRequestEntityTooLarge,
 	port.ReasonBadRequest:   http.StatusBadRequest,
+
+	port.ReasonHeaderTooLarge: http.StatusRequestHeaderFieldsTooLarge,
 }
 
 // Outcome is the JSON body of an answer that is not the target's.
--- /dev/null
+++ b/internal/command/audit/audit.go
@@ -0,0 +1,155 @@
+// Package audit is tamarackctl's subcommand that shows the trail of changes over
+// many nodes.
+package audit
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"tamarackquay/internal/adapter/operatorhttp"
+	"tamarackquay/internal/command"
+	"tamarackquay/internal/command/nodes"
+	"tamarackquay/internal/port"
+)
+
+type options struct {
+	file     string
+	format   command.Format
+	since    time.Duration
+	kinds    []string
+	version  string
+	versions bool
+}
+
+// New returns the subcommand.
+func New() *cobra.Command {
+	var o options
+	c := &cobra.Command{
+		Use:   "audit ADDRESS...",
+		Short: "Show who published what, and when each node acted on it or refused it",
+		Long: "Show the trail of changes of all named nodes in one order of time. Times are each node's own; " +
+			"a node keeps its last 2,048 events, and the log stream has all of them.\n\n" +
+			"A node that can't be reached is a line of the output.",
+		Example: "  tamarackctl audit 127.0.0.1:8302 127.0.0.1:8312 --since 1h --kind version-applied,version-refused\n" +
+			"  tamarackctl audit --nodes nodes.txt --versions",
+		Args: cobra.ArbitraryArgs,
+		RunE: func(c *cobra.Command, args []string) error { return o.run(c, args) },
+	}
+	flags := c.Flags()
+	nodes.AddFlag(c, &o.file)
+	flags.DurationVar(&o.since, "since", 0, "only events of this time back from now")
+	flags.StringSliceVar(&o.kinds, "kind", nil, "only events of these kinds")
+	flags.StringVar(&o.version, "version", "", "only events of this version (EPOCH.REVISION)")
+	flags.BoolVar(&o.versions, "versions", false, "one line per version: who published it, how many nodes acted on it, and how fast")
+	command.AddFormat(c, &o.format)
+	return c
+}
+
+// report is the result as JSON.
+type report struct {
+	Events      []port.AuditEvent `json:"events,omitempty"`
+	Versions    []versionLine     `json:"versions,omitempty"`
+	Unreachable []unreachable     `json:"unreachable,omitempty"`
+}
+
+type unreachable struct {
+	Address string `json:"address"`
+	Problem string `json:"problem"`
+}
+
+func (o *options) run(c *cobra.Command, args []string) error {
+	if err := o.format.Check(); err != nil {
+		return err
+	}
+	addresses, err := nodes.Addresses(args, o.file)
+	if err != nil {
+		return err
+	}
+	r := o.collect(nodes.Ask[[]port.AuditEvent](c.Context(), addresses, operatorhttp.PathAudit), time.Now())
+	if o.format == command.FormatJSON {
+		err = command.PrintJSON(c.OutOrStdout(), r)
+	} else {
+		r.print(c.OutOrStdout())
+	}
+	if err == nil && len(r.Unreachable) > 0 {
+		return command.ErrFindings
+	}
+	return err
+}
+
+// collect merges the nodes' trails.
+func (o *options) collect(answers []nodes.Answer[[]port.AuditEvent], now time.Time) report {
+	var r report
+	for _, answer := range answers {
+		if answer.Problem != "" {
+			r.Unreachable = append(r.Unreachable, unreachable{answer.Address, answer.Problem})
+			continue
+		}
+		for _, event := range answer.Value {
+			if o.wanted(event, now) {
+				r.Events = append(r.Events, event)
+			}
+		}
+	}
+	slices.SortStableFunc(r.Events, func(a, b port.AuditEvent) int {
+		return cmp.Or(a.Time.Compare(b.Time), cmp.Compare(a.VM, b.VM))
+	})
+	if o.versions {
+		r.Versions = summarize(r.Events)
+		r.Events = nil
+	}
+	return r
+}
+
+func (o *options) wanted(event port.AuditEvent, now time.Time) bool {
+	switch {
+	case o.since > 0 && now.Sub(event.Time) > o.since:
+		return false
+	case len(o.kinds) > 0 && !slices.Contains(o.kinds, string(event.Kind)):
+		return false
+	}
+	return o.version == "" || event.Version == o.version
+}
+
+func (r report) print(w io.Writer) {
+	for _, event := range r.Events {
+		fmt.Fprintln(w, line(event))
+		for _, f := range event.Findings {
+			fmt.Fprintf(w, "    %s\n", f)
+		}
+	}
+	for _, version := range r.Versions {
+		fmt.Fprintln(w, version)
+	}
+	for _, u := range r.Unreachable {
+		fmt.Fprintf(w, "%s no answer: %s\n", u.Address, u.Problem)
+	}
+}
+
+// timeLayout shows milliseconds, which is how far apart nodes act.
+const timeLayout = "2006-01-02T15:04:05.000Z"
+
+func line(event port.AuditEvent) string {
+	parts := []string{event.Time.UTC().Format(timeLayout), fmt.Sprintf("%-14s %-16s", event.VM, event.Kind)}
+	if event.Version != "" {
+		parts = append(parts, "version "+event.Version)
+	}
+	if event.PublishedBy != "" {
+		parts = append(parts, "published by "+event.PublishedBy)
+	}
+	if event.PublishedAt != nil {
+		parts = append(parts, fmt.Sprintf("%s before", event.Time.Sub(*event.PublishedAt).Round(time.Millisecond)))
+	}
+	if event.From != "" {
+		parts = append(parts, "from "+event.From)
+	}
+	parts = append(parts, event.Subject, event.Detail)
+	parts = slices.DeleteFunc(parts, func(part string) bool { return part == "" })
+	return strings.TrimSpace(strings.Join(parts, "  "))
+}
--- a/internal/command/build/build.go
+++ b/internal/command/build/build.go
@@ -1,5 +1,5 @@
 // Package build is tamarackctl's subcommand that makes what an operator
-// publishes.
+// publishes. It writes files and nothing shared.
 package build
 
 import (
@@ -16,45 +16,37 @@
 )
 
 type options struct {
-	out    string
-	parent string
-	by     string
-	epoch  uint64
+	out       string
+	parent    string
+	published string
+	by        string
+	epoch     uint64
+	force     bool
+	format    command.Format
 }
 
 // New returns the subcommand.
 func New() *cobra.Command {
 	var o options
 	c := &cobra.Command{
-		Use:     "build DIR --out DIR --by NAME",
-		Short:   "Write the manifest and parts to publish",
-		Example: "  tamarackctl build examples/co-operative --out publish --parent published/manifest --by r.chen",
-		Args:    cobra.ExactArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
-			set, found := command.ReadContracts(args[0])
-			if err := command.PrintFindings(c.OutOrStdout(), command.FormatText, found); err != nil {
-				return err
-			}
-			origin, err := o.origin(time.Now())
-			if err != nil {
-				return err
-			}
-			publication, err := snapshot.Build(set, origin)
-			if err != nil {
-				return err
-			}
-			if err := write(o.out, publication); err != nil {
-				return err
-			}
-			fmt.Fprintf(c.OutOrStdout(), "version %s, root %s, %d parts\n",
-				origin.Version, publication.Manifest.Root.Short(), len(publication.Parts))
-			return nil
-		},
+		Use:   "build DIR --out DIR --by NAME",
+		Short: "Write the manifest and parts to publish",
+		Long: "Check the contracts of a directory and write what to publish: the parts and, last, the manifest.\n\n" +
+			"With --published, the command refuses to build a version that would drop a change which another operator " +
+			"has published since --parent.",
+		Example: "  tamarackctl build contracts --out publish --by r.chen\n" +
+			"  tamarackctl build contracts --out publish-2 --parent publish --published http://10.0.0.5:7000 --by r.chen",
+		Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error { return o.run(c, args[0]) },
 	}
-	c.Flags().StringVar(&o.out, "out", "", "directory to write to")
-	c.Flags().StringVar(&o.parent, "parent", "", "the manifest now published; its revision is raised by one")
-	c.Flags().StringVar(&o.by, "by", "", "who publishes, for the audit trail")
-	c.Flags().Uint64Var(&o.epoch, "epoch", 0, "raise the epoch after the platform was restored from an older copy")
+	flags := c.Flags()
+	flags.StringVar(&o.out, "out", "", "directory to write to")
+	flags.StringVar(&o.parent, "parent", "", "what the contracts started from: a manifest, a directory that holds one, or the platform's URL; its revision is raised by one")
+	flags.StringVar(&o.published, "published", "", "what is published now: the platform's URL, or a directory")
+	flags.StringVar(&o.by, "by", "", "who publishes, for the audit trail")
+	flags.Uint64Var(&o.epoch, "epoch", 0, "raise the epoch after the platform was restored from an older copy")
+	flags.BoolVar(&o.force, "force", false, "build although another operator's change would be dropped")
+	command.AddFormat(c, &o.format)
 	for _, name := range []string{"out", "by"} {
 		// The flags exist: they were declared above.
 		_ = c.MarkFlagRequired(name)
@@ -62,25 +54,50 @@
 	return c
 }
 
-// origin places the new version after its parent.
-func (o *options) origin(now time.Time) (snapshot.Origin, error) {
-	origin := snapshot.Origin{Version: snapshot.Version{Epoch: 1, Revision: 1}, PublishedBy: o.by, PublishedAt: now.UTC()}
-	if o.parent != "" {
-		raw, err := os.ReadFile(o.parent)
-		if err != nil {
-			return origin, errors.Wrap(err, "parent")
-		}
-		parent, err := snapshot.DecodeManifest(raw)
-		if err != nil {
-			return origin, errors.Wrap(err, "parent")
-		}
-		origin.Parent = parent.Root
-		origin.Version = snapshot.Version{Epoch: parent.Version.Epoch, Revision: parent.Version.Revision + 1}
+// result is the output as JSON.
+type result struct {
+	Version string        `json:"version"`
+	Root    snapshot.Hash `json:"root"`
+	Parent  snapshot.Hash `json:"parent"`
+	Parts   int           `json:"parts"`
+	Notes   []string      `json:"notes,omitempty"`
+}
+
+func (o *options) run(c *cobra.Command, dir string) error {
+	if err := o.format.Check(); err != nil {
+		return err
+	}
+	set, found := command.ReadContracts(dir)
+	if len(found) > 0 {
+		return command.PrintFindings(c.OutOrStdout(), o.format, found)
+	}
+	origin, notes, found, err := o.origin(c.Context(), time.Now())
+	if err != nil {
+		return err
+	}
+	if len(found) > 0 {
+		return command.PrintFindings(c.OutOrStdout(), o.format, found)
+	}
+	publication, err := snapshot.Build(set, origin)
+	if err != nil {
+		return err
+	}
+	if err := write(o.out, publication); err != nil {
+		return err
+	}
+	return o.print(c, result{Version: origin.Version.String(), Root: publication.Manifest.Root,
+		Parent: origin.Parent, Parts: len(publication.Parts), Notes: notes})
+}
+
+func (o *options) print(c *cobra.Command, r result) error {
+	if o.format == command.FormatJSON {
+		return command.PrintJSON(c.OutOrStdout(), r)
 	}
-	if o.epoch > origin.Version.Epoch {
-		origin.Version.Epoch = o.epoch
+	fmt.Fprintf(c.OutOrStdout(), "version %s, root %s, %d parts\n", r.Version, r.Root.Short(), r.Parts)
+	for _, note := range r.Notes {
+		fmt.Fprintln(c.OutOrStdout(), "note:", note)
 	}
-	return origin, nil
+	return nil
 }
 
 const (
@@ -92,7 +109,7 @@
 // manifest, the manifest last.
 func write(dir string, publication *snapshot.Publication) error {
 	if err := os.MkdirAll(filepath.Join(dir, "part"), dirMode); err != nil {
-		return errors.Wrap(err, "out")
+		return errors.Wrap(err, "--out")
 	}
 	for hash, raw := range publication.Parts {
 		if err := os.WriteFile(filepath.Join(dir, "part", hash.String()), raw, fileMode); err != nil {
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -27,6 +27,17 @@
 // ErrFindings ends a command whose findings have been printed.
 var ErrFindings = errors.New("findings")
 
+// ExitCode is the exit code that a command's error stands for.
+func ExitCode(err error) int {
+	switch {
+	case err == nil:
+		return ExitFine
+	case errors.Is(err, ErrFindings):
+		return ExitFindings
+	}
+	return ExitUsage
+}
+
 // Format is how a command prints its result.
 type Format string
 
@@ -39,6 +50,9 @@
 // AddFormat declares the --output flag.
 func AddFormat(command *cobra.Command, format *Format) {
 	command.Flags().StringVar((*string)(format), "output", string(FormatText), "text or json")
+	complete := cobra.FixedCompletions([]cobra.Completion{string(FormatText), string(FormatJSON)}, cobra.ShellCompDirectiveNoFileComp)
+	// The flag exists: it was declared above.
+	_ = command.RegisterFlagCompletionFunc("output", complete)
 }
 
 // Check refuses formats that don't exist.
@@ -77,12 +91,18 @@
 // ReadContracts reads and checks every .toml file of a directory, in the order
 // of their names.
 func ReadContracts(dir string) (*contract.Set, finding.List) {
+	set, _, found := ReadLocated(dir)
+	return set, found
+}
+
+// ReadLocated is ReadContracts with the place of each service and contract.
+func ReadLocated(dir string) (*contract.Set, contract.Places, finding.List) {
 	names, err := filepath.Glob(filepath.Join(dir, "*.toml"))
 	if err == nil && len(names) == 0 {
 		err = errors.New("no .toml file in it")
 	}
 	if err != nil {
-		return nil, unreadable(dir, err)
+		return nil, nil, unreadable(dir, err)
 	}
 	slices.Sort(names)
 	var sources []contract.Source
@@ -95,8 +115,8 @@
 		}
 		sources = append(sources, contract.Source{Name: name, Text: text})
 	}
-	set, faults := contract.Parse(sources)
-	return set, append(found, faults...)
+	set, places, faults := contract.ParseLocated(sources)
+	return set, places, append(found, faults...)
 }
 
 func unreadable(file string, err error) finding.List {
--- /dev/null
+++ b/internal/command/explain/print.go
@@ -0,0 +1,103 @@
+package explain
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"tamarackquay/internal/command"
+	"tamarackquay/internal/explain"
+	"tamarackquay/internal/port"
+)
+
+func (o *options) explainReason(c *cobra.Command) error {
+	meaning, ok := explain.MeaningOf(port.Reason(o.reason))
+	if !ok {
+		return errors.Errorf("--reason %q: there is no such reason", o.reason)
+	}
+	if o.format == command.FormatJSON {
+		return command.PrintJSON(c.OutOrStdout(), meaning)
+	}
+	fmt.Fprintf(c.OutOrStdout(), "%s: %s.\nThe request did not run. What helps: %s.\n", o.reason, meaning.Why, meaning.Do)
+	return nil
+}
+
+func printText(w io.Writer, r result) {
+	if r.Customer != "" {
+		fmt.Fprintf(w, "contract of %s%s\n", r.Customer, at(r.Place))
+	}
+	if r.Node != nil {
+		printNode(w, r.Node)
+	}
+	for _, route := range r.Routes {
+		printRoute(w, route)
+	}
+	if r.Refused != nil {
+		fmt.Fprintf(w, "refused: %s: %s%s\n", r.Refused.Reason, r.Refused.Detail, at(r.Refused.Place))
+		if meaning, ok := explain.MeaningOf(r.Refused.Reason); ok {
+			fmt.Fprintf(w, "  what helps: %s\n", meaning.Do)
+		}
+	}
+}
+
+func at(place string) string {
+	if place == "" {
+		return ""
+	}
+	return "  (" + place + ")"
+}
+
+func printNode(w io.Writer, n *nodeView) {
+	fmt.Fprintf(w, "node %s: %s since %s, version %s, %d running and %d waiting at its target\n",
+		n.ID, n.Health.State, n.Health.Since.UTC().Format(time.RFC3339), n.Version, n.Running, n.Waiting)
+	if n.Differs {
+		fmt.Fprintln(w, "  the node has another version in force than the one explained here")
+	}
+	for _, reason := range n.Health.Reasons {
+		fmt.Fprintf(w, "  %s\n", reason)
+	}
+	for _, reason := range slices.Sorted(maps.Keys(n.RefusedRequests)) {
+		fmt.Fprintf(w, "  refused since its start: %d %s\n", n.RefusedRequests[reason], reason)
+	}
+}
+
+func printRoute(w io.Writer, route explain.Route) {
+	fmt.Fprintf(w, "route %s: %s to service %s%s\n", route.Name, route.Prefix, route.Service, at(route.Place))
+	for _, line := range []struct {
+		name  string
+		value explain.Sourced
+	}{
+		{"share", route.Share}, {"limit", route.Limit}, {"class", route.Class}, {"deadline", route.Deadline},
+		{"stall", route.Stall}, {"runs", route.Runs}, {"spill", route.Spill},
+	} {
+		fmt.Fprintf(w, "  %-9s %s%s\n", line.name, line.value.Value, at(line.value.Place))
+	}
+	fmt.Fprintln(w, "  targets, in the order in which they are tried:")
+	for _, domain := range route.Reach {
+		printDomain(w, domain)
+	}
+	fmt.Fprintln(w, "  would be refused when:")
+	for _, condition := range route.Conditions {
+		fmt.Fprintf(w, "    %-12s %s%s\n", condition.Reason, condition.When, at(condition.Place))
+	}
+}
+
+func printDomain(w io.Writer, domain explain.Domain) {
+	text := fmt.Sprintf("%d committed, %d slots", domain.Committed, domain.Slots)
+	if domain.Live != nil {
+		text += ", live: " + strings.Join(domain.Live, " ")
+	}
+	if domain.Distance != "" {
+		text += ", " + domain.Distance
+	}
+	if !domain.InReach {
+		text += ", out of the route's reach"
+	}
+	fmt.Fprintf(w, "    %-18s %s%s\n", domain.Name, text, at(domain.Place))
+}
--- /dev/null
+++ b/internal/command/status/print.go
@@ -0,0 +1,62 @@
+package status
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"tamarackquay/internal/node"
+)
+
+func (r report) print(w io.Writer) {
+	const row = "%-14s %-18s %-17s %-9s %-12s %-9s %8s %8s %8s\n"
+	fmt.Fprintf(w, row, "VM", "FAILURE DOMAIN", "STATE", "VERSION", "ROOT", "AGE", "RUNNING", "WAITING", "MEMBERS")
+	for _, line := range r.Nodes {
+		if line.Problem != "" {
+			fmt.Fprintf(w, "%s no answer: %s\n", line.Address, line.Problem)
+			continue
+		}
+		s := line.Value
+		fmt.Fprintf(w, row, s.VM.ID, s.VM.FailureDomain, s.Health.State, s.Applied, s.Root.Short(),
+			age(line.AgeSeconds), fmt.Sprint(s.Running), fmt.Sprint(s.Waiting), fmt.Sprint(len(s.Members)))
+		line.printDetails(w)
+	}
+	answering, lagging := 0, 0
+	for _, line := range r.Nodes {
+		if line.Problem == "" {
+			answering++
+		}
+		if line.Lags {
+			lagging++
+		}
+	}
+	fmt.Fprintf(w, "newest version %s; %d of %d nodes answer, %d lag\n", r.Newest, answering, len(r.Nodes), lagging)
+}
+
+func (l nodeLine) printDetails(w io.Writer) {
+	s := l.Value
+	if l.Lags {
+		fmt.Fprintln(w, "  lags: another node has a newer version, or other content under this number")
+	}
+	if s.Health.State != node.HealthReady {
+		fmt.Fprintf(w, "  %s since %s\n", s.Health.State, s.Health.Since.UTC().Format(time.RFC3339))
+	}
+	for _, reason := range s.Health.Reasons {
+		fmt.Fprintf(w, "  %s\n", reason)
+	}
+	for _, refused := range s.RefusedVersions {
+		fmt.Fprintf(w, "  refused version %s from %s at %s\n", refused.Version, refused.From, refused.Time.UTC().Format(time.RFC3339))
+		for _, f := range refused.Findings {
+			fmt.Fprintf(w, "    %s\n", f)
+		}
+	}
+	for _, reason := range slices.Sorted(maps.Keys(s.RefusedRequests)) {
+		fmt.Fprintf(w, "  refused requests: %d %s\n", s.RefusedRequests[reason], reason)
+	}
+}
+
+func age(seconds float64) string {
+	return (time.Duration(seconds) * time.Second).String()
+}
--- a/internal/contract/parse.go
+++ b/internal/contract/parse.go
@@ -33,6 +33,13 @@
 // no findings are returned; findings of form and of meaning come together, so
 // that one run tells all that must be mended.
 func Parse(sources []Source) (*Set, finding.List) {
+	set, _, found := ParseLocated(sources)
+	return set, found
+}
+
+// ParseLocated is Parse for callers that also want to name the file and line of
+// what stands in the set.
+func ParseLocated(sources []Source) (*Set, Places, finding.List) {
 	set := &Set{}
 	places := &filePlaces{}
 	var found finding.List
@@ -51,7 +58,7 @@
 	}
 	found = append(found, withoutRepeats(Check(set, places), found)...)
 	found.Sort()
-	return set, found
+	return set, places, found
 }
 
 // withoutRepeats drops checks of meaning on lines that are already reported:
--- /dev/null
+++ b/internal/explain/explain.go
@@ -0,0 +1,336 @@
+// Package explain tells what follows from a contract for one request: which
+// line gave which limit, share and targets, and when such a request would be
+// refused. The package is pure.
+package explain
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"tamarackquay/internal/contract"
+	"tamarackquay/internal/membership"
+	"tamarackquay/internal/port"
+	"tamarackquay/internal/routing"
+)
+
+// Query is the request to explain.
+type Query struct {
+	// Customer or Token names the contract.
+	Customer string
+	Token    string
+	// Path and Method are the request's; an empty Path explains all routes.
+	Path   string
+	Method string
+	// FailureDomain is where the request enters; empty leaves distances out.
+	FailureDomain string
+}
+
+// Explanation is the answer.
+type Explanation struct {
+	Customer string         `json:"customer,omitempty"`
+	Place    string         `json:"place,omitempty"`
+	Routes   []Route        `json:"routes,omitempty"`
+	Refused  *CertainReason `json:"refused,omitempty"`
+}
+
+// CertainReason is why the request would be refused whatever the load.
+type CertainReason struct {
+	Reason port.Reason `json:"reason"`
+	Detail string      `json:"detail"`
+	Place  string      `json:"place,omitempty"`
+}
+
+// Sourced is a value with the line that gave it.
+type Sourced struct {
+	Value string `json:"value"`
+	Place string `json:"place,omitempty"`
+}
+
+// Route is what follows for the requests of one route.
+type Route struct {
+	Name     string  `json:"name"`
+	Place    string  `json:"place,omitempty"`
+	Prefix   string  `json:"prefix"`
+	Service  string  `json:"service"`
+	Class    Sourced `json:"class"`
+	Deadline Sourced `json:"deadline"`
+	Stall    Sourced `json:"stall"`
+	Runs     Sourced `json:"runs"`
+	Spill    Sourced `json:"spill"`
+	// Share and Limit are in slots, of one target and of all committed ones.
+	Share Sourced `json:"share"`
+	Limit Sourced `json:"limit"`
+	// Reach lists the failure domains in the order in which they are tried.
+	Reach      []Domain    `json:"reach"`
+	Conditions []Condition `json:"conditions"`
+}
+
+// Domain is one failure domain's part in a route.
+type Domain struct {
+	Name      string `json:"name"`
+	Committed int    `json:"committed"`
+	Slots     int    `json:"slots"`
+	// Distance is empty when the entry's failure domain or the domain's region
+	// is not known.
+	Distance string `json:"distance,omitempty"`
+	// InReach is false when the route's spill bars the domain.
+	InReach bool   `json:"in_reach"`
+	Place   string `json:"place,omitempty"`
+	// Live lists the targets that a node sees there; nil if none was asked.
+	Live []string `json:"live,omitempty"`
+}
+
+// Condition is a refusal that depends on the load or state of the moment.
+type Condition struct {
+	Reason port.Reason `json:"reason"`
+	When   string      `json:"when"`
+	Place  string      `json:"place,omitempty"`
+}
+
+// Input is what an explanation is worked out from.
+type Input struct {
+	Set *contract.Set
+	// Places may be nil: published versions carry no files.
+	Places contract.Places
+	// Members are what a node sees, or nil.
+	Members []membership.Record
+	// Regions gives the region of failure domains that are known.
+	Regions map[string]string
+}
+
+// RegionsOf reads the region of each failure domain from members.
+func RegionsOf(members []membership.Record) map[string]string {
+	regions := map[string]string{}
+	for _, member := range members {
+		regions[member.VM.FailureDomain] = member.VM.Region
+	}
+	return regions
+}
+
+// Explain works out the answer.
+func Explain(input Input, query Query) Explanation {
+	e := &explainer{Input: input, query: query}
+	index := e.contractIndex()
+	if index < 0 {
+		return Explanation{Refused: &CertainReason{Reason: port.ReasonUnknownToken, Detail: e.unknownContract()}}
+	}
+	e.terms = &input.Set.Contracts[index]
+	e.place = e.contractPlace(index)
+	answer := Explanation{Customer: e.terms.Customer, Place: e.place("customer")}
+	for i := range e.terms.Routes {
+		if e.wanted(&e.terms.Routes[i]) {
+			answer.Routes = append(answer.Routes, e.route(i))
+		}
+	}
+	answer.Refused = e.refused(answer.Routes)
+	return answer
+}
+
+type explainer struct {
+	Input
+	query Query
+	terms *contract.Contract
+	place func(key string) string
+}
+
+func (e *explainer) contractIndex() int {
+	hash := contract.HashToken(e.query.Token)
+	return slices.IndexFunc(e.Set.Contracts, func(k contract.Contract) bool {
+		if e.query.Token != "" {
+			return slices.Contains(k.TokenHashes, hash)
+		}
+		return k.Customer == e.query.Customer
+	})
+}
+
+func (e *explainer) unknownContract() string {
+	if e.query.Token != "" {
+		return "no contract accepts this token"
+	}
+	return fmt.Sprintf("there is no contract of customer %q", e.query.Customer)
+}
+
+func (e *explainer) contractPlace(index int) func(string) string {
+	if e.Places == nil {
+		return func(string) string { return "" }
+	}
+	return placeText(e.Places.Contract(index))
+}
+
+func (e *explainer) servicePlace(name string) func(string) string {
+	index := slices.IndexFunc(e.Set.Services, func(s contract.Service) bool { return s.Name == name })
+	if e.Places == nil || index < 0 {
+		return func(string) string { return "" }
+	}
+	return placeText(e.Places.Service(index))
+}
+
+func placeText(place contract.Place) func(string) string {
+	return func(key string) string {
+		file, line := place(key)
+		return fmt.Sprintf("%s:%d", file, line)
+	}
+}
+
+// wanted reports whether the query is about the route.
+func (e *explainer) wanted(route *contract.Route) bool {
+	if e.query.Path == "" {
+		return true
+	}
+	best := e.terms.Route(e.query.Path)
+	return best != nil && best.Name == route.Name
+}
+
+// refused finds the refusal that no change of load would lift.
+func (e *explainer) refused(routes []Route) *CertainReason {
+	if e.query.Path == "" {
+		return nil
+	}
+	if len(routes) == 0 {
+		return &CertainReason{Reason: port.ReasonUnknownRoute, Place: e.place("customer"),
+			Detail: fmt.Sprintf("contract %s has no route for %s", e.terms.Customer, e.query.Path)}
+	}
+	route := e.terms.Route(e.query.Path)
+	if !route.AcceptsMethod(e.query.Method) {
+		return &CertainReason{Reason: port.ReasonMethod, Place: routes[0].Place,
+			Detail: fmt.Sprintf("route %s does not take %s", route.Name, e.query.Method)}
+	}
+	if !slices.ContainsFunc(routes[0].Reach, func(d Domain) bool { return d.InReach && d.usable(e.Members) }) {
+		return &CertainReason{Reason: port.ReasonNoTarget, Place: routes[0].Spill.Place,
+			Detail: fmt.Sprintf("no target of service %s within reach", route.Service)}
+	}
+	return nil
+}
+
+// usable reports whether the domain has a target: a live one if a node was
+// asked, and otherwise a committed one.
+func (d Domain) usable(members []membership.Record) bool {
+	if members == nil {
+		return d.Committed > 0
+	}
+	return len(d.Live) > 0
+}
+
+func (e *explainer) route(index int) Route {
+	route := &e.terms.Routes[index]
+	key := func(field string) string { return e.place(fmt.Sprintf("route[%d].%s", index, field)) }
+	rank := e.terms.ClassRank(route.Class)
+	answer := Route{
+		Name: route.Name, Place: key("name"), Prefix: route.Prefix, Service: route.Service,
+		Class:    Sourced{fmt.Sprintf("%s, place %d of %d in the queue's order", route.Class, rank+1, len(e.terms.Classes)), key("class")},
+		Deadline: Sourced{route.Deadline.Std().String() + " to the first byte", key("deadline")},
+		Stall:    Sourced{route.Stall.Std().String() + " between two bytes", key("stall")},
+		Runs:     Sourced{runs(route), key("idempotent")},
+		Spill:    Sourced{string(cmp.Or(route.Spill, contract.SpillAnywhere)), key("spill")},
+		Reach:    e.reach(route),
+	}
+	answer.Share, answer.Limit = e.parts(route.Service)
+	answer.Conditions = conditions(answer)
+	return answer
+}
+
+func runs(route *contract.Route) string {
+	text := "at most once; an unknown outcome is never retried"
+	if route.Idempotent {
+		text = "idempotent; may be retried on another target"
+	}
+	if route.Long {
+		text += "; holds its slot for long"
+	}
+	return text
+}
+
+// parts renders the customer's share and limit of a service in slots.
+func (e *explainer) parts(service string) (share, limit Sourced) {
+	grant, terms := e.terms.Grant(service), e.Set.Service(service)
+	if grant == nil || terms == nil {
+		none := Sourced{Value: "nothing is granted", Place: e.place("customer")}
+		return none, none
+	}
+	index := slices.IndexFunc(e.terms.Grants, func(g contract.Grant) bool { return g.Service == service })
+	key := func(field string) string { return e.place(fmt.Sprintf("grant[%d].%s", index, field)) }
+	render := func(part float64) string {
+		total := terms.CommittedUpstreams() * terms.Slots
+		return fmt.Sprintf("%g: %.4g of %d slots at each target, %.4g of %d committed",
+			part, part*float64(terms.Slots), terms.Slots, part*float64(total), total)
+	}
+	return Sourced{render(grant.Share), key("share")}, Sourced{render(grant.Limit), key("limit")}
+}
+
+// reach lists the failure domains of a route's service, nearest first.
+func (e *explainer) reach(route *contract.Route) []Domain {
+	service := e.Set.Service(route.Service)
+	if service == nil {
+		return nil
+	}
+	place := e.servicePlace(route.Service)
+	live := e.live(route.Service)
+	var domains []Domain
+	for _, name := range e.domains(service, live) {
+		distance, known := e.distance(name)
+		domains = append(domains, Domain{
+			Name: name, Committed: service.Committed[name], Slots: service.Committed[name] * service.Slots,
+			Distance: distanceText(distance, known), InReach: !known || routing.Within(route.Spill, distance),
+			Place: place("committed." + name), Live: live[name],
+		})
+	}
+	slices.SortStableFunc(domains, func(a, b Domain) int {
+		near, _ := e.distance(a.Name)
+		far, _ := e.distance(b.Name)
+		return cmp.Compare(near, far)
+	})
+	return domains
+}
+
+func (e *explainer) domains(service *contract.Service, live map[string][]string) []string {
+	names := slices.Collect(maps.Keys(service.Committed))
+	names = slices.AppendSeq(names, maps.Keys(live))
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// live lists the live targets of a service by failure domain.
+func (e *explainer) live(service string) map[string][]string {
+	live := map[string][]string{}
+	for _, member := range e.Members {
+		if member.State == membership.Live && member.VM.Service == service {
+			live[member.VM.FailureDomain] = append(live[member.VM.FailureDomain], member.VM.ID)
+		}
+	}
+	return live
+}
+
+// distance tells how far a failure domain is from where the request enters, and
+// whether that is known.
+func (e *explainer) distance(domain string) (routing.Distance, bool) {
+	if e.query.FailureDomain == "" {
+		return routing.OtherRegion, false
+	}
+	if domain == e.query.FailureDomain {
+		return routing.SameDomain, true
+	}
+	region, known := e.Regions[domain]
+	own, ownKnown := e.Regions[e.query.FailureDomain]
+	if !known || !ownKnown {
+		return routing.OtherRegion, false
+	}
+	if region == own {
+		return routing.SameRegion, true
+	}
+	return routing.OtherRegion, true
+}
+
+func distanceText(distance routing.Distance, known bool) string {
+	if !known {
+		return ""
+	}
+	switch distance {
+	case routing.SameDomain:
+		return "same failure domain"
+	case routing.SameRegion:
+		return "same region"
+	}
+	return "other region"
+}
--- /dev/null
+++ b/internal/explain/reason.go
@@ -0,0 +1,52 @@
+package explain
+
+import "tamarackquay/internal/port"
+
+// Meaning is what a refusal's reason tells a caller and an operator.
+type Meaning struct {
+	// Why says what was the case.
+	Why string `json:"why"`
+	// Do says what helps.
+	Do string `json:"do"`
+}
+
+// meanings has every reason of package port; a test checks that none is
+// missing.
+var meanings = map[port.Reason]Meaning{
+	port.ReasonNotReady:       {"the entry node has no current configuration yet", "try another node; see its /readyz"},
+	port.ReasonStopping:       {"the node is in a planned stop", "try another node at once"},
+	port.ReasonUnknownToken:   {"no contract accepts the caller's token", "check token_hashes and whether the version with the token is in force"},
+	port.ReasonUnknownRoute:   {"the customer's contract has no route for the path", "add a [[contract.route]] or correct the path"},
+	port.ReasonMethod:         {"the route does not take the method", "add it to the route's methods"},
+	port.ReasonNoTarget:       {"no live target of the service is within the route's spill", "see the members of the node, and widen spill if it bars them"},
+	port.ReasonQueueFull:      {"all slots and places in the queue were taken", "come back after Retry-After; compare demand with the share"},
+	port.ReasonDeadline:       {"the route's deadline came before a slot was free", "come back after Retry-After; compare demand with the share"},
+	port.ReasonLimit:          {"the customer already holds all that its limit allows", "come back after Retry-After, or raise the grant's limit"},
+	port.ReasonNoGrant:        {"the contract grants nothing of the service", "add a [[contract.grant]]"},
+	port.ReasonDraining:       {"the target takes no new work", "try another node; the target is leaving"},
+	port.ReasonBehind:         {"the target's node has an older configuration than the request", "come back after Retry-After; see 'tamarackctl status' for who lags"},
+	port.ReasonWrongOwner:     {"the VM runs another service than the entry node believed", "come back; the entry node's membership is old"},
+	port.ReasonShed:           {"the target itself shed the request before running it", "come back after Retry-After; see the target's load"},
+	port.ReasonUnreachable:    {"no byte of the request reached the target", "come back after Retry-After; see the members of the node"},
+	port.ReasonBodyTooLarge:   {"the body is over requests.max_body_bytes", "send less, or raise the setting on the nodes"},
+	port.ReasonHeaderTooLarge: {"the headers are over requests.max_header_bytes", "send less, or raise the setting on the nodes"},
+	port.ReasonRetriesSpent:   {"the budget of retries is spent, which bounds the load of an outage", "come back after Retry-After"},
+	port.ReasonBadRequest:     {"the request can't be sent on as it is", "correct the request"},
+	port.ReasonDuplicateCall:  {"the target's node has already taken a call of this id", "nothing to do; the first call's answer counts"},
+}
+
+// MeaningOf explains a reason; false if there is no such reason.
+func MeaningOf(reason port.Reason) (Meaning, bool) {
+	meaning, ok := meanings[reason]
+	return meaning, ok
+}
+
+// conditions lists the refusals that depend on the load of the moment.
+func conditions(route Route) []Condition {
+	return []Condition{
+		{port.ReasonLimit, "the customer holds its limit at the target: " + route.Limit.Value, route.Limit.Place},
+		{port.ReasonQueueFull, "all slots are in use and the queue (settings: requests.queue_per_slot) is full", ""},
+		{port.ReasonDeadline, "no slot is free within " + route.Deadline.Value, route.Deadline.Place},
+		{port.ReasonNoTarget, "no target within spill \"" + route.Spill.Value + "\" is live", route.Spill.Place},
+	}
+}
--- a/internal/port/refusal.go
+++ b/internal/port/refusal.go
@@ -29,6 +29,8 @@
 	ReasonRetriesSpent  Reason = "retries-spent"
 	ReasonBadRequest    Reason = "bad-request"
 	ReasonDuplicateCall Reason = "duplicate-call"
+
+	ReasonHeaderTooLarge Reason = "header-too-large"
 )
 
 // Refusal is the error of a request that is proven not to have run.
