tamarackload: bounded open-loop load, paired runs, experiments

Cause: no figure of the whole path could be had again by a command, and nothing checked answers under load. Ruled out: a loop that waits for each answer (it would show one slow call where a stall of a second held up a hundred; TestStallShowsInFull counts them on virtual time); sending late when too many calls are open (they are counted as not sent); any address off loopback. After: run, pair and experiment; outcomes by type, HDR histograms, answers checked by echo, receipt and digest; report as text, JSON and SVG.

--- /dev/null
+++ b/internal/load/cli/run.go
@@ -0,0 +1,99 @@
+package cli
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"tamarackquay/internal/load"
+	"tamarackquay/internal/report"
+)
+
+func newRun(wiring Wiring) *cobra.Command {
+	var f flags
+	c := &cobra.Command{
+		Use:     "run ENTRY...",
+		Short:   "Send one bounded load through entry nodes",
+		Example: "  tamarackload run 127.0.0.1:8300 --token coop-token --rate 200 --duration 5s --svg waits.svg",
+		Args:    cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			if err := f.finish(); err != nil {
+				return err
+			}
+			f.config.Entries = args
+			run, err := send(c.Context(), wiring, f.config, "run")
+			if err != nil {
+				return err
+			}
+			return f.write(c, &report.Report{Command: commandLine(c, args), Time: time.Now().UTC(), Runs: []report.Run{run}})
+		},
+	}
+	f.declare(c)
+	return c
+}
+
+func send(ctx context.Context, wiring Wiring, config load.Config, name string) (report.Run, error) {
+	caller := load.NewHTTPCaller(config, wiring.Digest)
+	defer caller.Close()
+	run, err := load.Run(ctx, config, caller)
+	run.Name = name
+	return run, err
+}
+
+// pairFlags are pair's own.
+type pairFlags struct {
+	flags
+	a, b   []string
+	rounds int
+}
+
+// maxRounds bounds a pair.
+const maxRounds = 50
+
+func newPair(wiring Wiring) *cobra.Command {
+	var f pairFlags
+	c := &cobra.Command{
+		Use:   "pair --a ENTRY --b ENTRY",
+		Short: "Send the same load to two sides in turn and compare them",
+		Long: "Send the same load, with the same seed, to side A and side B in turn. The ratio of two runs that follow " +
+			"each other is steadier on a busy machine than either figure.",
+		Example: "  tamarackload pair --a 127.0.0.1:8300 --b 127.0.0.1:8310 --rounds 5 --duration 2s --token coop-token",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, args []string) error {
+			if err := f.finish(); err != nil {
+				return err
+			}
+			if f.rounds < 1 || f.rounds > maxRounds {
+				return errors.Errorf("--rounds must be 1 to %d", maxRounds)
+			}
+			return f.run(c, wiring)
+		},
+	}
+	f.declare(c)
+	c.Flags().StringSliceVar(&f.a, "a", nil, "entry addresses of side A")
+	c.Flags().StringSliceVar(&f.b, "b", nil, "entry addresses of side B")
+	c.Flags().IntVar(&f.rounds, "rounds", 5, "how often each side runs")
+	return c
+}
+
+func (f *pairFlags) run(c *cobra.Command, wiring Wiring) error {
+	r := &report.Report{Command: commandLine(c, nil), Time: time.Now().UTC()}
+	for range f.rounds {
+		for _, side := range []struct {
+			name    string
+			entries []string
+		}{{"A", f.a}, {"B", f.b}} {
+			config := f.config
+			config.Entries = side.entries
+			run, err := send(c.Context(), wiring, config, side.name)
+			if err != nil {
+				return err
+			}
+			r.Runs = append(r.Runs, run)
+		}
+	}
+	r.Ratios = report.Ratios(r.Runs)
+	return f.write(c, r)
+}
--- /dev/null
+++ b/internal/load/signal.go
@@ -0,0 +1,54 @@
+package load
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Signal is a failure to cause: a signal to a process at a time after the start
+// of the run, warm-up included.
+type Signal struct {
+	PID  int
+	Name string
+	At   time.Duration
+}
+
+// signals are those that stand for a failure or a planned stop.
+var signals = map[string]syscall.Signal{
+	"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+}
+
+// ParseSignal reads "PID:NAME@TIME", for example "4711:KILL@2s".
+func ParseSignal(text string) (Signal, error) {
+	target, at, ok := strings.Cut(text, "@")
+	pid, name, named := strings.Cut(target, ":")
+	if !ok || !named {
+		return Signal{}, errors.Errorf("%q: write PID:NAME@TIME, for example 4711:KILL@2s", text)
+	}
+	number, err := strconv.Atoi(pid)
+	// Process 1, groups (negative) and "all" (0) are never a target.
+	if err != nil || number <= 1 {
+		return Signal{}, errors.Errorf("%q: %q is no process id above 1", text, pid)
+	}
+	if _, known := signals[name]; !known {
+		return Signal{}, errors.Errorf("%q: the signals are TERM, KILL, STOP and CONT", text)
+	}
+	after, err := time.ParseDuration(at)
+	if err != nil || after < 0 {
+		return Signal{}, errors.Errorf("%q: %q is no time", text, at)
+	}
+	return Signal{PID: number, Name: name, At: after}, nil
+}
+
+// deliver sends the signal when its time has come. A process that is gone by
+// then needs none.
+func (s Signal) deliver(ctx context.Context, start time.Time) {
+	if sleepUntil(ctx, start.Add(s.At)) {
+		_ = syscall.Kill(s.PID, signals[s.Name])
+	}
+}
--- /dev/null
+++ b/internal/report/ratio.go
@@ -0,0 +1,69 @@
+package report
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Ratio compares one quantile of a kind between the two sides of a pair. On a
+// busy machine the ratio of runs made in turn is steadier than either figure.
+type Ratio struct {
+	Kind     string    `json:"kind"`
+	Quantile string    `json:"quantile"`
+	Rounds   []float64 `json:"rounds"`
+	// Median is over the rounds: B divided by A.
+	Median float64 `json:"median"`
+}
+
+// String renders the ratio on one line.
+func (r Ratio) String() string {
+	return fmt.Sprintf("%s %s: B/A median %.3f, rounds %.3f", r.Kind, r.Quantile, r.Median, r.Rounds)
+}
+
+// Ratios compares runs that alternate A, B, A, B.
+func Ratios(runs []Run) []Ratio {
+	var ratios []Ratio
+	if len(runs) == 0 {
+		return nil
+	}
+	for _, kind := range runs[0].Kinds {
+		for _, quantile := range []struct {
+			name string
+			of   func(Waits) float64
+		}{
+			{"p50", func(w Waits) float64 { return w.P50 }},
+			{"p99", func(w Waits) float64 { return w.P99 }},
+		} {
+			ratio := Ratio{Kind: kind.Name, Quantile: quantile.name}
+			for i := 0; i+1 < len(runs); i += 2 {
+				a, b := quantile.of(runs[i].waitsOf(kind.Name)), quantile.of(runs[i+1].waitsOf(kind.Name))
+				if a > 0 && b > 0 {
+					ratio.Rounds = append(ratio.Rounds, b/a)
+				}
+			}
+			if len(ratio.Rounds) > 0 {
+				ratio.Median = median(ratio.Rounds)
+				ratios = append(ratios, ratio)
+			}
+		}
+	}
+	return ratios
+}
+
+func (r *Run) waitsOf(kind string) Waits {
+	for _, k := range r.Kinds {
+		if k.Name == kind {
+			return k.Waits
+		}
+	}
+	return Waits{}
+}
+
+func median(values []float64) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	middle := len(sorted) / 2
+	if len(sorted)%2 == 1 {
+		return sorted[middle]
+	}
+	return (sorted[middle-1] + sorted[middle]) / 2
+}
--- /dev/null
+++ b/internal/report/report.go
@@ -0,0 +1,94 @@
+// Package report holds the figures of load runs and renders them as text, JSON
+// and an SVG plot.
+package report
+
+import (
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Report is one invocation of tamarackload.
+type Report struct {
+	// Command is the command line that gave the figures.
+	Command string    `json:"command"`
+	Time    time.Time `json:"time"`
+	Runs    []Run     `json:"runs"`
+	// Ratios compare the runs of a pair, round by round.
+	Ratios []Ratio `json:"ratios,omitempty"`
+}
+
+// Run is one run of load.
+type Run struct {
+	Name string `json:"name"`
+	// Rate is in calls a second, as intended.
+	Rate    float64 `json:"rate"`
+	Seconds float64 `json:"seconds"`
+	Seed    uint64  `json:"seed"`
+	Kinds   []Kind  `json:"kinds"`
+	// Lateness is how long after their intended time calls were sent: the
+	// generator's own error.
+	Lateness Waits `json:"lateness"`
+}
+
+// Kind is one kind of request's part in a run.
+type Kind struct {
+	Name     string         `json:"name"`
+	Calls    int            `json:"calls"`
+	Outcomes map[string]int `json:"outcomes"`
+	// Waits are of answered calls, from the intended send to the last byte.
+	Waits Waits   `json:"waits"`
+	Curve []Point `json:"curve"`
+}
+
+// Waits are quantiles in milliseconds.
+type Waits struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P90   float64 `json:"p90_ms"`
+	P99   float64 `json:"p99_ms"`
+	P999  float64 `json:"p999_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// Point is one point of a quantile curve.
+type Point struct {
+	Quantile float64 `json:"quantile"`
+	MS       float64 `json:"ms"`
+}
+
+// The quantiles of Waits, in per cent.
+const (
+	p50  = 50
+	p90  = 90
+	p99  = 99
+	p999 = 99.9
+)
+
+// microsPerMS turns histograms' microseconds into milliseconds.
+const microsPerMS = 1000
+
+// WaitsOf reads the quantiles of a histogram of microseconds.
+func WaitsOf(histogram *hdrhistogram.Histogram) Waits {
+	at := func(quantile float64) float64 { return float64(histogram.ValueAtQuantile(quantile)) / microsPerMS }
+	return Waits{Count: histogram.TotalCount(), P50: at(p50), P90: at(p90), P99: at(p99), P999: at(p999),
+		Max: float64(histogram.Max()) / microsPerMS}
+}
+
+// CurveOf reads a histogram's quantiles for a plot.
+func CurveOf(histogram *hdrhistogram.Histogram) []Point {
+	var curve []Point
+	for _, bracket := range histogram.CumulativeDistribution() {
+		curve = append(curve, Point{Quantile: bracket.Quantile, MS: float64(bracket.ValueAt) / microsPerMS})
+	}
+	return curve
+}
+
+// JSON writes the report indented.
+func (r *Report) JSON(w io.Writer) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(r)
+}
