--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -128,6 +128,18 @@
 
 // newFleet starts the platform, then a target and a node for each spec.
 func newFleet(t *testing.T, specs ...spec) *fleet {
+	t.Helper()
+	f := newIdleFleet(t, specs...)
+	for _, id := range f.order {
+		f.startTarget(id)
+		f.startNode(id)
+	}
+	return f
+}
+
+// newIdleFleet starts the platform and prepares the VMs, but starts neither
+// targets nor nodes.
+func newIdleFleet(t *testing.T, specs ...spec) *fleet {
 	t.Helper()
 	f := &fleet{t: t, dir: t.TempDir(), platform: freeAddress(t), nodes: map[string]*vm{}}
 	start(t, "platform", "standin-platform", "--listen", f.platform)
@@ -139,10 +151,6 @@
 		f.prepare(s, authority)
 	}
 	f.publishVMs()
-	for _, id := range f.order {
-		f.startTarget(id)
-		f.startNode(id)
-	}
 	return f
 }
 
