Check settings whole; answer oversized headers with a typed refusal

Cause: two listeners on one address, 0.0.0.0 as an address that peers are told, a URL without a scheme and a missing key file were found only when the daemon failed; a key that stands twice was reported as a wrong type; headers over the limit got net/http's bare 431, which says neither what was too large nor that nothing ran. Ruled out: refusing unwise but workable settings (they are warnings); letting any header size through to the handler (past twice the limit it is not read). Conclusion: TestFaults, TestLoadFindsUnreadableFiles, TestOversizedRequestsAreTold.

--- a/cmd/tamarackd/main.go
+++ b/cmd/tamarackd/main.go
@@ -20,6 +20,13 @@
 	}
 }
 
+func printChecked(loaded settings.Settings) {
+	for _, warning := range loaded.Warnings {
+		fmt.Println("warning:", warning)
+	}
+	fmt.Println("settings are good")
+}
+
 func newCommand() *cobra.Command {
 	var file string
 	var checkOnly bool
@@ -36,7 +43,7 @@
 				os.Exit(exitFindings)
 			}
 			if checkOnly {
-				fmt.Println("settings are good")
+				printChecked(loaded)
 				return nil
 			}
 			return run(loaded)
--- a/cmd/tamarackd/run.go
+++ b/cmd/tamarackd/run.go
@@ -54,6 +54,9 @@
 
 func run(s settings.Settings) error {
 	logger := newLogger(s)
+	for _, warning := range s.Warnings {
+		logger.Warn().Str("setting", warning.Key).Msg(warning.String())
+	}
 	identity, err := peertls.Load(peertls.Files{
 		Certificate: s.Peers.CertificateFile, Key: s.Peers.KeyFile, Authorities: s.Peers.AuthorityFiles,
 	})
--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -22,6 +22,11 @@
 	BodyBytes   int64
 }
 
+// hardHeaderFactor is how far over the limit headers are still read. Past it
+// net/http answers 431 by itself and closes the connection, without the typed
+// body; up to it the caller is told what was too large and that nothing ran.
+const hardHeaderFactor = 2
+
 // readHeaderTimeout ends connections that dribble their headers.
 const readHeaderTimeout = 10 * time.Second
 
@@ -35,12 +40,16 @@
 	})
 	return &http.Server{
 		Handler:           e,
-		MaxHeaderBytes:    limits.HeaderBytes,
+		MaxHeaderBytes:    hardHeaderFactor * limits.HeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 	}
 }
 
 func serve(entry Entry, limits Limits, w http.ResponseWriter, r *http.Request) {
+	if headerBytes(r) > limits.HeaderBytes {
+		callhttp.WriteError(w, port.Refuse(port.ReasonHeaderTooLarge, 0, "the headers are over %d bytes", limits.HeaderBytes))
+		return
+	}
 	if r.ContentLength > limits.BodyBytes {
 		callhttp.WriteError(w, port.Refuse(port.ReasonBodyTooLarge, 0, "the body is over %d bytes", limits.BodyBytes))
 		return
@@ -48,3 +57,18 @@
 	r.Body = http.MaxBytesReader(w, r.Body, limits.BodyBytes)
 	entry.ServeCaller(w, r)
 }
+
+// lineBytes is what a header line has besides its name and value.
+const lineBytes = len(": \r\n")
+
+// headerBytes is the size of the request line and headers as they came, to a
+// few bytes.
+func headerBytes(r *http.Request) int {
+	total := len(r.Method) + len(r.RequestURI) + len(r.Proto) + lineBytes
+	for name, values := range r.Header {
+		for _, value := range values {
+			total += len(name) + len(value) + lineBytes
+		}
+	}
+	return total
+}
--- a/internal/adapter/settings/settings_test.go
+++ b/internal/adapter/settings/settings_test.go
@@ -1,9 +1,14 @@
 package settings
 
 import (
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"tamarackquay/internal/finding"
 )
 
 // An operator who made five mistakes is told of all five at once, each with
@@ -40,8 +45,8 @@
 	assert.DeepEqual(t, lines, []int{3, 7, 12, 15, 20})
 }
 
-func TestDefaultsNeedOnlyThePlaces(t *testing.T) {
-	source := `[vm]
+// good is a file that names only the places.
+const good = `[vm]
 id = "vm-1"
 failure_domain = "north-1"
 region = "north"
@@ -58,7 +63,74 @@
 certificate_file = "c"
 key_file = "k"
 authority_files = ["a"]
+seeds = ["127.0.0.1:6"]
 `
-	_, found := Parse("node.toml", []byte(source))
+
+func TestDefaultsNeedOnlyThePlaces(t *testing.T) {
+	s, found := Parse("node.toml", []byte(good))
+	assert.NilError(t, found.AsError())
+	assert.Equal(t, len(s.Warnings), 0, "%v", s.Warnings)
+}
+
+func TestFaults(t *testing.T) {
+	for _, test := range []struct {
+		desc     string
+		from, to string
+		code     finding.Code
+		line     int
+	}{
+		{"listeners clash", "127.0.0.1:2", "127.0.0.1:1", CodeClash, 8},
+		{"target is a listener", "127.0.0.1:4", "127.0.0.1:1", CodeClash, 11},
+		{"address that peers can't call", "127.0.0.1:2", "0.0.0.0:2", CodeBadAddress, 8},
+		{"port that callers can't call", "127.0.0.1:1", "127.0.0.1:0", CodeBadAddress, 7},
+		{"URL without scheme", "http://127.0.0.1:5", "127.0.0.1:5", CodeBadURL, 13},
+		{"id with a blank", "vm-1", "vm 1", CodeBadName, 2},
+		{"bad seed", "127.0.0.1:6", "somewhere", CodeBadAddress, 18},
+		{"key stands twice", `id = "vm-1"`, "id = \"vm-1\"\nid = \"vm-2\"", finding.CodeRepeated, 3},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			_, found := Parse("node.toml", []byte(strings.Replace(good, test.from, test.to, 1)))
+			assert.Equal(t, len(found), 1, "%v", found)
+			assert.Equal(t, found[0].Code, test.code)
+			assert.Equal(t, found[0].Line, test.line, "%v", found)
+		})
+	}
+}
+
+// A daemon that starts and then fails on a missing key file is found by the
+// operator's supervisor; one checked before is found by the operator.
+func TestLoadFindsUnreadableFiles(t *testing.T) {
+	dir := t.TempDir()
+	file := filepath.Join(dir, "node.toml")
+	assert.NilError(t, os.WriteFile(file, []byte(strings.ReplaceAll(good, `"c"`, `"`+file+`"`)), 0o600))
+	_, found := Load(file)
+	assert.Equal(t, len(found), 2, "%v", found)
+	for _, f := range found {
+		assert.Equal(t, f.Code, CodeUnreadable)
+	}
+}
+
+func TestWarningsDoNotRefuse(t *testing.T) {
+	text := strings.Replace(good, `seeds = ["127.0.0.1:6"]`, "suspect_after = \"1500ms\"", 1)
+	s, found := Parse("node.toml", []byte(text))
 	assert.NilError(t, found.AsError())
+	assert.Equal(t, len(s.Warnings), 2, "%v", s.Warnings)
+}
+
+// FuzzParse: no text may end the process, and each finding must name its file
+// and code.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte("[vm]\nid = 7\n[vm]\n"))
+	f.Add([]byte("[peers]\nseeds = [1, \"\", [2]]\nheartbeat = \"-1s\""))
+	f.Add([]byte("vm.id = \"a\"\nvm = 3\n[[vm]]"))
+	f.Add([]byte("[requests]\nmax_body_bytes = 99999999999999999999\n\x00"))
+	f.Fuzz(func(t *testing.T, source []byte) {
+		_, found := Parse("fuzz.toml", source)
+		for _, one := range found {
+			if one.Code == "" || one.File != "fuzz.toml" || one.Line < 0 {
+				t.Errorf("%+v", one)
+			}
+		}
+	})
 }
--- a/internal/finding/finding.go
+++ b/internal/finding/finding.go
@@ -18,6 +18,7 @@
 const (
 	CodeSyntax     Code = "toml-syntax"
 	CodeType       Code = "toml-type"
+	CodeRepeated   Code = "toml-repeated-key"
 	CodeUnknownKey Code = "unknown-key"
 	CodeUnreadable Code = "unreadable-file"
 )
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -76,9 +76,17 @@
 	return toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(target)
 }
 
+// repeatedKey is in the library's message for keys and tables that stand twice;
+// it has no error of its own for them.
+const repeatedKey = "already"
+
 func decodeFault(file string, row int, fault *toml.DecodeError) finding.Finding {
 	key := strings.Join(fault.Key(), ".")
 	problem := strings.TrimPrefix(fault.Error(), "toml: ")
+	if strings.Contains(problem, repeatedKey) {
+		return finding.Finding{Code: finding.CodeRepeated, File: file, Line: row, Key: key, Problem: problem,
+			Hint: "keep one of them"}
+	}
 	if key == "" {
 		return finding.Finding{Code: finding.CodeSyntax, File: file, Line: row, Problem: problem,
 			Hint: "write a value that TOML accepts"}
