Refuse times that are written as numbers

Cause: the TOML library takes an integer for a time.Duration's nanoseconds, so drain = 30 was a drain of 30 ns without a word, in settings and contracts alike; a boolean for a time ended the check of the whole file without a line. Found by writing every wrong type into one file; TestTimesMustBeText was red with one finding without place where four lines had faults. Ruled out: the library's unmarshaler interface (its errors carry no place either); another Go type for durations, which every package would have to follow. Change: the index of lines also knows each value's kind and reaches into inline tables; times that are no text are reported and blanked before decoding. Messages about wrong types no longer name Go fields. Conclusion: all four lines are reported with place and hint.

--- a/internal/tomlfile/lines.go
+++ b/internal/tomlfile/lines.go
@@ -27,30 +27,77 @@
 	return 0
 }
 
-// indexLines records the line of each key up to the first fault of syntax.
-func indexLines(source []byte) Lines {
-	lines := Lines{}
-	counts := map[string]int{}
-	prefix := ""
-	var parser unstable.Parser
-	parser.Reset(source)
-	for parser.NextExpression() {
-		node := parser.Expression()
-		path, line := keyPath(&parser, node)
-		switch node.Kind {
-		case unstable.Table:
-			prefix = qualify(path, counts)
-			lines[prefix] = line
-		case unstable.ArrayTable:
-			base := qualify(path, counts)
-			prefix = fmt.Sprintf("%s[%d]", base, counts[base])
-			counts[base]++
-			lines[prefix] = line
-		case unstable.KeyValue:
-			lines[join(prefix, strings.Join(path, "."))] = line
+// index is what is known of a source before it is decoded.
+type index struct {
+	lines Lines
+	kinds map[string]unstable.Kind
+}
+
+// indexer records the line of each key, and the kind of its value, up to the
+// first fault of syntax.
+type indexer struct {
+	index
+	parser unstable.Parser
+	counts map[string]int
+	prefix string
+}
+
+func indexOf(source []byte) index {
+	x := &indexer{index: index{lines: Lines{}, kinds: map[string]unstable.Kind{}}, counts: map[string]int{}}
+	x.parser.Reset(source)
+	for x.parser.NextExpression() {
+		x.expression(x.parser.Expression())
+	}
+	return x.index
+}
+
+func (x *indexer) expression(node *unstable.Node) {
+	path, line := keyPath(&x.parser, node)
+	switch node.Kind {
+	case unstable.Table:
+		x.prefix = qualify(path, x.counts)
+		x.lines[x.prefix] = line
+	case unstable.ArrayTable:
+		base := qualify(path, x.counts)
+		x.prefix = fmt.Sprintf("%s[%d]", base, x.counts[base])
+		x.counts[base]++
+		x.lines[x.prefix] = line
+	case unstable.KeyValue:
+		x.keyValue(x.prefix, node)
+	}
+}
+
+func (x *indexer) keyValue(prefix string, node *unstable.Node) {
+	path, line := keyPath(&x.parser, node)
+	x.value(join(prefix, strings.Join(path, ".")), line, node.Value())
+}
+
+// value records a value and what stands inside it: inline tables and the
+// elements of arrays have keys of their own.
+func (x *indexer) value(key string, line int, value *unstable.Node) {
+	x.lines[key] = line
+	x.kinds[key] = value.Kind
+	children := value.Children()
+	switch value.Kind {
+	case unstable.InlineTable:
+		for children.Next() {
+			x.keyValue(key, children.Node())
 		}
+	case unstable.Array:
+		for n := 0; children.Next(); n++ {
+			element := children.Node()
+			x.value(fmt.Sprintf("%s[%d]", key, n), x.lineOf(element, line), element)
+		}
+	}
+}
+
+// lineOf is the line on which a node stands; some nodes carry no place, and
+// stand in for their parent's.
+func (x *indexer) lineOf(node *unstable.Node, parent int) int {
+	if node.Raw.Length == 0 {
+		return parent
 	}
-	return lines
+	return x.parser.Shape(node.Raw).Start.Line
 }
 
 // keyPath returns the parts of the node's key and the line of its last part.
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"errors"
+	"regexp"
 	"strings"
 	"time"
 
@@ -42,9 +43,9 @@
 // fault of syntax, type and unknown key, and an index of the lines on which
 // keys stand, for the checks of meaning that follow.
 func Decode(file string, source []byte, target any) (Lines, finding.List) {
-	lines := indexLines(source)
-	var found finding.List
+	index := indexOf(source)
 	text := bytes.Clone(source)
+	found := takeOutBadTimes(file, index, text, target)
 	for len(found) < MaxFaults {
 		err := decodeStrict(text, target)
 		if err == nil {
@@ -69,20 +70,43 @@
 		}
 	}
 	found.Sort()
-	return lines, found
+	return index.lines, found
 }
 
 func decodeStrict(text []byte, target any) error {
 	return toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(target)
 }
 
+// wrongType matches the library's message for a value of the wrong type, which
+// names the Go type and field that an operator has never seen.
+var wrongType = regexp.MustCompile(`^cannot decode TOML (\S+) into struct field \S+ of type (\S+)$`)
+
+// tomlNames are the TOML words for the Go types that files decode into.
+var tomlNames = map[string]string{
+	"string": "a string", "int": "an integer", "int64": "an integer", "float64": "a number", "bool": "true or false",
+	"[]string": "an array of strings", "tomlfile.Duration": "a time such as \"15s\"",
+}
+
+// inTOMLWords rewrites a message about a wrong type in the words of the file.
+func inTOMLWords(problem string) string {
+	match := wrongType.FindStringSubmatch(problem)
+	if match == nil {
+		return problem
+	}
+	wanted, ok := tomlNames[match[2]]
+	if !ok {
+		wanted = "another type"
+	}
+	return "this is of type " + match[1] + ", " + wanted + " is wanted"
+}
+
 // repeatedKey is in the library's message for keys and tables that stand twice;
 // it has no error of its own for them.
 const repeatedKey = "already"
 
 func decodeFault(file string, row int, fault *toml.DecodeError) finding.Finding {
 	key := strings.Join(fault.Key(), ".")
-	problem := strings.TrimPrefix(fault.Error(), "toml: ")
+	problem := inTOMLWords(strings.TrimPrefix(fault.Error(), "toml: "))
 	if strings.Contains(problem, repeatedKey) {
 		return finding.Finding{Code: finding.CodeRepeated, File: file, Line: row, Key: key, Problem: problem,
 			Hint: "keep one of them"}
