make play: the demo's fleet, kept running to try things

Cause: a new user could run the demo only from end to end; nothing kept a fleet up on which to change a limit or ask why a request was refused. Ruled out: a flag of demo.sh that leaves processes behind after it ends.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
-# make demo runs the main job; make test runs every check.
+# make demo runs the main job; make play keeps its fleet running to try things;
+# make test runs every check.
 
 GO ?= go
 
-.PHONY: all build demo test format vet staticcheck unit
+.PHONY: all build demo play test format vet staticcheck unit
 
 all: build
 
@@ -12,6 +13,9 @@
 demo: build
 	scripts/demo.sh
 
+play: build
+	scripts/play.sh
+
 test: format vet staticcheck unit
 
 format:
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,121 +6,25 @@
 # Exits non-zero if any step fails. Needs bash, curl and the built programs.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+source scripts/fleet.sh
 
-command -v curl >/dev/null || { echo "demo: needs curl, which is not installed" >&2; exit 1; }
-
-WORK=.demo
-# A loopback address of this run's own: ports of 127.0.0.1 are also taken by
-# outgoing connections and by other runs on the same machine.
-HOST=127.128.$(($$ / 256 % 256)).$(($$ % 254 + 1))
-BASE=20000
-PLATFORM=$HOST:$BASE
 COOP="Authorization: Bearer coop-token"
 LIGHTS="Authorization: Bearer lights-token"
-PIDS=()
 
 fail() { echo "demo: FAILED: $*" >&2; exit 1; }
 step() { printf '\n== %s\n' "$*"; }
 # show prints a command as a user would type it, then runs it.
 show() { printf '$ %s\n' "${*#bin/}"; "$@"; }
 
-# stop_all ends only processes that this script started.
-stop_all() {
-  for pid in "${PIDS[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-  for pid in "${PIDS[@]}"; do wait "$pid" 2>/dev/null || true; done
-  PIDS=()
-}
-trap stop_all EXIT
-
-callers()   { echo "$HOST:$((BASE + 10 + $1 * 4))"; }
-peers()     { echo "$HOST:$((BASE + 11 + $1 * 4))"; }
-operators() { echo "$HOST:$((BASE + 12 + $1 * 4))"; }
-target()    { echo "$HOST:$((BASE + 13 + $1 * 4))"; }
-
-# The fleet: VM, failure domain, region, service, slots.
-FLEET=(
-  "lm1-tally lower-mainland-1 lower-mainland tally 12"
-  "in1-tally interior-1 interior tally 12"
-  "lm1-returns lower-mainland-1 lower-mainland returns 12"
-  "in1-returns interior-1 interior returns 12"
-  "lm1-archive lower-mainland-1 lower-mainland archive 12"
-  "in1-archive interior-1 interior archive 12"
-  "al1-logbook almaty-1 almaty logbook 18"
-  "ka1-certdesk karaganda-1 karaganda certdesk 18"
-)
-COUNT=${#FLEET[@]}
-
-rm -rf "$WORK"
-mkdir -p "$WORK/contracts" "$WORK/keys" "$WORK/log"
-cp examples/co-operative/services.toml "$WORK/contracts/co-operative-services.toml"
-cp examples/co-operative/contracts.toml "$WORK/contracts/co-operative-contracts.toml"
-cp examples/lighting-records/services.toml "$WORK/contracts/lighting-records-services.toml"
-cp examples/lighting-records/contracts.toml "$WORK/contracts/lighting-records-contracts.toml"
-
-publish() { # publish DIRECTORY: the parts first, the manifest last
-  local part
-  for part in "$1"/part/*; do
-    curl -sSf -X PUT --data-binary @"$part" "http://$PLATFORM/admin/config/part/$(basename "$part")"
-  done
-  curl -sSf -X PUT --data-binary @"$1/manifest" "http://$PLATFORM/admin/config/manifest"
-}
-
-settings() { # settings INDEX VM DOMAIN REGION SERVICE
-  cat <<TOML
-[vm]
-id = "$2"
-failure_domain = "$3"
-region = "$4"
-service = "$5"
-
-[listen]
-callers = "$(callers "$1")"
-peers = "$(peers "$1")"
-operators = "$(operators "$1")"
-
-[target]
-address = "$(target "$1")"
-
-[platform]
-url = "http://$PLATFORM"
-list_interval = "1s"
-
-[peers]
-certificate_file = "$WORK/keys/$2/cert.pem"
-key_file = "$WORK/keys/$2/key.pem"
-authority_files = ["$WORK/keys/authority/cert.pem"]
-seeds = ["$(peers 0)", "$(peers 1)"]
-heartbeat = "500ms"
-suspect_after = "3s"
-TOML
-}
-
 step "1. Start the stand-in platform, $COUNT targets and $COUNT nodes in 4 failure domains"
-bin/standin-platform --listen "$PLATFORM" >"$WORK/log/platform" 2>&1 & PIDS+=($!)
-bin/tamarackctl peer-cert authority --out "$WORK/keys/authority" >/dev/null
-VMS=""
-OPERATORS=()
-for ((i = 0; i < COUNT; i++)); do
-  read -r vm domain region service slots <<<"${FLEET[$i]}"
-  OPERATORS+=("$(operators $i)")
-  bin/tamarackctl peer-cert "$vm" --out "$WORK/keys/$vm" --authority "$WORK/keys/authority" >/dev/null
-  settings "$i" "$vm" "$domain" "$region" "$service" >"$WORK/$vm.toml"
-  bin/standin-target --listen "$(target $i)" --slots "$slots" >"$WORK/log/target-$vm" 2>&1 & PIDS+=($!)
-  VMS+=$(printf '%s{"id":"%s","failure_domain":"%s","region":"%s","service":"%s","peer_address":"%s","caller_address":"%s"}' \
-    "${VMS:+,}" "$vm" "$domain" "$region" "$service" "$(peers $i)" "$(callers $i)")
-done
-printf '%s\n' "${OPERATORS[@]}" >"$WORK/nodes.txt"
-until curl -sf "http://$PLATFORM/admin/stats" >/dev/null; do sleep 0.05; done
-curl -sSf -X PUT -H 'Content-Type: application/json' -d "[$VMS]" "http://$PLATFORM/admin/vms"
+prepare_contracts
+start_platform_and_targets
 
 step "2. Check, build and publish the contracts; start the nodes"
 show bin/tamarackctl check "$WORK/contracts"
 show bin/tamarackctl build "$WORK/contracts" --out "$WORK/published" --published "http://$PLATFORM" --by demo
-publish "$WORK/published"
-for ((i = 0; i < COUNT; i++)); do
-  read -r vm _ <<<"${FLEET[$i]}"
-  bin/tamarackd --config "$WORK/$vm.toml" >"$WORK/log/node-$vm" 2>&1 & PIDS+=($!)
-done
+show scripts/publish.sh "$WORK/published" "http://$PLATFORM"
+start_nodes
 show bin/tamarackctl status --nodes "$WORK/nodes.txt" --wait 1.1
 
 path_of() { awk 'BEGIN{IGNORECASE=1} /^Tamarack-(Entry|Owner|Version|Request-Id):/{sub("\r","");printf "%s ",$0} END{print ""}' "$1"; }
@@ -157,7 +61,7 @@
 sed -i 's/^limit = 0.8/limit = 0.9/; s/^deadline = "2s"/deadline = "3s"/' "$WORK/contracts-2/co-operative-contracts.toml"
 show bin/tamarackctl diff "http://$PLATFORM" "$WORK/contracts-2"
 show bin/tamarackctl build "$WORK/contracts-2" --out "$WORK/published-2" --parent "$WORK/published" --published "http://$PLATFORM" --by demo
-publish "$WORK/published-2"
+show scripts/publish.sh "$WORK/published-2" "http://$PLATFORM"
 show bin/tamarackctl status --nodes "$WORK/nodes.txt" --wait 1.2 | tail -2
 show bin/tamarackctl audit --nodes "$WORK/nodes.txt" --versions
 
@@ -167,7 +71,7 @@
 fi
 
 step "7. A node is stopped under load; every answer is checked"
-STOPPED=${PIDS[$((1 + COUNT + 1))]}
+STOPPED=$(node_pid 1)
 show bin/tamarackload run "$(callers 6)" "$(callers 7)" --token coop-token --rate 200 --warm-up 500ms --duration 2s \
   --signal "$STOPPED:TERM@1s" --svg "$WORK/waits.svg" | tee "$WORK/load.txt"
 ! grep -E 'broken|unknown|wrong-answer|not-sent' "$WORK/load.txt" || fail "the stop cut or lost calls"
@@ -177,7 +81,7 @@
 step "8. A planned stop of a node cuts no download"
 curl -sSf -H "$COOP" -o "$WORK/archive.stop" --limit-rate 40M "http://$(callers 4)/archive/video-7?bytes=33554432" & DOWNLOAD=$!
 sleep 0.2
-STOPPED=${PIDS[$((1 + COUNT + 4))]}
+STOPPED=$(node_pid 4)
 kill -TERM "$STOPPED"
 wait "$DOWNLOAD" || fail "the archive was cut by the stop"
 wait "$STOPPED" || fail "the node did not stop cleanly"
--- /dev/null
+++ b/scripts/publish.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Puts what 'tamarackctl build' wrote onto the stand-in platform: the parts
+# first, the manifest last, since the manifest is what nodes act on. With a real
+# platform, use its own tool in the same order.
+set -euo pipefail
+[ $# = 2 ] || { echo "usage: scripts/publish.sh DIRECTORY http://PLATFORM" >&2; exit 2; }
+put() { curl -sSf -X PUT --data-binary @"$1" "$2"; }
+for part in "$1"/part/*; do
+  put "$part" "${2%/}/admin/config/part/$(basename "$part")"
+done
+put "$1/manifest" "${2%/}/admin/config/manifest"
