--- a/internal/adapter/auditlog/auditlog.go
+++ b/internal/adapter/auditlog/auditlog.go
@@ -5,6 +5,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/phuslu/log"
 
@@ -60,8 +61,11 @@
 
 // MarshalObject implements log.ObjectMarshaler.
 func (l logged) MarshalObject(e *log.Entry) {
-	e.Time("time", l.Time).Str("vm", l.VM).Str("version", l.Version).Str("root", l.Root)
+	e.TimeFormat("time", time.RFC3339Nano, l.Time.UTC()).Str("vm", l.VM).Str("version", l.Version).Str("root", l.Root)
 	e.Str("from", l.From).Str("published_by", l.PublishedBy).Str("subject", l.Subject).Str("detail", l.Detail)
+	if l.PublishedAt != nil {
+		e.TimeFormat("published_at", time.RFC3339Nano, l.PublishedAt.UTC())
+	}
 	findings := make([]string, len(l.Findings))
 	for i, f := range l.Findings {
 		findings[i] = f.String()
--- a/internal/report/ratio.go
+++ b/internal/report/ratio.go
@@ -13,11 +13,13 @@
 	Rounds   []float64 `json:"rounds"`
 	// Median is over the rounds: B divided by A.
 	Median float64 `json:"median"`
+	// AddedMS is the median over the rounds of B less A, in milliseconds.
+	AddedMS float64 `json:"added_ms"`
 }
 
 // String renders the ratio on one line.
 func (r Ratio) String() string {
-	return fmt.Sprintf("%s %s: B/A median %.3f, rounds %.3f", r.Kind, r.Quantile, r.Median, r.Rounds)
+	return fmt.Sprintf("%s %s: B/A median %.3f, rounds %.3f; B-A median %+.3f ms", r.Kind, r.Quantile, r.Median, r.Rounds, r.AddedMS)
 }
 
 // Ratios compares runs that alternate A, B, A, B.
@@ -35,14 +37,17 @@
 			{"p99", func(w Waits) float64 { return w.P99 }},
 		} {
 			ratio := Ratio{Kind: kind.Name, Quantile: quantile.name}
+			var added []float64
 			for i := 0; i+1 < len(runs); i += 2 {
 				a, b := quantile.of(runs[i].waitsOf(kind.Name)), quantile.of(runs[i+1].waitsOf(kind.Name))
 				if a > 0 && b > 0 {
 					ratio.Rounds = append(ratio.Rounds, b/a)
+					added = append(added, b-a)
 				}
 			}
 			if len(ratio.Rounds) > 0 {
 				ratio.Median = median(ratio.Rounds)
+				ratio.AddedMS = median(added)
 				ratios = append(ratios, ratio)
 			}
 		}
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -51,5 +51,6 @@
 	ratios := Ratios([]Run{run("A", 1), run("B", 2), run("A", 2), run("B", 2), run("A", 1), run("B", 9)})
 	assert.Equal(t, len(ratios), 1)
 	assert.Equal(t, ratios[0].Median, 2.0)
+	assert.Equal(t, ratios[0].AddedMS, 1.0)
 	assert.DeepEqual(t, ratios[0].Rounds, []float64{2, 1, 9})
 }
