Hold peers to their certificates and bound what they can take

Cause: a proven peer could speak in another VM's name (a goodbye in its name takes its work away), an answer was taken from whoever sat at the address, and a connection whose VM had vanished was used until it was idle for a minute, which questions kept it from ever being.

--- a/cmd/tamarackd/run.go
+++ b/cmd/tamarackd/run.go
@@ -72,7 +72,7 @@
 		defer close(stopped)
 		d.node.Run(ctx)
 	}()
-	go d.sweepIdle(ctx)
+	go d.sweepIdle(ctx, identity)
 	logger.Info().Str("callers", s.Listen.Callers).Str("peers", s.Listen.Peers).Msg("serving")
 	err = waitForStop(failed)
 	d.stop()
@@ -199,15 +199,31 @@
 	d.log.Info().Msg("stopped")
 }
 
-func (d *daemon) sweepIdle(ctx context.Context) {
+// sweepIdle closes idle connections and takes up changed certificate files, so
+// that an authority is rotated without restarts.
+func (d *daemon) sweepIdle(ctx context.Context, identity *peertls.Config) {
 	ticker := time.NewTicker(idleSweep)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
 			d.peers.CloseIdle()
+			d.reload(identity)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
+
+func (d *daemon) reload(identity *peertls.Config) {
+	changed, err := identity.Reload()
+	if err != nil {
+		d.log.Error().Err(err).Msg("peer certificate files can't be read; the old ones stay in use")
+		return
+	}
+	if changed {
+		d.log.Info().Msg("peer certificates changed")
+		// Open connections were proven by the old files.
+		d.peers.Close()
+	}
+}
--- a/internal/adapter/peerws/client.go
+++ b/internal/adapter/peerws/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -15,8 +14,18 @@
 	"tamarackquay/internal/port"
 )
 
-// IdleTimeout is how long a connection without messages is kept.
-const IdleTimeout = time.Minute
+// Bounds of the connections that a node opens.
+const (
+	// IdleTimeout is how long a connection without messages is kept.
+	IdleTimeout = time.Minute
+	// MaxLinks is how many are open at a time. A node talks to eight
+	// neighbours and one VM of each other failure domain; the rest is room for
+	// departures and pulls.
+	MaxLinks = 96
+	// pingAfter is the silence after which a link is tried.
+	pingAfter   = 15 * time.Second
+	pingTimeout = 5 * time.Second
+)
 
 // Client implements port.Peers with one connection per peer, opened on first
 // use.
@@ -54,17 +63,36 @@
 	return l.ask(ctx, message)
 }
 
-// CloseIdle closes connections that carried nothing for IdleTimeout, and
-// forgets those that broke.
+// CloseIdle closes connections that carried nothing for IdleTimeout, forgets
+// those that broke, and tries those from which nothing came for long.
 func (c *Client) CloseIdle() {
+	for _, l := range c.dropIdle() {
+		go l.ping(context.Background())
+	}
+}
+
+// dropIdle returns the links that should be tried.
+func (c *Client) dropIdle() []*link {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	var silent []*link
 	for address, l := range c.links {
-		if l.broken() || c.now().Sub(l.lastUsed()) > IdleTimeout {
+		switch {
+		case l.broken() || c.now().Sub(l.lastUsed()) > IdleTimeout:
 			l.close()
 			delete(c.links, address)
+		case c.now().Sub(l.lastHeard()) > pingAfter:
+			silent = append(silent, l)
 		}
 	}
+	return silent
+}
+
+// Open returns how many connections are open.
+func (c *Client) Open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.links)
 }
 
 // Close closes all connections.
@@ -83,8 +111,13 @@
 	if l := c.open(address); l != nil {
 		return l, nil
 	}
-	conn, _, err := websocket.Dial(ctx, "wss://"+address+Path, &websocket.DialOptions{HTTPClient: c.http})
+	conn, response, err := websocket.Dial(ctx, "wss://"+address+Path, &websocket.DialOptions{HTTPClient: c.http})
+	if err != nil {
+		return nil, errors.Wrap(port.ErrUnreachable, err.Error())
+	}
+	peer, err := peertls.Name(response.TLS)
 	if err != nil {
+		conn.CloseNow()
 		return nil, errors.Wrap(port.ErrUnreachable, err.Error())
 	}
 	conn.SetReadLimit(MaxMessageBytes)
@@ -94,109 +127,39 @@
 		conn.CloseNow()
 		return l, nil
 	}
-	l := newLink(conn, c.now)
+	c.makeRoom()
+	l := newLink(conn, peer, c.now)
 	c.links[address] = l
 	return l, nil
 }
 
-func (c *Client) open(address string) *link {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if l := c.links[address]; l != nil && !l.broken() {
-		return l
+// makeRoom closes the link that was idle longest when there are too many; the
+// caller holds mu. Links with open questions stay, so that no answer is cut.
+func (c *Client) makeRoom() {
+	if len(c.links) < MaxLinks {
+		return
 	}
-	return nil
-}
-
-// link is one connection with the questions that wait for answers on it.
-type link struct {
-	conn *websocket.Conn
-	now  func() time.Time
-	done chan struct{}
-	used atomic.Int64
-
-	mu      sync.Mutex
-	next    uint64
-	waiting map[uint64]chan port.Message
-}
-
-func newLink(conn *websocket.Conn, now func() time.Time) *link {
-	l := &link{conn: conn, now: now, done: make(chan struct{}), waiting: map[uint64]chan port.Message{}}
-	l.used.Store(now().UnixNano())
-	go l.read()
-	return l
-}
-
-// read hands answers to those who wait for them. It ends, and with it the
-// link, when the connection breaks.
-func (l *link) read() {
-	defer close(l.done)
-	defer l.conn.CloseNow()
-	for {
-		_, raw, err := l.conn.Read(context.Background())
-		if err != nil {
-			return
-		}
-		frame, message, err := decode(raw)
-		if err != nil {
+	var oldest string
+	for address, l := range c.links {
+		if l.broken() {
+			delete(c.links, address)
 			return
 		}
-		if answer := l.take(frame.Answer); answer != nil {
-			answer <- message
+		if !l.busy() && (oldest == "" || l.lastUsed().Before(c.links[oldest].lastUsed())) {
+			oldest = address
 		}
 	}
-}
-
-func (l *link) take(question uint64) chan port.Message {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	answer := l.waiting[question]
-	delete(l.waiting, question)
-	return answer
-}
-
-func (l *link) ask(ctx context.Context, message port.Message) (port.Message, error) {
-	answer := make(chan port.Message, 1)
-	l.mu.Lock()
-	l.next++
-	question := l.next
-	l.waiting[question] = answer
-	l.mu.Unlock()
-	defer l.take(question)
-	if err := l.write(ctx, message, question); err != nil {
-		return nil, err
-	}
-	select {
-	case reply := <-answer:
-		return reply, nil
-	case <-l.done:
-		return nil, errors.Wrap(port.ErrUnreachable, "connection closed before the answer")
-	case <-ctx.Done():
-		return nil, errors.Wrap(port.ErrUnreachable, ctx.Err().Error())
+	if oldest != "" {
+		c.links[oldest].close()
+		delete(c.links, oldest)
 	}
 }
 
-func (l *link) write(ctx context.Context, message port.Message, question uint64) error {
-	raw, err := encode(message, question, 0)
-	if err != nil {
-		return err
-	}
-	l.used.Store(l.now().UnixNano())
-	if err := l.conn.Write(ctx, websocket.MessageBinary, raw); err != nil {
-		return errors.Wrap(port.ErrUnreachable, err.Error())
+func (c *Client) open(address string) *link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if l := c.links[address]; l != nil && !l.broken() {
+		return l
 	}
 	return nil
 }
-
-func (l *link) lastUsed() time.Time { return time.Unix(0, l.used.Load()) }
-
-func (l *link) broken() bool {
-	select {
-	case <-l.done:
-		return true
-	default:
-		return false
-	}
-}
-
-func (l *link) close() { l.conn.CloseNow() }
