--- a/cmd/tamarackd/run.go
+++ b/cmd/tamarackd/run.go
@@ -128,8 +128,8 @@
 		Seeds:        s.Peers.Seeds,
 		Heartbeat:    s.Peers.Heartbeat.Std(),
 		ListInterval: s.Platform.ListInterval.Std(),
-		Readers:      s.Platform.Readers,
-		Distribution: distribution.DefaultConfig(),
+		Pace:         pace(s),
+		Distribution: distributionConfig(s),
 		Membership:   membership.Config{SuspectAfter: s.Peers.SuspectAfter.Std(), ForgetAfter: s.Peers.ForgetAfter.Std()},
 		QueuePerSlot: s.Requests.QueuePerSlot,
 		MaxAttempts:  s.Requests.MaxAttempts,
@@ -138,6 +138,20 @@
 	}
 }
 
+func pace(s settings.Settings) distribution.Pace {
+	pace := distribution.DefaultPace()
+	pace.Readers = s.Platform.Readers
+	pace.StartSpread = s.Platform.StartSpread.Std()
+	return pace
+}
+
+func distributionConfig(s settings.Settings) distribution.Config {
+	config := distribution.DefaultConfig()
+	config.Patience = s.Platform.Patience.Std()
+	config.Redundancy = s.Platform.Redundancy
+	return config
+}
+
 func newPeerServer(n *node.Node, now func() time.Time) *http.Server {
 	e := echo.New()
 	e.HideBanner = true
--- a/internal/adapter/settings/settings.go
+++ b/internal/adapter/settings/settings.go
@@ -51,8 +51,17 @@
 	ReadTimeout  tomlfile.Duration `toml:"read_timeout"`
 	WatchTimeout tomlfile.Duration `toml:"watch_timeout"`
 	ListInterval tomlfile.Duration `toml:"list_interval"`
-	// Readers is how many nodes of a failure domain watch the platform.
+	// Readers is how many nodes of a region watch the platform.
 	Readers int `toml:"readers"`
+	// StartSpread is the time over which processes that start together spread
+	// their first reads.
+	StartSpread tomlfile.Duration `toml:"start_spread"`
+	// Patience is the policy between convergence time and cross-region bytes:
+	// how long a version overheard from another region waits for a nearer
+	// source. docs/design/distribution.md has its curve.
+	Patience tomlfile.Duration `toml:"patience"`
+	// Redundancy is how many paths lead a version to each node.
+	Redundancy int `toml:"redundancy"`
 }
 
 // Peers holds the proof of being a peer and the times of heartbeats.
@@ -91,6 +100,9 @@
 			WatchTimeout: tomlfile.Duration(40 * time.Second),
 			ListInterval: tomlfile.Duration(5 * time.Second),
 			Readers:      2,
+			StartSpread:  tomlfile.Duration(3 * time.Second),
+			Patience:     tomlfile.Duration(time.Second),
+			Redundancy:   2,
 		},
 		Peers: Peers{
 			Heartbeat:    tomlfile.Duration(time.Second),
@@ -176,6 +188,9 @@
 	}
 	c.positive("target.max_connections", int64(s.Target.MaxConnections))
 	c.positive("platform.readers", int64(s.Platform.Readers))
+	c.positive("platform.redundancy", int64(s.Platform.Redundancy))
+	c.notNegative("platform.start_spread", int64(s.Platform.StartSpread))
+	c.notNegative("platform.patience", int64(s.Platform.Patience))
 	c.positive("requests.queue_per_slot", int64(s.Requests.QueuePerSlot))
 	c.positive("requests.max_attempts", int64(s.Requests.MaxAttempts))
 	c.positive("requests.max_header_bytes", int64(s.Requests.MaxHeaderBytes))
@@ -225,3 +240,9 @@
 		c.add(CodeOutOfRange, key, "give a value above zero", "must be above zero")
 	}
 }
+
+func (c *checker) notNegative(key string, value int64) {
+	if value < 0 {
+		c.add(CodeOutOfRange, key, "give zero or more", "must not be below zero")
+	}
+}
--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -1,254 +1,380 @@
 // Package distribution decides how one node learns, checks, applies and hands
 // on configuration versions. It is pure: each method takes the time and what
 // happened, and returns the effects that the node's control loop carries out.
+// Random numbers come from the source that New is given.
+//
+// A version moves through a node in these steps: a claim (a peer or the
+// platform has it), its manifest, its parts (staged, never in force in part),
+// one check of the whole, and then Apply or Refuse.
 package distribution
 
 import (
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"time"
 
-	"tamarackquay/internal/finding"
 	"tamarackquay/internal/snapshot"
 )
 
-// Source is where a version or its parts come from: a peer's VM id, or the
-// platform.
-type Source string
-
-// Platform is the source that is no peer.
-const Platform Source = ""
-
-// Effect is something that the control loop must do.
-type Effect interface{ effect() }
-
-// FetchManifest asks the source for its manifest.
-type FetchManifest struct{ From Source }
-
-// FetchParts asks the source for parts by hash.
-type FetchParts struct {
-	From   Source
-	Hashes []snapshot.Hash
-}
-
-// Announce tells peers of the version that was just applied.
-type Announce struct {
-	Version snapshot.Version
-	Root    snapshot.Hash
-}
-
-// Apply swaps the node's snapshot. It is the only effect that changes what
-// requests see.
-type Apply struct{ Snapshot *snapshot.Snapshot }
-
-// Refuse records a version that failed its checks.
-type Refuse struct {
-	Version  snapshot.Version
-	Root     snapshot.Hash
-	From     Source
-	Findings finding.List
-}
-
-func (FetchManifest) effect() {}
-func (FetchParts) effect()    {}
-func (Announce) effect()      {}
-func (Apply) effect()         {}
-func (Refuse) effect()        {}
-
 // Config holds the times and bounds of distribution.
 type Config struct {
-	// FetchRetry is the pause before a failed fetch is tried at another
-	// source.
-	FetchRetry time.Duration
+	// Patience is how long a version that was overheard from another region
+	// waits for a nearer source before it is fetched from there. It is the
+	// policy between time (short) and cross-region bytes (long); claims from
+	// another failure domain of the same region wait a quarter of it.
+	Patience time.Duration
+	// Redundancy is how many paths lead a version into each failure domain
+	// and to each node of it, so that one lost announce delays nobody.
+	Redundancy int
+	// Children is how many peers of its failure domain a node tells on each
+	// path.
+	Children int
+	// FetchRetry is the bound of the pause after a first failure; it doubles
+	// with each further one up to FetchRetryMax.
+	FetchRetry    time.Duration
+	FetchRetryMax time.Duration
+	// FetchTimeout ends the wait for an answer that never comes.
+	FetchTimeout time.Duration
+	// BackupWait is how long each reader below the first of its region leaves
+	// the platform's parts to the readers above it.
+	BackupWait time.Duration
 	// ReadyHold bounds how long a fresh process waits for a version that was
-	// only reported to it, so that a false number can't keep it out for ever.
+	// only reported to it, and for reports, so that a false number or a fleet
+	// that is gone can't keep it out for ever.
 	ReadyHold time.Duration
+	// ReadyReports is how many peers' versions a fresh process hears before
+	// it trusts that none has a higher one.
+	ReadyReports int
 }
 
 // DefaultConfig suits a fleet of one to a few thousand nodes.
 func DefaultConfig() Config {
-	return Config{FetchRetry: 500 * time.Millisecond, ReadyHold: 20 * time.Second}
-}
-
-// refusedKey names a refused version by all that makes it distinct: a later
-// publication under the same number with other content is another version.
-type refusedKey struct {
-	version snapshot.Version
-	root    snapshot.Hash
+	return Config{
+		Patience: time.Second, Redundancy: 2, Children: 3,
+		FetchRetry: 500 * time.Millisecond, FetchRetryMax: 30 * time.Second, FetchTimeout: 10 * time.Second,
+		BackupWait: 3 * time.Second, ReadyHold: 10 * time.Second, ReadyReports: 3,
+	}
 }
 
-// staging is the one version that the node is collecting.
-type staging struct {
-	manifest *snapshot.Manifest
-	held     snapshot.Parts
+// request is a question that is on its way.
+type request struct {
 	from     Source
-	retryAt  time.Time
+	deadline time.Time
 }
 
 // State is the distribution state of one node. It is not safe for concurrent
 // use; the node's control loop owns it.
 type State struct {
-	config   Config
+	config  Config
+	random  *rand.Rand
+	started time.Time
+
 	applied  *snapshot.Snapshot
 	staged   *staging
-	refused  map[refusedKey]bool
+	shelf    *staging
+	sources  map[Source]*source
+	asked    *request
+	pauseEnd time.Time
+	refused  refusals
+	history  history
+
 	reported snapshot.Version
-	started  time.Time
-	// holders are peers that said they have the staged version.
-	holders []Source
+	heard    map[Source]bool
+	peers    int
+	rank     int
 }
 
 // New returns the state of a process that knows no version.
-func New(config Config, now time.Time) *State {
-	return &State{config: config, refused: map[refusedKey]bool{}, started: now}
+func New(config Config, now time.Time, random *rand.Rand) *State {
+	return &State{
+		config: config, random: random, started: now,
+		sources: map[Source]*source{}, refused: refusals{}, heard: map[Source]bool{},
+	}
 }
 
 // Applied returns the snapshot in force, or nil.
 func (s *State) Applied() *snapshot.Snapshot { return s.applied }
 
 // AppliedVersion returns the version in force, zero when there is none.
-func (s *State) AppliedVersion() snapshot.Version {
+func (s *State) AppliedVersion() snapshot.Version { return s.inForce().version }
+
+func (s *State) inForce() content {
 	if s.applied == nil {
-		return snapshot.Version{}
+		return content{}
 	}
-	return s.applied.Version()
+	return contentOf(s.applied.Manifest())
 }
 
 // Reported returns the highest version that anyone reported.
 func (s *State) Reported() snapshot.Version { return s.reported }
 
-// Ready reports whether the node may serve: it has a version, and either none
-// higher was reported or the bounded wait for it is over.
+// SetPlace tells the state how many peers are known and how many live VMs of
+// the region come before this one in the order of readers.
+func (s *State) SetPlace(peers, rank int) { s.peers, s.rank = peers, rank }
+
+// Ready reports whether the node may serve. A fresh process must not serve
+// what a stale platform gave it while its peers hold a newer version: callers
+// would see the configuration go back. So it hears a few peers first and has
+// at least what they reported. ReadyHold bounds the wait.
 func (s *State) Ready(now time.Time) bool {
 	if s.applied == nil {
 		return false
 	}
-	return !s.reported.NewerThan(s.applied.Version()) || now.Sub(s.started) >= s.config.ReadyHold
+	if now.Sub(s.started) >= s.config.ReadyHold {
+		return true
+	}
+	return len(s.heard) >= min(s.peers, s.config.ReadyReports) && !s.reported.NewerThan(s.AppliedVersion())
 }
 
-// VersionReported takes a version number that a peer claims to have. It starts
-// a pull and never bars a version that can really be had.
-func (s *State) VersionReported(now time.Time, from Source, version snapshot.Version) []Effect {
-	if version.NewerThan(s.reported) {
-		s.reported = version
+// VersionReported takes what a peer claims to have. It starts a pull, now or
+// after Patience, and never bars a version that can really be had.
+func (s *State) VersionReported(now time.Time, claim Claim) []Effect {
+	if len(s.heard) < s.config.ReadyReports {
+		s.heard[claim.From] = true
 	}
-	if !version.NewerThan(s.AppliedVersion()) {
-		return nil
+	if claim.Version.NewerThan(s.reported) {
+		s.reported = claim.Version
 	}
-	if s.staged != nil && !version.NewerThan(s.staged.manifest.Version) {
-		s.addHolder(from)
+	claimed := content{claim.Version, claim.Root}
+	if !claimed.newerThan(s.inForce()) {
+		delete(s.sources, claim.From)
 		return nil
 	}
-	return []Effect{FetchManifest{From: from}}
+	due := now
+	if !claim.Told && s.applied != nil {
+		due = now.Add(s.patience(claim.Distance))
+	}
+	s.learn(claim.From, claimed, claim.Distance, due)
+	return s.proceed(now)
 }
 
-func (s *State) addHolder(from Source) {
-	for _, holder := range s.holders {
-		if holder == from {
+// patience is how long a claim waits for a cheaper source. A node without any
+// version does not wait: it serves nobody until it has one.
+func (s *State) patience(distance Distance) time.Duration {
+	switch distance {
+	case SameDomain:
+		return 0
+	case SameRegion:
+		return around(s.random, s.config.Patience/4)
+	}
+	return around(s.random, s.config.Patience)
+}
+
+// learn remembers a claim. The first due time of a claim stands: each further
+// heartbeat would otherwise put it off again. Failures stand as well, so that
+// a peer that keeps claiming what it can't give is asked ever more rarely.
+func (s *State) learn(from Source, claimed content, distance Distance, due time.Time) {
+	known := s.sources[from]
+	if known == nil {
+		if len(s.sources) >= maxSources && !s.evictFor(claimed) {
 			return
 		}
+		s.sources[from] = &source{claim: claimed, distance: distance, due: due}
+		return
 	}
-	s.holders = append(s.holders, from)
+	if due.Before(known.due) {
+		known.due = due
+	}
+	known.claim = claimed
+	known.distance = distance
+}
+
+// evictFor makes room for a claim by dropping the worst source, unless the
+// claim is not above it.
+func (s *State) evictFor(claimed content) bool {
+	var worst Source
+	var found *source
+	for _, from := range s.sortedSources() {
+		if candidate := s.sources[from]; found == nil || found.better(candidate) {
+			worst, found = from, candidate
+		}
+	}
+	if found.failures == 0 && !claimed.newerThan(found.claim) {
+		return false
+	}
+	delete(s.sources, worst)
+	return true
 }
 
 // ManifestReceived takes a manifest from the platform or a peer. Versions that
 // are not newer than the one in force are dropped, which is what keeps every
 // node from returning to an older version.
 func (s *State) ManifestReceived(now time.Time, from Source, manifest *snapshot.Manifest) []Effect {
-	version := manifest.Version
-	if !version.NewerThan(s.AppliedVersion()) {
-		return nil
+	s.answered(from)
+	offered := contentOf(manifest)
+	effects := s.conflicts(from, manifest)
+	s.note(now, from, offered)
+	if s.mayStage(offered) {
+		s.stage(now, from, manifest)
 	}
-	if s.refused[refusedKey{version, manifest.Root}] {
-		return nil
+	return append(effects, s.proceed(now)...)
+}
+
+// note compares what the source gave with what it had claimed. A peer that
+// gave less is asked again only after a pause, and so is everyone else for a
+// moment: one false number on many heartbeats would otherwise keep this node
+// pulling without end.
+func (s *State) note(now time.Time, from Source, offered content) {
+	if from == Platform {
+		s.notePlatform(now, offered)
+		return
 	}
-	if s.staged != nil && !version.NewerThan(s.staged.manifest.Version) {
-		s.addHolder(from)
-		return nil
+	known := s.sources[from]
+	if known == nil {
+		return
 	}
-	held := snapshot.Parts{}
-	if s.applied != nil {
-		for hash, raw := range s.applied.Parts() {
-			held[hash] = raw
-		}
+	if known.claim.newerThan(offered) {
+		s.failed(now, from, 0)
+		s.pauseEnd = now.Add(RetryAfter(s.random, s.config.FetchRetry, s.config.FetchRetry, 1))
 	}
-	if s.staged != nil {
-		for hash, raw := range s.staged.held {
-			held[hash] = raw
-		}
+	known.claim = offered
+}
+
+func (s *State) notePlatform(now time.Time, offered content) {
+	if offered.version.NewerThan(s.reported) {
+		s.reported = offered.version
+	}
+	if !offered.newerThan(s.inForce()) {
+		delete(s.sources, Platform)
+		return
 	}
-	s.staged = &staging{manifest: manifest, held: held, from: from}
-	s.holders = []Source{from}
-	return s.advance(now)
+	s.learn(Platform, offered, FromPlatform, now.Add(time.Duration(s.rank)*s.config.BackupWait))
 }
 
-// PartsReceived takes parts of the staged version. Content that does not match
-// a hash is left out, and so is asked for again elsewhere.
-func (s *State) PartsReceived(now time.Time, from Source, parts [][]byte) []Effect {
-	if s.staged == nil {
-		return nil
+func (s *State) mayStage(offered content) bool {
+	if !offered.newerThan(s.inForce()) || s.refused.has(offered) {
+		return false
 	}
-	for _, raw := range parts {
-		s.staged.held[snapshot.HashOf(raw)] = raw
+	if s.shelf != nil && offered == contentOf(s.shelf.manifest) {
+		return false
 	}
-	return s.advance(now)
+	return s.staged == nil || offered.newerThan(contentOf(s.staged.manifest))
 }
 
-// FetchFailed notes that a source did not give what it was asked for.
-func (s *State) FetchFailed(now time.Time, from Source) []Effect {
-	if s.staged == nil || s.staged.from != from {
-		return nil
+// FetchFailed notes that a source did not give what it was asked for; a busy
+// one says when to come back.
+func (s *State) FetchFailed(now time.Time, from Source, retryAfter time.Duration) []Effect {
+	s.answered(from)
+	if s.staged != nil {
+		s.staged.answered(from)
 	}
-	s.staged.retryAt = now.Add(s.config.FetchRetry)
-	s.staged.from = s.nextHolder(from)
-	return nil
+	s.failed(now, from, retryAfter)
+	return append(s.incomplete(from), s.proceed(now)...)
 }
 
-func (s *State) nextHolder(after Source) Source {
-	for i, holder := range s.holders {
-		if holder == after {
-			return s.holders[(i+1)%len(s.holders)]
-		}
+func (s *State) answered(from Source) {
+	if s.asked != nil && s.asked.from == from {
+		s.asked = nil
 	}
-	return after
 }
 
-// Tick retries a fetch whose pause is over.
+func (s *State) failed(now time.Time, from Source, retryAfter time.Duration) {
+	known := s.sources[from]
+	if known == nil {
+		return
+	}
+	known.failures++
+	pause := RetryAfter(s.random, s.config.FetchRetry, s.config.FetchRetryMax, known.failures)
+	known.notBefore = now.Add(retryAfter + pause)
+}
+
+// Tick does what has become due: retries, claims whose wait is over, and
+// questions that nobody answered.
 func (s *State) Tick(now time.Time) []Effect {
-	if s.staged == nil || s.staged.retryAt.IsZero() || now.Before(s.staged.retryAt) {
-		return nil
+	if s.asked != nil && !now.Before(s.asked.deadline) {
+		from := s.asked.from
+		s.asked = nil
+		s.failed(now, from, 0)
 	}
-	s.staged.retryAt = time.Time{}
-	return s.advance(now)
+	if s.staged != nil && s.staged.asked != nil && !now.Before(s.staged.asked.deadline) {
+		from := s.staged.asked.from
+		s.staged.asked = nil
+		s.failed(now, from, 0)
+	}
+	return s.proceed(now)
 }
 
-// advance asks for what is missing or, when nothing is, checks the version
-// whole and applies or refuses it.
-func (s *State) advance(now time.Time) []Effect {
-	manifest := s.staged.manifest
-	missing, err := snapshot.Missing(manifest, s.staged.held)
-	if err != nil {
-		return s.refuse(finding.List{{Code: snapshot.CodePartCorrupt, File: "version", Problem: err.Error()}})
+// Wake returns when Tick should be called next, or the zero time when nothing
+// is due. Times up to now are left out: what they allowed has been done, or
+// waits for an answer whose own deadline counts here.
+func (s *State) Wake(now time.Time) time.Time {
+	times := []time.Time{s.pauseEnd}
+	if s.asked != nil {
+		times = append(times, s.asked.deadline)
 	}
-	if len(missing) > 0 {
-		return []Effect{FetchParts{From: s.staged.from, Hashes: missing}}
+	if s.staged != nil && s.staged.asked != nil {
+		times = append(times, s.staged.asked.deadline)
 	}
-	assembled, found := snapshot.Assemble(manifest, s.staged.held)
-	if len(found) > 0 {
-		return s.refuse(found)
+	if s.shelf != nil {
+		times = append(times, s.shelf.retryAt)
 	}
-	s.applied = assembled
-	s.staged = nil
-	s.holders = nil
-	return []Effect{
-		Apply{Snapshot: assembled},
-		Announce{Version: manifest.Version, Root: manifest.Root},
+	for _, known := range s.sources {
+		times = append(times, known.readyAt())
 	}
+	var wake time.Time
+	for _, t := range times {
+		if t.After(now) && (wake.IsZero() || t.Before(wake)) {
+			wake = t
+		}
+	}
+	return wake
+}
+
+// proceed starts whatever can be started now.
+func (s *State) proceed(now time.Time) []Effect {
+	s.takeFromShelf(now)
+	s.shelveIfStuck(now)
+	effects := s.advance(now)
+	return append(effects, s.pull(now)...)
+}
+
+// pull asks the best source for its manifest, one question at a time: all
+// peers report a new version within a second, and one answer is enough.
+func (s *State) pull(now time.Time) []Effect {
+	if s.asked != nil || now.Before(s.pauseEnd) {
+		return nil
+	}
+	goal := s.inForce()
+	if s.staged != nil {
+		goal = contentOf(s.staged.manifest)
+	}
+	from, ok := s.best(now, func(known *source) bool { return known.claim.newerThan(goal) && !s.known(known.claim) })
+	if !ok {
+		return nil
+	}
+	s.asked = &request{from: from, deadline: now.Add(s.config.FetchTimeout)}
+	return []Effect{FetchManifest{From: from}}
 }
 
-func (s *State) refuse(found finding.List) []Effect {
-	manifest := s.staged.manifest
-	s.refused[refusedKey{manifest.Version, manifest.Root}] = true
-	effect := Refuse{Version: manifest.Version, Root: manifest.Root, From: s.staged.from, Findings: found}
-	s.staged = nil
-	s.holders = nil
-	return []Effect{effect}
+// known reports whether the manifest of a content need not be fetched.
+func (s *State) known(c content) bool {
+	return s.refused.has(c) || s.shelf != nil && contentOf(s.shelf.manifest) == c
 }
+
+// best picks the best source that fits and may be asked now. Among equals it
+// picks at random, so that the nodes of a domain don't all ask the same one.
+func (s *State) best(now time.Time, fits func(*source) bool) (Source, bool) {
+	var from Source
+	var found *source
+	equals := 0
+	for _, candidate := range s.sortedSources() {
+		known := s.sources[candidate]
+		if now.Before(known.readyAt()) || !fits(known) {
+			continue
+		}
+		switch {
+		case found == nil || known.better(found):
+			from, found, equals = candidate, known, 1
+		case !found.better(known):
+			equals++
+			if s.random.IntN(equals) == 0 {
+				from, found = candidate, known
+			}
+		}
+	}
+	return from, found != nil
+}
+
+// sortedSources gives an order that does not change from run to run.
+func (s *State) sortedSources() []Source { return slices.Sorted(maps.Keys(s.sources)) }
--- /dev/null
+++ b/internal/distribution/place.go
@@ -0,0 +1,203 @@
+package distribution
+
+import (
+	"cmp"
+	"encoding/binary"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tamarackquay/internal/membership"
+	"tamarackquay/internal/snapshot"
+)
+
+// DistanceOf returns how far to is from the VM from.
+func DistanceOf(from, to membership.VM) Distance {
+	switch {
+	case from.Region != to.Region:
+		return OtherRegion
+	case from.FailureDomain != to.FailureDomain:
+		return SameRegion
+	}
+	return SameDomain
+}
+
+// score is the rendezvous hash of a VM under a salt. All nodes that see the
+// same VMs order them alike without talking about it, and a VM that comes or
+// goes moves only its own place.
+func score(salt []byte, id string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	// Write to a hash never fails.
+	_, _ = digest.Write(salt)
+	_, _ = digest.WriteString(id)
+	return digest.Sum64()
+}
+
+// ordered sorts VMs by their scores, highest first.
+func ordered(salt []byte, vms []membership.VM) []membership.VM {
+	sorted := slices.Clone(vms)
+	slices.SortFunc(sorted, func(a, b membership.VM) int {
+		return cmp.Or(cmp.Compare(score(salt, b.ID), score(salt, a.ID)), cmp.Compare(a.ID, b.ID))
+	})
+	return sorted
+}
+
+// readerSalt keeps the order of readers apart from other uses of the hash.
+var readerSalt = []byte("reader")
+
+// ReaderRank returns how many live VMs of the region come before self in the
+// order of readers; a node reads the platform while its rank is below the
+// wanted number of readers. The order takes each failure domain's first VM
+// before any domain's second, so that a lost domain does not take all readers
+// with it. Nodes that see different VMs may both read, or for a moment neither:
+// that costs a read or a probe's time, never correctness.
+func ReaderRank(self membership.VM, live []membership.VM) int {
+	inDomain := map[string]int{}
+	var before [][]membership.VM
+	for _, vm := range ordered(readerSalt, withSelf(self, live)) {
+		if vm.Region != self.Region {
+			continue
+		}
+		round := inDomain[vm.FailureDomain]
+		inDomain[vm.FailureDomain]++
+		if round == len(before) {
+			before = append(before, nil)
+		}
+		before[round] = append(before[round], vm)
+	}
+	rank := 0
+	for _, round := range before {
+		for _, vm := range round {
+			if vm.ID == self.ID {
+				return rank
+			}
+			rank++
+		}
+	}
+	return rank
+}
+
+func withSelf(self membership.VM, live []membership.VM) []membership.VM {
+	for _, vm := range live {
+		if vm.ID == self.ID {
+			return live
+		}
+	}
+	return append(slices.Clone(live), self)
+}
+
+// Audience chooses whom a node tells of a version that it has just applied,
+// from the live VMs that it sees. Origin is where the version came from: a
+// version crosses into each other region once per path, from there into each
+// failure domain once per path, and spreads inside the domain along trees. With
+// one path a lost announce cuts off a subtree until the next heartbeats; each
+// further path has another order, so that a node hangs from another parent.
+func Audience(config Config, self membership.VM, live []membership.VM, root snapshot.Hash, origin Distance) []membership.VM {
+	a := &audience{self: self, chosen: map[string]bool{self.ID: true}}
+	regions, domains := byPlace(self, withSelf(self, live))
+	for path := range config.Redundancy {
+		salt := binary.BigEndian.AppendUint64(root[:], uint64(path))
+		if origin == FromPlatform {
+			a.addFirstOfEach(salt, regions)
+		}
+		if origin == FromPlatform || origin == OtherRegion {
+			a.addFirstOfEach(salt, domains)
+		}
+		a.addTree(salt, domains[self.FailureDomain], config.Children, origin != SameDomain)
+	}
+	return a.vms
+}
+
+// byPlace sorts VMs into the other regions and the domains of the own region.
+func byPlace(self membership.VM, live []membership.VM) (regions, domains map[string][]membership.VM) {
+	regions, domains = map[string][]membership.VM{}, map[string][]membership.VM{}
+	for _, vm := range live {
+		if vm.Region == self.Region {
+			domains[vm.FailureDomain] = append(domains[vm.FailureDomain], vm)
+		} else {
+			regions[vm.Region] = append(regions[vm.Region], vm)
+		}
+	}
+	return regions, domains
+}
+
+// audience collects the chosen VMs, each once.
+type audience struct {
+	self   membership.VM
+	chosen map[string]bool
+	vms    []membership.VM
+}
+
+func (a *audience) add(vm membership.VM) {
+	if !a.chosen[vm.ID] {
+		a.chosen[vm.ID] = true
+		a.vms = append(a.vms, vm)
+	}
+}
+
+func (a *audience) addFirstOfEach(salt []byte, places map[string][]membership.VM) {
+	names := make([]string, 0, len(places))
+	for name := range places {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		a.add(ordered(salt, places[name])[0])
+	}
+}
+
+// addTree adds the node's children in the tree over its domain; a node through
+// which the version enters the domain tells the tree's root as well.
+func (a *audience) addTree(salt []byte, domain []membership.VM, children int, enters bool) {
+	tree := ordered(salt, domain)
+	if enters {
+		a.add(tree[0])
+	}
+	own := slices.IndexFunc(tree, func(vm membership.VM) bool { return vm.ID == a.self.ID })
+	for child := own*children + 1; child <= own*children+children && child < len(tree); child++ {
+		a.add(tree[child])
+	}
+}
+
+// Pace bounds what the whole fleet reads of the platform by what each node
+// does, without any of them knowing what the others do.
+type Pace struct {
+	// Readers is how many nodes of a region hold a watch.
+	Readers int
+	// FleetRate is how many reads a second all nodes that are no readers make
+	// together, of each kind (manifest, VM list).
+	FleetRate float64
+	// Least is the shortest time between two such reads of one node.
+	Least time.Duration
+	// StartSpread is the time over which nodes that start together spread
+	// their first reads.
+	StartSpread time.Duration
+	// PartsRate is how many parts a second one node reads.
+	PartsRate float64
+}
+
+// DefaultPace keeps 1,600 nodes in 4 regions under 1,000 reads a second when
+// all start at once, and near 10 a second at rest.
+func DefaultPace() Pace {
+	return Pace{Readers: 2, FleetRate: 4, Least: 10 * time.Second, StartSpread: 3 * time.Second, PartsRate: 100}
+}
+
+// ProbeAfter returns how long a node that is no reader waits for its next read
+// of the platform. Whatever silences the readers (a pause, a cut that they
+// don't notice, views that differ), some node of the fleet finds the news
+// within a moment, and the fleet's reads don't grow with its size.
+func (p Pace) ProbeAfter(random *rand.Rand, live int) time.Duration {
+	interval := time.Duration(float64(live) / p.FleetRate * float64(time.Second))
+	return around(random, max(interval, p.Least))
+}
+
+// StartAfter returns how long a fresh process waits for its first read.
+func (p Pace) StartAfter(random *rand.Rand) time.Duration {
+	if p.StartSpread <= 0 {
+		return 0
+	}
+	return time.Duration(random.Int64N(int64(p.StartSpread)))
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -6,24 +6,43 @@
 
 	"github.com/pkg/errors"
 
-	"tamarackquay/internal/distribution"
 	"tamarackquay/internal/port"
 )
 
 // askTimeout bounds one question to a peer.
 const askTimeout = 3 * time.Second
 
-// tick sends heartbeats, retries what is due and starts or stops reading the
-// platform.
+// tick sends heartbeats, retries what is due and looks whether this node is a
+// reader of the platform.
 func (n *Node) tick(ctx context.Context) {
 	now := n.ports.Clock.Now()
 	n.self.Sequence++
 	n.table.Heard(now, n.self)
 	n.table.Sweep(now)
+	n.updateRank()
 	n.perform(ctx, n.state.Tick(now))
 	n.publish(now)
 	n.sendHeartbeats(ctx)
-	n.startReading(ctx)
+}
+
+// advance does what distribution has due between two ticks.
+func (n *Node) advance(ctx context.Context) {
+	now := n.ports.Clock.Now()
+	n.perform(ctx, n.state.Tick(now))
+	n.publish(now)
+}
+
+// leastWake keeps a time that is due again and again from taking the processor.
+const leastWake = time.Millisecond
+
+// armWake sets the timer for what distribution has due before the next tick.
+func (n *Node) armWake(wake *time.Timer) {
+	now := n.ports.Clock.Now()
+	wait := n.config.Heartbeat
+	if at := n.state.Wake(now); !at.IsZero() {
+		wait = min(wait, max(at.Sub(now), leastWake))
+	}
+	wake.Reset(wait)
 }
 
 // Handle implements port.PeerHandler.
@@ -33,14 +52,12 @@
 		n.heard(ctx, m)
 		return n.status.Load().beat, nil
 	case port.Announce:
-		n.post(ctx, func(ctx context.Context, now time.Time) {
-			n.perform(ctx, n.state.VersionReported(now, distribution.Source(m.From), m.Version))
-		})
+		n.announced(ctx, m)
 		return nil, nil
 	case port.ManifestRequest:
 		return n.manifestReply()
 	case port.PartsRequest:
-		return n.partsReply(m), nil
+		return n.partsReply(m)
 	}
 	return nil, errors.Errorf("no handler for message type %d", message.MessageType())
 }
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"tamarackquay/internal/distribution"
 	"tamarackquay/internal/membership"
 	"tamarackquay/internal/port"
 )
@@ -69,16 +68,6 @@
 				n.table.Heard(now, record)
 			}
 		}
-		from := distribution.Source(beat.From.VM.ID)
-		n.perform(ctx, n.state.VersionReported(now, from, beat.Version))
+		n.perform(ctx, n.state.VersionReported(now, n.claimOf(beat)))
 	})
 }
-
-func (n *Node) watchList(ctx context.Context) {
-	for ctx.Err() == nil {
-		if list, err := n.ports.Platform.VMs(ctx); err == nil {
-			n.post(ctx, func(ctx context.Context, now time.Time) { n.table.Listed(now, list) })
-		}
-		sleep(ctx, n.config.ListInterval)
-	}
-}
--- a/internal/node/mesh_test.go
+++ b/internal/node/mesh_test.go
@@ -32,6 +32,8 @@
 	nodes    []*meshNode
 	version  snapshot.Version
 	root     snapshot.Hash
+	// config is what nodes that start from now on get.
+	config distribution.Config
 }
 
 type meshNode struct {
@@ -90,7 +92,7 @@
 }
 
 func newMesh(t *testing.T, count, domains int) *mesh {
-	m := &mesh{t: t, network: memnet.New(), platform: memnet.NewPlatform()}
+	m := &mesh{t: t, network: memnet.New(), platform: memnet.NewPlatform(), config: distribution.DefaultConfig()}
 	var list []membership.Record
 	for i := range count {
 		list = append(list, membership.Record{VM: meshVM(i, domains), State: membership.Live})
@@ -106,10 +108,10 @@
 	mn := &meshNode{vm: vm, done: make(chan struct{})}
 	mn.Node = New(Config{
 		Self: vm, Seeds: []string{meshVM(0, 1).PeerAddress}, Heartbeat: time.Second, ListInterval: 5 * time.Second,
-		Readers: 2, Distribution: distribution.DefaultConfig(), Membership: membership.DefaultConfig(),
+		Pace: distribution.DefaultPace(), Distribution: m.config, Membership: membership.DefaultConfig(),
 		QueuePerSlot: 4, MaxAttempts: 3, Drain: time.Minute, Seed: uint64(len(m.nodes)) + 1,
 	}, Ports{
-		Platform: m.platform, Peers: m.network.Peers(vm), Target: noTarget{}, Clock: virtualClock{},
+		Platform: m.platform.For(vm), Peers: m.network.Peers(vm), Target: noTarget{}, Clock: virtualClock{},
 		Audit: mn, Meter: silentMeter{}, Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 	})
 	m.network.Attach(vm, mn.Node)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"golang.org/x/time/rate"
 
 	"tamarackquay/internal/distribution"
 	"tamarackquay/internal/membership"
@@ -30,8 +31,8 @@
 	Seeds        []string
 	Heartbeat    time.Duration
 	ListInterval time.Duration
-	// Readers is how many nodes of a failure domain watch the platform.
-	Readers      int
+	// Pace bounds the reads of the platform.
+	Pace         distribution.Pace
 	Distribution distribution.Config
 	Membership   membership.Config
 	// QueuePerSlot bounds the requests that wait at the local target.
@@ -82,7 +83,17 @@
 	table      *membership.Table
 	self       membership.Record
 	background sync.WaitGroup
-	reading    bool
+
+	// rank is the node's place in the order of readers.
+	rank atomic.Int64
+	// listTried is closed once the VM list was asked for, with or without
+	// success: no node can tell before whether it is a reader.
+	listTried   chan struct{}
+	listTriedBy sync.Once
+	// served bounds the bytes given to peers that pull, partReads the parts
+	// read from the platform.
+	served    *rate.Limiter
+	partReads *rate.Limiter
 }
 
 // New returns a node that has not started.
@@ -97,9 +108,13 @@
 		gate:   newGate(ports.Clock),
 		load:   newLoadCounter(),
 		random: rand.New(rand.NewPCG(config.Seed, self.Incarnation)),
-		state:  distribution.New(config.Distribution, now),
+		state:  distribution.New(config.Distribution, now, rand.New(rand.NewPCG(config.Seed, self.Incarnation+1))),
 		table:  membership.NewTable(config.Membership, self, now),
 		self:   self,
+
+		listTried: make(chan struct{}),
+		served:    rate.NewLimiter(serveBytesPerSecond, serveBurst),
+		partReads: rate.NewLimiter(rate.Limit(config.Pace.PartsRate), partBurst),
 	}
 	n.publish(now)
 	return n
@@ -126,14 +141,20 @@
 func (n *Node) Run(ctx context.Context) {
 	n.audit(port.AuditEvent{Kind: port.AuditStarted, Subject: n.config.Self.ID})
 	n.background.Go(func() { n.watchList(ctx) })
+	n.background.Go(func() { n.readPlatform(ctx) })
 	ticker := time.NewTicker(n.config.Heartbeat)
 	defer ticker.Stop()
+	wake := time.NewTimer(n.config.Heartbeat)
+	defer wake.Stop()
 	n.tick(ctx)
 	for {
+		n.armWake(wake)
 		select {
 		case <-ctx.Done():
 			n.background.Wait()
 			return
+		case <-wake.C:
+			n.advance(ctx)
 		case e := <-n.events:
 			now := n.ports.Clock.Now()
 			e(ctx, now)
@@ -159,6 +180,7 @@
 func (n *Node) publish(now time.Time) {
 	view := n.table.View(now)
 	n.view.Store(view)
+	n.state.SetPlace(len(view.Peers), int(n.rank.Load()))
 	n.ready.Store(n.state.Ready(now))
 	n.status.Store(n.newStatus(view))
 }
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -2,66 +2,181 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"tamarackquay/internal/distribution"
 	"tamarackquay/internal/port"
 )
 
-// readPause is the wait after a failed read of the platform.
-const readPause = time.Second
-
-// isReader reports whether this node is among the domain's readers: those with
-// the highest hashes of all live VMs that it sees. Nodes that see different
-// VMs may disagree, which costs a read and never correctness.
-func (n *Node) isReader() bool {
-	ahead := 0
-	own := xxhash.Sum64String(n.config.Self.ID)
-	for _, vm := range n.view.Load().Peers {
-		if vm.FailureDomain == n.config.Self.FailureDomain && xxhash.Sum64String(vm.ID) > own {
-			ahead++
+const (
+	// readRetry is the bound of the pause after a first failed read of the
+	// platform; it doubles up to readRetryMax.
+	readRetry    = time.Second
+	readRetryMax = 10 * time.Second
+	// readerStep is how often a node that is no reader looks whether it has
+	// become one.
+	readerStep = time.Second
+)
+
+// updateRank finds the node's place in the order of readers. The control loop
+// calls it once a tick: it sorts the region's VMs.
+func (n *Node) updateRank() {
+	n.rank.Store(int64(distribution.ReaderRank(n.config.Self, liveVMs(n.view.Load()))))
+}
+
+// isReader reports whether this node is among its region's readers. Nodes that
+// see different VMs may disagree, which costs a read and never correctness.
+func (n *Node) isReader() bool { return int(n.rank.Load()) < n.config.Pace.Readers }
+
+// randomly draws a time from the node's random numbers.
+func (n *Node) randomly(draw func(*rand.Rand) time.Duration) time.Duration {
+	n.randomMu.Lock()
+	defer n.randomMu.Unlock()
+	return draw(n.random)
+}
+
+// probeAfter is the pause between two reads of a node that is no reader.
+func (n *Node) probeAfter() time.Duration {
+	live := len(liveVMs(n.view.Load()))
+	return n.randomly(func(r *rand.Rand) time.Duration { return n.config.Pace.ProbeAfter(r, live) })
+}
+
+// watchList reads the platform's VM list: readers each ListInterval, others at
+// the pace of the fleet, since live VMs are heard of by heartbeats anyway.
+func (n *Node) watchList(ctx context.Context) {
+	sleep(ctx, n.randomly(n.config.Pace.StartAfter))
+	failures := 0
+	for ctx.Err() == nil {
+		list, err := n.ports.Platform.VMs(ctx)
+		n.countRead("list", err)
+		if err != nil {
+			n.listWasTried()
+			failures++
+			sleep(ctx, n.retryAfter(failures))
+			continue
 		}
+		failures = 0
+		n.post(ctx, func(_ context.Context, now time.Time) {
+			n.table.Listed(now, list)
+			n.publish(now)
+			n.updateRank()
+			n.listWasTried()
+		})
+		n.pauseList(ctx)
 	}
-	return ahead < n.config.Readers
 }
 
-// startReading keeps one watch of the manifest open while this node is a
-// reader.
-func (n *Node) startReading(ctx context.Context) {
-	if n.reading || !n.isReader() {
-		return
+// pauseList waits until the list is due again, also for a node that becomes a
+// reader meanwhile.
+func (n *Node) pauseList(ctx context.Context) {
+	due := n.ports.Clock.Now().Add(n.probeAfter())
+	sleep(ctx, n.config.ListInterval)
+	for ctx.Err() == nil && !n.isReader() && n.ports.Clock.Now().Before(due) {
+		sleep(ctx, readerStep)
 	}
-	n.reading = true
-	n.background.Go(func() { n.read(ctx) })
 }
 
-func (n *Node) read(ctx context.Context) {
-	defer n.post(ctx, func(context.Context, time.Time) { n.reading = false })
-	value, err := n.ports.Platform.Manifest(ctx)
-	for range watchesPerTurn {
-		if ctx.Err() != nil {
-			return
-		}
+func (n *Node) listWasTried() { n.listTriedBy.Do(func() { close(n.listTried) }) }
+
+func (n *Node) retryAfter(failures int) time.Duration {
+	return n.randomly(func(r *rand.Rand) time.Duration {
+		return distribution.RetryAfter(r, readRetry, readRetryMax, failures)
+	})
+}
+
+func (n *Node) countRead(what string, err error) {
+	result := "ok"
+	switch {
+	case errors.Is(err, port.ErrUnchanged):
+		result = "unchanged"
+	case err != nil:
+		result = "failed"
+	}
+	n.ports.Meter.Count(port.MetricPlatformReads, what+" "+result, 1)
+}
+
+// manifestReader reads the manifest for one node. One goroutine owns it.
+type manifestReader struct {
+	node     *Node
+	revision uint64
+	failures int
+	probeAt  time.Time
+}
+
+// readPlatform reads the manifest while the node runs: by a watch as long as
+// it is a reader, by a rare probe otherwise.
+func (n *Node) readPlatform(ctx context.Context) {
+	select {
+	case <-n.listTried:
+	case <-ctx.Done():
+		return
+	}
+	r := &manifestReader{node: n, probeAt: n.ports.Clock.Now().Add(n.probeAfter())}
+	for ctx.Err() == nil {
 		switch {
-		case err == nil:
-			n.manifestArrived(ctx, distribution.Platform, value.Content)
-		case errors.Is(err, port.ErrUnchanged):
+		case n.isReader():
+			r.watch(ctx)
+		case !n.ports.Clock.Now().Before(r.probeAt):
+			r.read(ctx)
+			r.probeAt = n.ports.Clock.Now().Add(n.probeAfter())
 		default:
-			n.ports.Log.Warn().Err(err).Msg("platform can't be read")
-			sleep(ctx, readPause)
-			return
-		}
-		after := value.Revision
-		var next port.Value
-		if next, err = n.ports.Platform.WatchManifest(ctx, after); err == nil {
-			value = next
+			sleep(ctx, readerStep)
 		}
 	}
 }
 
-// watchesPerTurn is how many watches a reader makes before it looks again
-// whether it still is one.
-const watchesPerTurn = 4
+// watch waits once for news. A wait that ended without any is followed by a
+// plain read: a platform restored from an older copy counts its revisions from
+// lower again, and a watch for the old number would never end.
+func (r *manifestReader) watch(ctx context.Context) {
+	if r.revision == 0 {
+		r.read(ctx)
+		return
+	}
+	value, err := r.node.ports.Platform.WatchManifest(ctx, r.revision)
+	if errors.Is(err, port.ErrUnchanged) {
+		r.node.countRead("watch", err)
+		r.read(ctx)
+		return
+	}
+	r.took(ctx, "watch", value, err)
+}
+
+func (r *manifestReader) read(ctx context.Context) {
+	value, err := r.node.ports.Platform.Manifest(ctx)
+	r.took(ctx, "manifest", value, err)
+}
+
+// took hands on what was read; after a failure it waits.
+func (r *manifestReader) took(ctx context.Context, what string, value port.Value, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	r.node.countRead(what, err)
+	if err != nil {
+		r.failed(ctx, err)
+		return
+	}
+	if r.failures > 0 {
+		r.node.audit(port.AuditEvent{Kind: port.AuditPlatformUp})
+	}
+	r.failures = 0
+	changed := r.revision != value.Revision
+	r.revision = value.Revision
+	if changed {
+		r.node.manifestArrived(ctx, distribution.Platform, value.Content)
+	}
+}
+
+func (r *manifestReader) failed(ctx context.Context, err error) {
+	r.failures++
+	if r.failures == 1 {
+		r.node.ports.Log.Warn().Err(err).Msg("platform can't be read")
+		r.node.audit(port.AuditEvent{Kind: port.AuditPlatformDown, Detail: err.Error()})
+	}
+	r.revision = 0
+	sleep(ctx, r.node.retryAfter(r.failures))
+}
--- a/internal/node/spread.go
+++ b/internal/node/spread.go
@@ -5,46 +5,12 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"tamarackquay/internal/distribution"
 	"tamarackquay/internal/membership"
 	"tamarackquay/internal/port"
 	"tamarackquay/internal/snapshot"
 )
 
-func (n *Node) manifestReply() (port.Message, error) {
-	current := n.current.Load()
-	if current == nil {
-		return port.ManifestReply{}, nil
-	}
-	raw, err := current.Manifest().Encode()
-	return port.ManifestReply{Manifest: raw}, err
-}
-
-// maxReplyBytes leaves room for the envelope of a reply that carries parts.
-const maxReplyBytes = snapshot.MaxPartBytes
-
-func (n *Node) partsReply(request port.PartsRequest) port.Message {
-	current := n.current.Load()
-	if current == nil {
-		return port.PartsReply{}
-	}
-	var reply port.PartsReply
-	size := 0
-	for _, hash := range request.Hashes {
-		raw, ok := current.Parts()[hash]
-		if !ok {
-			continue
-		}
-		if size += len(raw); size > maxReplyBytes && len(reply.Parts) > 0 {
-			break
-		}
-		reply.Parts = append(reply.Parts, raw)
-	}
-	return reply
-}
-
 // perform carries out what the distribution state decided.
 func (n *Node) perform(ctx context.Context, effects []distribution.Effect) {
 	for _, effect := range effects {
@@ -56,21 +22,26 @@
 		case distribution.Announce:
 			n.announce(ctx, e)
 		case distribution.Apply:
-			n.apply(e.Snapshot)
+			n.apply(e)
 		case distribution.Refuse:
 			n.refuseVersion(e)
+		case distribution.Conflict:
+			n.tellConflict(e)
+		case distribution.Incomplete:
+			n.tellIncomplete(e)
 		}
 	}
 }
 
-func (n *Node) apply(applied *snapshot.Snapshot) {
+func (n *Node) apply(e distribution.Apply) {
+	applied := e.Snapshot
 	n.current.Store(applied)
 	n.gate.configure(admissionTerms(applied, n.config))
 	n.ports.Meter.Count(port.MetricApplied, "", 1)
 	manifest := applied.Manifest()
 	n.ports.Log.Info().Str("version", applied.Version().String()).Str("root", applied.Root().Short()).Msg("version applied")
 	n.audit(port.AuditEvent{
-		Kind: port.AuditApplied, Version: applied.Version().String(), Root: applied.Root().String(),
+		Kind: port.AuditApplied, Version: applied.Version().String(), Root: applied.Root().String(), From: sourceName(e.From),
 		PublishedBy: manifest.PublishedBy, PublishedAt: &manifest.PublishedAt,
 	})
 }
@@ -84,96 +55,131 @@
 	})
 }
 
+func (n *Node) tellConflict(e distribution.Conflict) {
+	n.ports.Meter.Count(port.MetricConflicts, "", 1)
+	n.ports.Log.Error().Str("version", e.Version.String()).Str("finding", e.Findings.Error()).Msg("operators published over each other")
+	n.audit(port.AuditEvent{
+		Kind: port.AuditConflict, Version: e.Version.String(), Root: e.Root.String(),
+		From: sourceName(e.From), Findings: e.Findings,
+	})
+}
+
+func (n *Node) tellIncomplete(e distribution.Incomplete) {
+	n.ports.Log.Error().Str("version", e.Version.String()).Str("finding", e.Findings.Error()).Msg("version lacks parts")
+	n.audit(port.AuditEvent{
+		Kind: port.AuditIncomplete, Version: e.Version.String(), Root: e.Root.String(),
+		From: sourceName(distribution.Platform), Findings: e.Findings,
+	})
+}
+
 func sourceName(source distribution.Source) string {
 	return cmp.Or(string(source), "platform")
 }
 
+// announce tells the peers that distribution chose. A lost announce is mended
+// by another path or by the next heartbeats.
 func (n *Node) announce(ctx context.Context, e distribution.Announce) {
 	message := port.Announce{From: n.config.Self.ID, Version: e.Version, Root: e.Root}
-	for _, vm := range n.view.Load().Peers {
+	audience := distribution.Audience(n.config.Distribution, n.config.Self, liveVMs(n.view.Load()), e.Root, e.Origin)
+	for _, vm := range audience {
 		n.background.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, askTimeout)
 			defer cancel()
-			// A lost announce is mended by the next heartbeat.
 			_ = n.ports.Peers.Send(ctx, vm, message)
 		})
 	}
 }
 
-func (n *Node) peer(source distribution.Source) (membership.VM, bool) {
-	for _, vm := range n.view.Load().Peers {
-		if vm.ID == string(source) {
-			return vm, true
-		}
+// liveVMs lists the VMs that take new work, the node itself included.
+func liveVMs(view *membership.View) []membership.VM {
+	var live []membership.VM
+	for _, targets := range view.Targets {
+		live = append(live, targets...)
 	}
-	return membership.VM{}, false
+	return live
 }
 
-func (n *Node) ask(ctx context.Context, source distribution.Source, message port.Message) (port.Message, error) {
-	vm, ok := n.peer(source)
-	if !ok {
-		return nil, errors.Wrapf(port.ErrUnreachable, "peer %s is not known", source)
-	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	return n.ports.Peers.Ask(ctx, vm, message)
+// announced takes a peer's word, given on purpose, that it has a version.
+func (n *Node) announced(ctx context.Context, m port.Announce) {
+	n.post(ctx, func(ctx context.Context, now time.Time) {
+		claim := distribution.Claim{
+			From: distribution.Source(m.From), Version: m.Version, Root: m.Root,
+			Distance: distribution.OtherRegion, Told: true,
+		}
+		if vm, ok := n.peer(claim.From); ok {
+			claim.Distance = distribution.DistanceOf(n.config.Self, vm)
+		}
+		n.perform(ctx, n.state.VersionReported(now, claim))
+	})
 }
 
-func (n *Node) fetchManifest(ctx context.Context, source distribution.Source) {
-	answer, err := n.ask(ctx, source, port.ManifestRequest{From: n.config.Self.ID})
-	if err != nil {
-		return
-	}
-	if reply, ok := answer.(port.ManifestReply); ok && len(reply.Manifest) > 0 {
-		n.manifestArrived(ctx, source, reply.Manifest)
+// claimOf is what a heartbeat says of its sender's version.
+func (n *Node) claimOf(beat port.Heartbeat) distribution.Claim {
+	return distribution.Claim{
+		From: distribution.Source(beat.From.VM.ID), Version: beat.Version, Root: beat.Root,
+		Distance: distribution.DistanceOf(n.config.Self, beat.From.VM),
 	}
 }
 
-func (n *Node) manifestArrived(ctx context.Context, source distribution.Source, raw []byte) {
-	manifest, err := snapshot.DecodeManifest(raw)
-	if err != nil {
-		n.ports.Log.Error().Err(err).Str("from", sourceName(source)).Msg("manifest can't be read")
-		return
-	}
-	n.post(ctx, func(ctx context.Context, now time.Time) {
-		n.perform(ctx, n.state.ManifestReceived(now, source, manifest))
-	})
-}
+// Bounds on what a node gives to peers that pull: a few whole configurations
+// at once, then a steady rate. A whole domain that reconnects to one node is
+// told when to come back, and asks others meanwhile.
+const (
+	serveBytesPerSecond = 1 << 20
+	serveBurst          = 4 << 20
+)
 
-func (n *Node) fetchParts(ctx context.Context, source distribution.Source, hashes []snapshot.Hash) {
-	parts, err := n.parts(ctx, source, hashes)
-	n.post(ctx, func(ctx context.Context, now time.Time) {
-		if err != nil || len(parts) == 0 {
-			n.perform(ctx, n.state.FetchFailed(now, source))
-			return
-		}
-		n.perform(ctx, n.state.PartsReceived(now, source, parts))
-	})
+// admitPull takes size bytes from the budget for pulls. It returns zero when
+// there is room, and else when the peer should come back.
+func (n *Node) admitPull(size int) time.Duration {
+	now := n.ports.Clock.Now()
+	reservation := n.served.ReserveN(now, size)
+	wait := reservation.DelayFrom(now)
+	if wait > 0 {
+		reservation.CancelAt(now)
+		n.ports.Meter.Count(port.MetricPullsPutOff, "", 1)
+	}
+	return wait
 }
 
-func (n *Node) parts(ctx context.Context, source distribution.Source, hashes []snapshot.Hash) ([][]byte, error) {
-	if source == distribution.Platform {
-		return n.platformParts(ctx, hashes)
+func (n *Node) manifestReply() (port.Message, error) {
+	current := n.current.Load()
+	if current == nil {
+		return port.ManifestReply{}, nil
 	}
-	answer, err := n.ask(ctx, source, port.PartsRequest{From: n.config.Self.ID, Hashes: hashes})
+	raw, err := current.Manifest().Encode()
 	if err != nil {
 		return nil, err
 	}
-	reply, ok := answer.(port.PartsReply)
-	if !ok {
-		return nil, errors.Wrap(port.ErrUnreachable, "peer is busy")
+	if wait := n.admitPull(len(raw)); wait > 0 {
+		return port.Busy{RetryAfter: wait}, nil
 	}
-	return reply.Parts, nil
+	return port.ManifestReply{Manifest: raw}, nil
 }
 
-func (n *Node) platformParts(ctx context.Context, hashes []snapshot.Hash) ([][]byte, error) {
-	var parts [][]byte
-	for _, hash := range hashes {
-		raw, err := n.ports.Platform.Part(ctx, hash)
-		if err != nil {
-			return parts, err
+// maxReplyBytes leaves room for the envelope of a reply that carries parts.
+const maxReplyBytes = snapshot.MaxPartBytes
+
+func (n *Node) partsReply(request port.PartsRequest) (port.Message, error) {
+	current := n.current.Load()
+	if current == nil {
+		return port.PartsReply{}, nil
+	}
+	var reply port.PartsReply
+	size := 0
+	for _, hash := range request.Hashes {
+		raw, ok := current.Parts()[hash]
+		if !ok {
+			continue
 		}
-		parts = append(parts, raw)
+		if size+len(raw) > maxReplyBytes && len(reply.Parts) > 0 {
+			break
+		}
+		size += len(raw)
+		reply.Parts = append(reply.Parts, raw)
+	}
+	if wait := n.admitPull(size); wait > 0 {
+		return port.Busy{RetryAfter: wait}, nil
 	}
-	return parts, nil
+	return reply, nil
 }
--- a/internal/port/audit.go
+++ b/internal/port/audit.go
@@ -14,6 +14,8 @@
 	AuditStarted       AuditKind = "started"
 	AuditApplied       AuditKind = "version-applied"
 	AuditRefused       AuditKind = "version-refused"
+	AuditConflict      AuditKind = "version-conflict"
+	AuditIncomplete    AuditKind = "version-incomplete"
 	AuditMemberChanged AuditKind = "member-changed"
 	AuditStopping      AuditKind = "stopping"
 	AuditStopped       AuditKind = "stopped"
--- a/internal/port/metric.go
+++ b/internal/port/metric.go
@@ -16,6 +16,11 @@
 	MetricApplied Metric = "tamarack_versions_applied_total"
 	// MetricVersionRefused counts versions that failed their checks.
 	MetricVersionRefused Metric = "tamarack_versions_refused_total"
+	// MetricConflicts counts versions that operators published over each
+	// other.
+	MetricConflicts Metric = "tamarack_versions_conflicting_total"
+	// MetricPullsPutOff counts pulls of peers that were told to come back.
+	MetricPullsPutOff Metric = "tamarack_pulls_put_off_total"
 	// MetricPlatformReads counts reads of the platform, by result.
 	MetricPlatformReads Metric = "tamarack_platform_reads_total"
 	// MetricLiveMembers is the number of members that take new work.
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -24,39 +24,49 @@
 	tokenOwner map[string]*contract.Contract
 }
 
-// Missing lists the parts of the manifest that held lacks, in two rounds:
-// first the groups, then, once all groups are there, the parts that they name.
-func Missing(manifest *Manifest, held Parts) ([]Hash, error) {
-	missing := missingGroups(manifest, held)
-	if len(missing) > 0 {
-		return missing, nil
-	}
-	seen := map[Hash]bool{}
+// Select picks from the pools the parts that the manifest names, and lists
+// those that no pool has, in two rounds: first the groups, then, once all
+// groups are there, the parts that they name. Parts that the manifest does not
+// name are left behind.
+func Select(manifest *Manifest, pools ...Parts) (held Parts, missing []Hash, err error) {
+	s := &selection{pools: pools, held: Parts{}, lacking: map[Hash]bool{}}
 	for _, hash := range manifest.Groups {
-		group, err := DecodeGroup(held[hash])
+		s.want(hash)
+	}
+	if len(s.missing) > 0 {
+		return s.held, s.missing, nil
+	}
+	for _, hash := range manifest.Groups {
+		group, err := DecodeGroup(s.held[hash])
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		for _, ref := range group.Parts {
-			if _, ok := held[ref.Hash]; !ok && !seen[ref.Hash] {
-				seen[ref.Hash] = true
-				missing = append(missing, ref.Hash)
-			}
+			s.want(ref.Hash)
 		}
 	}
-	return missing, nil
+	return s.held, s.missing, nil
 }
 
-func missingGroups(manifest *Manifest, held Parts) []Hash {
-	var missing []Hash
-	seen := map[Hash]bool{}
-	for _, hash := range manifest.Groups {
-		if _, ok := held[hash]; !ok && !seen[hash] {
-			seen[hash] = true
-			missing = append(missing, hash)
+// selection is the work of one Select.
+type selection struct {
+	pools   []Parts
+	held    Parts
+	lacking map[Hash]bool
+	missing []Hash
+}
+
+func (s *selection) want(hash Hash) {
+	for _, pool := range s.pools {
+		if raw, ok := pool[hash]; ok {
+			s.held[hash] = raw
+			return
 		}
 	}
-	return missing
+	if !s.lacking[hash] {
+		s.lacking[hash] = true
+		s.missing = append(s.missing, hash)
+	}
 }
 
 // Assemble checks a whole version and returns its snapshot, or every finding
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -79,6 +79,7 @@
 [platform]
 url = "http://$PLATFORM"
 list_interval = "1s"
+start_spread = "500ms"
 
 [peers]
 certificate_file = "$WORK/keys/$2/cert.pem"
--- a/standin/memnet/memnet.go
+++ b/standin/memnet/memnet.go
@@ -20,6 +20,10 @@
 	Messages    int
 	Bytes       int
 	CrossRegion int
+	// Control is the part of Bytes that carries versions: everything but
+	// heartbeats. CrossControl is its part between regions.
+	Control      int
+	CrossControl int
 }
 
 // Network connects the peers of one test. It is safe for concurrent use.
@@ -29,6 +33,7 @@
 	vms      map[string]membership.VM
 	cut      func(from, to membership.VM) bool
 	delay    func(from, to membership.VM) time.Duration
+	lose     func(from, to membership.VM, message port.Message) bool
 	traffic  Traffic
 	sent     map[string]int
 }
@@ -40,6 +45,7 @@
 		vms:      map[string]membership.VM{},
 		cut:      func(membership.VM, membership.VM) bool { return false },
 		delay:    func(membership.VM, membership.VM) time.Duration { return 0 },
+		lose:     func(membership.VM, membership.VM, port.Message) bool { return false },
 		sent:     map[string]int{},
 	}
 }
@@ -66,6 +72,13 @@
 	n.cut = cut
 }
 
+// Lose sets which messages are lost on their way.
+func (n *Network) Lose(lose func(from, to membership.VM, message port.Message) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lose = lose
+}
+
 // Delay sets how long a message takes one way.
 func (n *Network) Delay(delay func(from, to membership.VM) time.Duration) {
 	n.mu.Lock()
@@ -138,16 +151,29 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	handler := n.handlers[address]
-	if handler == nil || n.cut(from, to) {
+	if handler == nil || n.cut(from, to) || n.lose(from, to, message) {
 		return nil, to, errors.Wrap(port.ErrUnreachable, address)
 	}
+	n.count(from, to, message, size)
+	return handler, to, nil
+}
+
+// count adds a message to the traffic; the caller holds mu.
+func (n *Network) count(from, to membership.VM, message port.Message, size int) {
+	crosses := from.Region != to.Region
 	n.traffic.Messages++
 	n.traffic.Bytes += size
 	n.sent[from.ID] += size
-	if from.Region != to.Region {
+	if crosses {
 		n.traffic.CrossRegion += size
 	}
-	return handler, to, nil
+	if message.MessageType() == port.TypeHeartbeat {
+		return
+	}
+	n.traffic.Control += size
+	if crosses {
+		n.traffic.CrossControl += size
+	}
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- a/standin/memnet/platform.go
+++ b/standin/memnet/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -11,6 +12,9 @@
 	"tamarackquay/internal/snapshot"
 )
 
+// WatchWait is how long the platform lets a watch wait for news.
+const WatchWait = 20 * time.Second
+
 // Platform is a platform in memory. It is safe for concurrent use.
 type Platform struct {
 	mu       sync.Mutex
@@ -19,15 +23,37 @@
 	vms      []membership.Record
 	changed  chan struct{}
 	down     bool
-	reads    int
-	bytes    int
+	cut      func(vm membership.VM) bool
+	delay    func(vm membership.VM) time.Duration
+	reads    Reads
+	second   time.Time
+}
+
+// Reads counts what was asked of the platform. Each call is one read, a
+// waiting watch too.
+type Reads struct {
+	Total, Manifests, Watches, Parts, Lists int
+	// Peak is the most reads that began within one second of the clock.
+	Peak int
+	// Bytes is the content sent; CrossRegion the part of it that went to VMs
+	// outside the region HomeRegion.
+	Bytes, CrossRegion int
+
+	inSecond int
 }
 
+// HomeRegion is where the stand-in counts the platform to be.
+const HomeRegion = "region-0"
+
 var _ port.Platform = (*Platform)(nil)
 
 // NewPlatform returns a platform on which nothing is published.
 func NewPlatform() *Platform {
-	return &Platform{parts: snapshot.Parts{}, changed: make(chan struct{})}
+	return &Platform{
+		parts: snapshot.Parts{}, changed: make(chan struct{}),
+		cut:   func(membership.VM) bool { return false },
+		delay: func(membership.VM) time.Duration { return 0 },
+	}
 }
 
 // Publish puts a publication out, whatever its version: operators can make
@@ -47,6 +73,30 @@
 	return nil
 }
 
+// Restore puts the platform back to an older copy: the publication is served
+// under the revision that the copy had.
+func (p *Platform) Restore(publication *snapshot.Publication, revision uint64) error {
+	p.mu.Lock()
+	p.manifest.Revision = revision - 1
+	p.mu.Unlock()
+	return p.Publish(publication)
+}
+
+// LosePart takes a part away, as an operator does who publishes the manifest
+// before its parts.
+func (p *Platform) LosePart(hash snapshot.Hash) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.parts, hash)
+}
+
+// PutPart stores a part under a hash, right or wrong.
+func (p *Platform) PutPart(hash snapshot.Hash, raw []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.parts[hash] = raw
+}
+
 func (p *Platform) wake() {
 	close(p.changed)
 	p.changed = make(chan struct{})
@@ -60,6 +110,21 @@
 	p.wake()
 }
 
+// Cut sets which VMs can't reach the platform.
+func (p *Platform) Cut(cut func(vm membership.VM) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut = cut
+	p.wake()
+}
+
+// Delay sets how long a read takes there and back.
+func (p *Platform) Delay(delay func(vm membership.VM) time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = delay
+}
+
 // SetVMs changes the VM list.
 func (p *Platform) SetVMs(vms []membership.Record) {
 	p.mu.Lock()
@@ -71,77 +136,64 @@
 func (p *Platform) Reads() (reads, bytes int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.reads, p.bytes
+	return p.reads.Total, p.reads.Bytes
 }
 
-func (p *Platform) begin() error {
-	p.reads++
-	if p.down {
-		return errors.Wrap(port.ErrUnreachable, "platform is down")
-	}
-	return nil
+// TakeReads returns the counts so far and starts them anew.
+func (p *Platform) TakeReads() Reads {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reads := p.reads
+	p.reads = Reads{}
+	return reads
 }
 
+// For returns the platform as one VM sees it.
+func (p *Platform) For(vm membership.VM) port.Platform { return &view{platform: p, vm: vm} }
+
 // Manifest implements port.Platform.
-func (p *Platform) Manifest(context.Context) (port.Value, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if err := p.begin(); err != nil {
-		return port.Value{}, err
-	}
-	if p.manifest.Revision == 0 {
-		return port.Value{}, port.ErrNotFound
-	}
-	p.bytes += len(p.manifest.Content)
-	return p.manifest, nil
+func (p *Platform) Manifest(ctx context.Context) (port.Value, error) {
+	return p.For(membership.VM{}).Manifest(ctx)
 }
 
 // WatchManifest implements port.Platform.
 func (p *Platform) WatchManifest(ctx context.Context, after uint64) (port.Value, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if err := p.begin(); err != nil {
-		return port.Value{}, err
-	}
-	for p.manifest.Revision <= after {
-		changed := p.changed
-		p.mu.Unlock()
-		select {
-		case <-changed:
-			p.mu.Lock()
-		case <-ctx.Done():
-			p.mu.Lock()
-			return port.Value{}, port.ErrUnchanged
-		}
-		if p.down {
-			return port.Value{}, errors.Wrap(port.ErrUnreachable, "platform went down")
-		}
-	}
-	p.bytes += len(p.manifest.Content)
-	return p.manifest, nil
+	return p.For(membership.VM{}).WatchManifest(ctx, after)
 }
 
 // Part implements port.Platform.
-func (p *Platform) Part(_ context.Context, hash snapshot.Hash) ([]byte, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if err := p.begin(); err != nil {
-		return nil, err
+func (p *Platform) Part(ctx context.Context, hash snapshot.Hash) ([]byte, error) {
+	return p.For(membership.VM{}).Part(ctx, hash)
+}
+
+// VMs implements port.Platform.
+func (p *Platform) VMs(ctx context.Context) ([]membership.Record, error) {
+	return p.For(membership.VM{}).VMs(ctx)
+}
+
+// begin counts a read; the caller holds mu.
+func (p *Platform) begin(vm membership.VM, kind *int) error {
+	*kind++
+	p.reads.Total++
+	if second := time.Now().Truncate(time.Second); !second.Equal(p.second) {
+		p.second, p.reads.inSecond = second, 0
 	}
-	raw, ok := p.parts[hash]
-	if !ok {
-		return nil, port.ErrNotFound
+	p.reads.inSecond++
+	p.reads.Peak = max(p.reads.Peak, p.reads.inSecond)
+	return p.reachable(vm)
+}
+
+func (p *Platform) reachable(vm membership.VM) error {
+	if p.down || p.cut(vm) {
+		return errors.Wrap(port.ErrUnreachable, "platform can't be reached")
 	}
-	p.bytes += len(raw)
-	return raw, nil
+	return nil
 }
 
-// VMs implements port.Platform.
-func (p *Platform) VMs(context.Context) ([]membership.Record, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if err := p.begin(); err != nil {
-		return nil, err
+// send counts content on its way; the caller holds mu.
+func (p *Platform) send(vm membership.VM, size int) {
+	p.reads.Bytes += size
+	if vm.Region != "" && vm.Region != HomeRegion {
+		p.reads.CrossRegion += size
 	}
-	return p.vms, nil
 }
--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -180,6 +180,7 @@
 [platform]
 url = "http://%s"
 list_interval = "500ms"
+start_spread = "100ms"
 [peers]
 certificate_file = "%s/%s.cert"
 key_file = "%s/%s.key"
