--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"tamarackquay/internal/distribution"
 	"tamarackquay/internal/membership"
 	"tamarackquay/internal/port"
 )
@@ -144,8 +143,7 @@
 		for _, record := range beat.Others {
 			n.table.Heard(now, record)
 		}
-		from := distribution.Source(beat.From.VM.ID)
-		n.perform(ctx, n.state.VersionReported(now, from, beat.Version))
+		n.perform(ctx, n.state.VersionReported(now, n.claimOf(beat)))
 	})
 }
 
