Guard the writes of each request below net/http

Cause: net/http replays a request when a reused connection dies and the method or an Idempotency-Key header makes it look replayable. The thin safeguard, a body that is never nil, kept it from that, but sent body-less POSTs in chunks, cost a goroutine and a timer for each body-less GET, and rested on rules inside net/http. It also could not see the deadline at the moment of the write, had no bound on the wait for the first byte, and told "unknown" for a request whose header was formatted but never written.

Now: connections are wrapped (above TLS), and each write asks the attempt that holds the connection. An attempt writes to one connection only, not after it is over, and not for the first time after its deadline. "Did not run" follows from the absence of writes. Answers of peers must carry the request's id.

Ruled out: a header key in a spelling that net/http does not look for (a trick, and no help for GET); cancelling in the GetConn trace hook (races with an idle connection); Transport.NewClientConn (a connection pool of our own).

Conclusion: the check sits where bytes leave, so no rule above it matters.

--- /dev/null
+++ b/internal/adapter/callhttp/attempt.go
@@ -0,0 +1,99 @@
+package callhttp
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Errors that a guarded connection gives in place of a write.
+var (
+	errReplay  = errors.New("the request was already written to another connection")
+	errLate    = errors.New("the deadline is over")
+	errEnded   = errors.New("the attempt is over")
+	errUnowned = errors.New("the connection was not handed to a request")
+)
+
+// attempt is one sending of one request. It is the witness for both promises
+// that depend on bytes: a request that wrote nothing did not run, and a request
+// that wrote to one connection is never written to a second one.
+//
+// net/http sends a request again by itself when a reused connection dies and
+// the method or an Idempotency-Key header makes the request look replayable. The
+// target may have run it before it died, and would run it twice. The writes
+// themselves are checked here, below net/http, so that no rule of its own can
+// lead around the check. It is safe for concurrent use.
+type attempt struct {
+	deadline time.Time
+
+	mu    sync.Mutex
+	wrote *Conn
+	late  bool
+	ended bool
+}
+
+// mayWrite decides on each write of the attempt to a connection. The deadline
+// is looked at here, at the last moment before the first byte: a process that
+// was paused after it took a slot would otherwise start work that its caller
+// has long given up.
+func (a *attempt) mayWrite(c *Conn) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case a.wrote == c:
+		return nil
+	case a.wrote != nil:
+		return errReplay
+	case a.ended:
+		return errEnded
+	case !time.Now().Before(a.deadline):
+		a.late = true
+		return errLate
+	}
+	a.wrote = c
+	return nil
+}
+
+// end closes the attempt to first writes and reports whether any was made, and
+// whether one was held back because of the deadline.
+func (a *attempt) end() (wrote, late bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ended = true
+	return a.wrote != nil, a.late
+}
+
+// Conn is a connection on which nothing is written but by the attempt that
+// holds it.
+type Conn struct {
+	net.Conn
+
+	mu     sync.Mutex
+	holder *attempt
+}
+
+// Guard wraps a connection that a transport of RoundTrip has opened. For TLS it
+// must wrap the TLS connection, so that the handshake doesn't count as writing.
+func Guard(conn net.Conn) *Conn { return &Conn{Conn: conn} }
+
+func (c *Conn) hold(a *attempt) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.holder = a
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	holder := c.holder
+	c.mu.Unlock()
+	if holder == nil {
+		return 0, errUnowned
+	}
+	if err := holder.mayWrite(c); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
--- a/internal/adapter/callhttp/callhttp.go
+++ b/internal/adapter/callhttp/callhttp.go
@@ -3,20 +3,14 @@
 package callhttp
 
 import (
-	"context"
-	"io"
 	"math"
 	"net/http"
-	"net/http/httptrace"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
-	"tamarackquay/internal/port"
 	"tamarackquay/internal/snapshot"
 )
 
@@ -43,80 +37,34 @@
 	OutcomeUnknown   = "unknown"
 )
 
-// hopHeaders end at each hop (RFC 9110, section 7.6.1).
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+// hopHeaders end at each hop (RFC 9110, section 7.6.1). Expect is answered by
+// the entry node, which reads the body when it needs it.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Expect": true, "Keep-Alive": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true,
 }
 
 // CopyHeader copies end-to-end headers, leaving out those of this hop and of
-// the system.
+// the system. The values are shared: neither side may change them in place.
 func CopyHeader(to, from http.Header) {
+	listed := connectionHeaders(from["Connection"])
 	for name, values := range from {
-		if !strings.HasPrefix(name, HeaderPrefix) {
-			to[name] = append([]string(nil), values...)
-		}
-	}
-	for _, listed := range from.Values("Connection") {
-		for name := range strings.SplitSeq(listed, ",") {
-			to.Del(textproto.TrimString(name))
+		if !hopHeaders[name] && !strings.HasPrefix(name, HeaderPrefix) && !slices.Contains(listed, name) {
+			to[name] = slices.Clip(values)
 		}
 	}
-	for _, name := range hopHeaders {
-		to.Del(name)
-	}
-}
-
-// onceBody is the body of every request that the system sends, also of those
-// without one. net/http replays a request on a connection that died when the
-// request has no body or can get it anew, and its method or an Idempotency-Key
-// header make it look replayable: the target may then run it twice. A body
-// that is not nil and has no GetBody is never replayed once a byte was written.
-type onceBody struct{ io.Reader }
-
-func (onceBody) Close() error { return nil }
-
-// RoundTrip sends the call to the base URL with extra headers and returns the
-// response. The error is a *port.Refusal if no byte was written, and a
-// *port.Unknown otherwise.
-func RoundTrip(ctx context.Context, transport http.RoundTripper, base string, call *port.Call, extra http.Header) (*http.Response, error) {
-	var wrote atomic.Bool
-	trace := &httptrace.ClientTrace{
-		WroteHeaderField: func(string, []string) { wrote.Store(true) },
-	}
-	request, err := newRequest(httptrace.WithClientTrace(ctx, trace), base, call, extra)
-	if err != nil {
-		return nil, port.Refuse(port.ReasonBadRequest, 0, "%v", err)
-	}
-	response, err := transport.RoundTrip(request)
-	if err == nil {
-		return response, nil
-	}
-	if !wrote.Load() {
-		return nil, port.Refuse(port.ReasonUnreachable, time.Second, "%v", err)
-	}
-	return nil, &port.Unknown{Stage: "answer", Cause: err}
 }
 
-func newRequest(ctx context.Context, base string, call *port.Call, extra http.Header) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(ctx, call.Method, base+call.Target, nil)
-	if err != nil {
-		return nil, errors.Wrap(err, "request")
-	}
-	CopyHeader(request.Header, call.Header)
-	for name, values := range extra {
-		request.Header[name] = values
-	}
-	body := call.Body
-	if body == nil {
-		body = http.NoBody
-	}
-	request.Body = onceBody{body}
-	request.ContentLength = call.ContentLength
-	if _, ok := request.Header["User-Agent"]; !ok {
-		request.Header["User-Agent"] = nil
+// connectionHeaders are the headers that a Connection header ends at this hop.
+func connectionHeaders(values []string) []string {
+	var listed []string
+	for _, value := range values {
+		for name := range strings.SplitSeq(value, ",") {
+			listed = append(listed, textproto.CanonicalMIMEHeaderKey(textproto.TrimString(name)))
+		}
 	}
-	return request, nil
+	return listed
 }
 
 // RetryAfter reads the header in seconds; zero when it is absent or unreadable.
@@ -143,3 +91,20 @@
 	}
 	return version
 }
+
+// FormatMillis renders a duration for the headers that carry one; negative
+// durations are zero.
+func FormatMillis(d time.Duration) string { return strconv.FormatInt(max(0, d.Milliseconds()), 10) }
+
+// ParseMillis reads what FormatMillis wrote. Negative durations and ones that
+// don't fit are errors.
+func ParseMillis(text string) (time.Duration, error) {
+	millis, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0, err
+	}
+	if millis < 0 || millis > math.MaxInt64/int64(time.Millisecond) {
+		return 0, strconv.ErrRange
+	}
+	return time.Duration(millis) * time.Millisecond, nil
+}
--- a/internal/adapter/callhttp/outcome.go
+++ b/internal/adapter/callhttp/outcome.go
@@ -31,8 +31,13 @@
 	RetryAfterMS int64       `json:"retry_after_ms,omitempty"`
 }
 
+// writeTimeout bounds the writing of an outcome to a slow reader.
+const writeTimeout = 10 * time.Second
+
 // WriteError answers with the outcome that err stands for.
 func WriteError(w http.ResponseWriter, err error) {
+	// Recorders of tests have no deadlines; a connection always has.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	var refusal *port.Refusal
 	if errors.As(err, &refusal) {
 		writeRefusal(w, refusal)
--- a/internal/adapter/peerforward/peerforward.go
+++ b/internal/adapter/peerforward/peerforward.go
@@ -6,10 +6,13 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"net"
 	"net/http"
-	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"tamarackquay/internal/adapter/callhttp"
 	"tamarackquay/internal/adapter/peertls"
 	"tamarackquay/internal/membership"
@@ -29,15 +32,20 @@
 
 const (
 	maxIdlePerPeer = 32
-	idleTimeout    = 90 * time.Second
+	// maxIdle bounds the idle connections to all peers together: at the size
+	// to design for a node has 1,599 peers, and TLS state costs memory.
+	maxIdle     = 512
+	idleTimeout = 30 * time.Second
+	dialTimeout = 2 * time.Second
 )
 
-// NewClient returns a forwarder that proves itself with the TLS configuration.
-func NewClient(tls *peertls.Config, now func() time.Time) *Client {
+// NewClient returns a forwarder that proves itself with the identity.
+func NewClient(identity *peertls.Config, now func() time.Time) *Client {
 	return &Client{
 		now: now,
 		transport: &http.Transport{
-			TLSClientConfig:     tls.Client,
+			DialTLSContext:      dialer(identity.Client),
+			MaxIdleConns:        maxIdle,
 			MaxIdleConnsPerHost: maxIdlePerPeer,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
@@ -45,6 +53,21 @@
 	}
 }
 
+// dialer opens guarded connections. The handshake is made here, below the
+// guard, so that only bytes of requests count as written.
+func dialer(config *tls.Config) func(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := &tls.Dialer{NetDialer: &net.Dialer{Timeout: dialTimeout}, Config: config}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return callhttp.Guard(conn), nil
+	}
+}
+
 // Forward implements port.Forwarder.
 func (c *Client) Forward(ctx context.Context, to membership.VM, call *port.Call) (*port.Answer, error) {
 	response, err := callhttp.RoundTrip(ctx, c.transport, "https://"+to.PeerAddress+Prefix, call, c.headers(call))
@@ -54,6 +77,12 @@
 	if err := callhttp.ReadError(response); err != nil {
 		return nil, err
 	}
+	// Answers are matched by id: one that belongs to another request, late on
+	// a reused connection, would give a caller someone else's return.
+	if id := response.Header.Get(callhttp.HeaderRequestID); id != call.ID {
+		response.Body.Close()
+		return nil, &port.Unknown{Stage: "owner", Cause: errors.Errorf("the owner answered request %q", id)}
+	}
 	return &port.Answer{
 		Status: response.StatusCode, Header: response.Header,
 		ContentLength: response.ContentLength, Body: response.Body, Owner: to.ID,
@@ -66,15 +95,14 @@
 		callhttp.HeaderCustomer:  {call.Customer},
 		callhttp.HeaderRoute:     {call.Route},
 		callhttp.HeaderService:   {call.Service},
+		callhttp.HeaderEntry:     {call.Entry},
 		callhttp.HeaderVersion:   {call.Version.String()},
 		// What is left of the deadline travels, not the deadline itself: the
 		// VMs' clocks need not agree.
-		callhttp.HeaderBudget: {formatMillis(call.Deadline.Sub(c.now()))},
-		callhttp.HeaderStall:  {formatMillis(call.Stall)},
+		callhttp.HeaderBudget: {callhttp.FormatMillis(call.Deadline.Sub(c.now()))},
+		callhttp.HeaderStall:  {callhttp.FormatMillis(call.Stall)},
 	}
 }
 
-func formatMillis(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
-
 // Close drops idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
--- a/internal/adapter/peerforward/server.go
+++ b/internal/adapter/peerforward/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -27,21 +26,23 @@
 
 // ServeHTTP reads the call's terms from the headers.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	budget, err := parseMillis(r.Header.Get(callhttp.HeaderBudget))
+	budget, err := callhttp.ParseMillis(r.Header.Get(callhttp.HeaderBudget))
 	if err != nil {
 		callhttp.WriteError(w, port.Refuse(port.ReasonBadRequest, 0, "header %s: %v", callhttp.HeaderBudget, err))
 		return
 	}
-	stall, err := parseMillis(r.Header.Get(callhttp.HeaderStall))
+	stall, err := callhttp.ParseMillis(r.Header.Get(callhttp.HeaderStall))
 	if err != nil {
 		callhttp.WriteError(w, port.Refuse(port.ReasonBadRequest, 0, "header %s: %v", callhttp.HeaderStall, err))
 		return
 	}
+	w.Header().Set(callhttp.HeaderRequestID, r.Header.Get(callhttp.HeaderRequestID))
 	h.owner.Own(w, r, &port.Call{
 		ID:            r.Header.Get(callhttp.HeaderRequestID),
 		Customer:      r.Header.Get(callhttp.HeaderCustomer),
 		Route:         r.Header.Get(callhttp.HeaderRoute),
 		Service:       r.Header.Get(callhttp.HeaderService),
+		Entry:         r.Header.Get(callhttp.HeaderEntry),
 		Version:       callhttp.ParseVersion(r.Header),
 		Deadline:      h.now().Add(budget),
 		Stall:         stall,
@@ -52,8 +53,3 @@
 		ContentLength: r.ContentLength,
 	})
 }
-
-func parseMillis(text string) (time.Duration, error) {
-	millis, err := strconv.ParseInt(text, 10, 64)
-	return time.Duration(millis) * time.Millisecond, err
-}
--- a/internal/port/metric.go
+++ b/internal/port/metric.go
@@ -12,6 +12,10 @@
 	MetricRefused Metric = "tamarack_requests_refused_total"
 	// MetricUnknown counts requests whose outcome is unknown, by route.
 	MetricUnknown Metric = "tamarack_requests_unknown_total"
+	// MetricRetries counts attempts after a request's first, by route.
+	MetricRetries Metric = "tamarack_requests_retried_total"
+	// MetricResumed counts bodies continued from another target, by route.
+	MetricResumed Metric = "tamarack_bodies_resumed_total"
 	// MetricApplied counts versions put in force.
 	MetricApplied Metric = "tamarack_versions_applied_total"
 	// MetricVersionRefused counts versions that failed their checks.
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -76,6 +76,8 @@
 	Customer string
 	Route    string
 	Service  string
+	// Entry is the VM whose node took the request from its caller.
+	Entry string
 	// Version is the sender's applied version.
 	Version snapshot.Version
 	// Deadline bounds the wait for the first byte of the answer.
