--- a/cmd/tamarackd/run.go
+++ b/cmd/tamarackd/run.go
@@ -75,7 +75,7 @@
 		defer close(stopped)
 		d.node.Run(ctx)
 	}()
-	go d.sweepIdle(ctx)
+	go d.sweepIdle(ctx, identity)
 	logger.Info().Str("callers", s.Listen.Callers).Str("peers", s.Listen.Peers).Msg("serving")
 	err = waitForStop(failed)
 	d.stop()
@@ -131,8 +131,8 @@
 		Seeds:        s.Peers.Seeds,
 		Heartbeat:    s.Peers.Heartbeat.Std(),
 		ListInterval: s.Platform.ListInterval.Std(),
-		Readers:      s.Platform.Readers,
-		Distribution: distribution.DefaultConfig(),
+		Pace:         pace(s),
+		Distribution: distributionConfig(s),
 		Membership:   membership.Config{SuspectAfter: s.Peers.SuspectAfter.Std(), ForgetAfter: s.Peers.ForgetAfter.Std()},
 		QueuePerSlot: s.Requests.QueuePerSlot,
 		MaxAttempts:  s.Requests.MaxAttempts,
@@ -141,6 +141,20 @@
 	}
 }
 
+func pace(s settings.Settings) distribution.Pace {
+	pace := distribution.DefaultPace()
+	pace.Readers = s.Platform.Readers
+	pace.StartSpread = s.Platform.StartSpread.Std()
+	return pace
+}
+
+func distributionConfig(s settings.Settings) distribution.Config {
+	config := distribution.DefaultConfig()
+	config.Patience = s.Platform.Patience.Std()
+	config.Redundancy = s.Platform.Redundancy
+	return config
+}
+
 func newPeerServer(n *node.Node, now func() time.Time) *http.Server {
 	e := echo.New()
 	e.HideBanner = true
@@ -202,15 +216,31 @@
 	d.log.Info().Msg("stopped")
 }
 
-func (d *daemon) sweepIdle(ctx context.Context) {
+// sweepIdle closes idle connections and takes up changed certificate files, so
+// that an authority is rotated without restarts.
+func (d *daemon) sweepIdle(ctx context.Context, identity *peertls.Config) {
 	ticker := time.NewTicker(idleSweep)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
 			d.peers.CloseIdle()
+			d.reload(identity)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
+
+func (d *daemon) reload(identity *peertls.Config) {
+	changed, err := identity.Reload()
+	if err != nil {
+		d.log.Error().Err(err).Msg("peer certificate files can't be read; the old ones stay in use")
+		return
+	}
+	if changed {
+		d.log.Info().Msg("peer certificates changed")
+		// Open connections were proven by the old files.
+		d.peers.Close()
+	}
+}
--- a/internal/adapter/settings/check.go
+++ b/internal/adapter/settings/check.go
@@ -71,6 +71,9 @@
 	c.certificates(&s.Peers)
 	c.positive("target.max_connections", int64(s.Target.MaxConnections))
 	c.positive("platform.readers", int64(s.Platform.Readers))
+	c.positive("platform.redundancy", int64(s.Platform.Redundancy))
+	c.notNegative("platform.start_spread", int64(s.Platform.StartSpread))
+	c.notNegative("platform.patience", int64(s.Platform.Patience))
 	c.positive("requests.queue_per_slot", int64(s.Requests.QueuePerSlot))
 	c.positive("requests.max_attempts", int64(s.Requests.MaxAttempts))
 	c.positive("requests.max_header_bytes", int64(s.Requests.MaxHeaderBytes))
@@ -202,3 +205,9 @@
 		c.add(CodeOutOfRange, key, "give a value above zero", "must be above zero")
 	}
 }
+
+func (c *checker) notNegative(key string, value int64) {
+	if value < 0 {
+		c.add(CodeOutOfRange, key, "give zero or more", "must not be below zero")
+	}
+}
--- a/internal/adapter/settings/settings.go
+++ b/internal/adapter/settings/settings.go
@@ -52,8 +52,17 @@
 	ReadTimeout  tomlfile.Duration `toml:"read_timeout"`
 	WatchTimeout tomlfile.Duration `toml:"watch_timeout"`
 	ListInterval tomlfile.Duration `toml:"list_interval"`
-	// Readers is how many nodes of a failure domain watch the platform.
+	// Readers is how many nodes of a region watch the platform.
 	Readers int `toml:"readers"`
+	// StartSpread is the time over which processes that start together spread
+	// their first reads.
+	StartSpread tomlfile.Duration `toml:"start_spread"`
+	// Patience is the policy between convergence time and cross-region bytes:
+	// how long a version overheard from another region waits for a nearer
+	// source. docs/design/distribution.md has its curve.
+	Patience tomlfile.Duration `toml:"patience"`
+	// Redundancy is how many paths lead a version to each node.
+	Redundancy int `toml:"redundancy"`
 }
 
 // Peers holds the proof of being a peer and the times of heartbeats.
@@ -92,6 +101,9 @@
 			WatchTimeout: tomlfile.Duration(40 * time.Second),
 			ListInterval: tomlfile.Duration(5 * time.Second),
 			Readers:      2,
+			StartSpread:  tomlfile.Duration(3 * time.Second),
+			Patience:     tomlfile.Duration(time.Second),
+			Redundancy:   2,
 		},
 		Peers: Peers{
 			Heartbeat:    tomlfile.Duration(time.Second),
--- a/internal/explain/reason.go
+++ b/internal/explain/reason.go
@@ -21,6 +21,7 @@
 	port.ReasonNoTarget:       {"no live target of the service is within the route's spill", "see the members of the node, and widen spill if it bars them"},
 	port.ReasonQueueFull:      {"all slots and places in the queue were taken", "come back after Retry-After; compare demand with the share"},
 	port.ReasonDeadline:       {"the route's deadline came before a slot was free", "come back after Retry-After; compare demand with the share"},
+	port.ReasonBusy:           {"the target would have made the request wait, and the entry node asked it not to", "nothing to do: the entry node tries the next target; as a final answer, come back after Retry-After"},
 	port.ReasonLimit:          {"the customer already holds all that its limit allows", "come back after Retry-After, or raise the grant's limit"},
 	port.ReasonNoGrant:        {"the contract grants nothing of the service", "add a [[contract.grant]]"},
 	port.ReasonDraining:       {"the target takes no new work", "try another node; the target is leaving"},
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -62,13 +62,21 @@
 	case facts.stopping:
 		return HealthStopping, append([]string{"planned stop"}, reasons...)
 	case !facts.ready:
-		return HealthNotReady, reasons
+		return HealthNotReady, append(reasons, facts.unready()...)
 	case len(reasons) > 0:
 		return HealthOldConfiguration, reasons
 	}
 	return HealthReady, nil
 }
 
+// unready names what keeps a node that has a version from serving.
+func (f healthFacts) unready() []string {
+	if f.applied.IsZero() || f.reported.NewerThan(f.applied) {
+		return nil
+	}
+	return []string{"asks its peers what it missed after a pause"}
+}
+
 // next carries the time of the last change over while the state lasts.
 func (h Health) next(now time.Time, state HealthState, reasons []string) Health {
 	if h.State == state {
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -3,71 +3,50 @@
 import (
 	"time"
 
-	"tamarackquay/internal/membership"
 	"tamarackquay/internal/port"
 )
 
-// observePeriod is the least time between two rounds of gauges and of member
-// events: what happens faster is seen together.
+// observePeriod is the least time between two rounds of gauges.
 const observePeriod = time.Second
 
 // observer notes what operators ask about later: how the platform answers,
-// which versions and requests were refused, and how members change. It decides
-// nothing.
+// and which versions and requests were refused. It decides nothing.
 type observer struct {
 	started  time.Time
 	platform *observedPlatform
 	versions *recentRefusals
 	refusals *refusalTally
 
-	// The control loop's own state.
-	members memberTrail
-	last    time.Time
+	// last is when gauges were set; the control loop's own.
+	last time.Time
 }
 
 // observe puts the node's observers around its ports.
 func (n *Node) observe(now time.Time) {
 	versions := &recentRefusals{inner: n.ports.Audit}
-	platform := observePlatform(n.ports, n.platformChanged)
+	platform := observePlatform(n.ports)
 	n.ports.Audit = versions
 	n.ports.Platform = platform
 	n.observer = &observer{
-		started: now, platform: platform, versions: versions, refusals: newRefusalTally(now),
-		members: memberTrail{self: n.config.Self.ID}, last: now,
+		started: now, platform: platform, versions: versions, refusals: newRefusalTally(now), last: now,
 	}
 }
 
-func (n *Node) platformChanged(contact PlatformContact) {
-	kind := port.AuditPlatformUp
-	if contact.State == PlatformUnreachable {
-		kind = port.AuditPlatformDown
-	}
-	n.audit(port.AuditEvent{Kind: kind, Subject: "platform", Detail: contact.Problem})
-}
-
-// observe sets gauges and records what changed since the last round.
-func (o *observer) observe(n *Node, now time.Time, s *Status, view *membership.View) {
+// observe sets gauges and records the refusals of a period that is over.
+func (o *observer) observe(n *Node, now time.Time, s *Status) {
 	if now.Sub(o.last) < observePeriod {
 		return
 	}
 	o.last = now
-	for _, event := range o.members.compare(view.Records) {
-		n.audit(event)
-	}
 	for _, event := range o.refusals.due(now) {
 		n.audit(event)
 	}
-	n.setGauges(now, s, view)
+	n.setGauges(now, s)
 }
 
-func (n *Node) setGauges(now time.Time, s *Status, view *membership.View) {
+func (n *Node) setGauges(now time.Time, s *Status) {
 	meter := n.ports.Meter
-	live := 0
-	for _, targets := range view.Targets {
-		live += len(targets)
-	}
 	running, waiting := n.gate.counts()
-	meter.Set(port.MetricLiveMembers, "", float64(live))
 	meter.Set(port.MetricSlotsRunning, "", float64(running))
 	meter.Set(port.MetricQueueWaiting, "", float64(waiting))
 	meter.Set(port.MetricRequestsOpen, "", float64(n.running.Load()))
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -35,15 +35,25 @@
 	// RefusedRequests counts refusals to callers since the start, by reason.
 	RefusedRequests map[port.Reason]int `json:"refused_requests,omitempty"`
 
-	// beat is the answer to a peer's heartbeat.
-	beat port.Heartbeat
+	// Unheard counts VMs that only the platform's list has named.
+	Unheard int `json:"unheard"`
+	// Unreachable are the failure domains without contact.
+	Unreachable []string `json:"unreachable,omitempty"`
+	// Isolated is set while the node hears no peer at all.
+	Isolated bool `json:"isolated,omitempty"`
+
+	// pulse is what heartbeats to peers carry.
+	pulse pulse
 }
 
 // newStatus makes the part of the status that the control loop owns. It runs on
 // the control loop each time something happened.
 func (n *Node) newStatus(now time.Time, view *membership.View) *Status {
-	s := &Status{VM: n.config.Self, Started: n.observer.started, Members: view.Records,
-		Applied: n.state.AppliedVersion(), Reported: n.state.Reported(), Platform: n.observer.platform.state()}
+	s := &Status{
+		VM: n.config.Self, Started: n.observer.started,
+		Applied: n.state.AppliedVersion(), Reported: n.state.Reported(), Platform: n.observer.platform.state(),
+		Members: view.Records, Unheard: view.Unheard, Unreachable: view.Unreachable, Isolated: view.Isolated,
+	}
 	if applied := n.state.Applied(); applied != nil {
 		s.Root = applied.Root()
 		s.PublishedBy = applied.Manifest().PublishedBy
@@ -61,8 +71,8 @@
 		stopping: n.stopping.Load(), ready: n.ready.Load(), applied: s.Applied, reported: s.Reported, platform: s.Platform,
 	})
 	s.Health = previous.Health.next(now, state, reasons)
-	s.beat = n.heartbeat()
-	n.observer.observe(n, now, s, view)
+	s.pulse = n.newPulse(now)
+	n.observer.observe(n, now, s)
 	return s
 }
 
--- a/internal/node/trail.go
+++ b/internal/node/trail.go
@@ -110,46 +110,30 @@
 	return events
 }
 
-// memberTrail turns changes of the membership into audit events. The control
-// loop owns it.
-type memberTrail struct {
-	self  string
-	known map[string]membership.State
-}
-
-// compare returns one event for each way in which members changed.
-func (t *memberTrail) compare(records []membership.Record) []port.AuditEvent {
-	changed := map[string][]string{}
-	seen := make(map[string]membership.State, len(records))
-	for _, record := range records {
-		id := record.VM.ID
-		seen[id] = record.State
-		if before, ok := t.known[id]; id != t.self && (!ok || before != record.State) {
-			changed[record.State.String()] = append(changed[record.State.String()], id)
+// memberEvents turns changes of the membership into one event for each way in
+// which members changed.
+func memberEvents(changes []membership.Change) []port.AuditEvent {
+	moved := map[string][]string{}
+	for _, change := range changes {
+		way := change.From.String() + " to " + change.To.String()
+		if change.From == change.To {
+			// The VM was known from the platform's list alone until now.
+			way = "listed as " + change.To.String() + ", heard now"
 		}
+		moved[way] = append(moved[way], change.VM.ID)
 	}
-	for id := range t.known {
-		if _, ok := seen[id]; !ok {
-			changed[memberForgotten] = append(changed[memberForgotten], id)
-		}
-	}
-	t.known = seen
 	var events []port.AuditEvent
-	for _, state := range slices.Sorted(maps.Keys(changed)) {
-		events = append(events, memberEvent(state, changed[state]))
+	for _, way := range slices.Sorted(maps.Keys(moved)) {
+		events = append(events, port.AuditEvent{Kind: port.AuditMemberChanged, Subject: nameSome(moved[way]), Detail: way})
 	}
 	return events
 }
 
-// memberForgotten is the state of a member that was silent for so long that the
-// node dropped it.
-const memberForgotten = "forgotten"
-
-func memberEvent(state string, ids []string) port.AuditEvent {
+func nameSome(ids []string) string {
 	slices.Sort(ids)
-	subject := strings.Join(ids[:min(len(ids), maxNamedMembers)], " ")
+	text := strings.Join(ids[:min(len(ids), maxNamedMembers)], " ")
 	if more := len(ids) - maxNamedMembers; more > 0 {
-		subject += fmt.Sprintf(" and %d more", more)
+		text += fmt.Sprintf(" and %d more", more)
 	}
-	return port.AuditEvent{Kind: port.AuditMemberChanged, Subject: subject, Detail: state}
+	return text
 }
--- a/internal/port/metric.go
+++ b/internal/port/metric.go
@@ -12,10 +12,19 @@
 	MetricRefused Metric = "tamarack_requests_refused_total"
 	// MetricUnknown counts requests whose outcome is unknown, by route.
 	MetricUnknown Metric = "tamarack_requests_unknown_total"
+	// MetricRetries counts attempts after a request's first, by route.
+	MetricRetries Metric = "tamarack_requests_retried_total"
+	// MetricResumed counts bodies continued from another target, by route.
+	MetricResumed Metric = "tamarack_bodies_resumed_total"
 	// MetricApplied counts versions put in force.
 	MetricApplied Metric = "tamarack_versions_applied_total"
 	// MetricVersionRefused counts versions that failed their checks.
 	MetricVersionRefused Metric = "tamarack_versions_refused_total"
+	// MetricConflicts counts versions that operators published over each
+	// other.
+	MetricConflicts Metric = "tamarack_versions_conflicting_total"
+	// MetricPullsPutOff counts pulls of peers that were told to come back.
+	MetricPullsPutOff Metric = "tamarack_pulls_put_off_total"
 	// MetricPlatformReads counts reads of the platform, by result.
 	MetricPlatformReads Metric = "tamarack_platform_reads_total"
 	// MetricLiveMembers is the number of members that take new work.
