--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,8 +72,9 @@
 	// running counts requests that this node serves as entry or owner.
 	running atomic.Int64
 
-	gate *gate
-	load *loadCounter
+	gate     *gate
+	load     *loadCounter
+	observer *observer
 
 	randomMu sync.Mutex
 	random   *rand.Rand
@@ -125,6 +126,7 @@
 		served:    rate.NewLimiter(serveBytesPerSecond, serveBurst),
 		partReads: rate.NewLimiter(rate.Limit(config.Pace.PartsRate), partBurst),
 	}
+	n.observe(now)
 	n.publish(now)
 	return n
 }
@@ -215,7 +217,7 @@
 	}
 	n.viewBuilt = now
 	view := n.table.View(now)
-	n.tellMembership(n.view.Swap(view), view)
+	n.tellDomains(n.view.Swap(view), view)
 	n.state.SetPlace(len(view.Peers), int(n.rank.Load()))
 }
 
