--- a/internal/changes/changes_test.go
+++ b/internal/changes/changes_test.go
@@ -59,6 +59,7 @@
 		value.SetBool(!value.Bool())
 	case reflect.Pointer:
 		value.Set(reflect.New(value.Type().Elem()))
+		alter(t, value.Elem())
 	case reflect.Map:
 		value.SetMapIndex(reflect.ValueOf("b"), reflect.ValueOf(1))
 	case reflect.Slice:
--- a/internal/node/memberaudit.go
+++ b/internal/node/memberaudit.go
@@ -7,19 +7,12 @@
 	"tamarackquay/internal/port"
 )
 
-// tellMembership writes what changed between two views into the audit trail and
-// the metrics. old is nil for the first view.
-func (n *Node) tellMembership(old, view *membership.View) {
-	for _, event := range memberEvents(n.table.TakeChanges()) {
-		n.audit(event)
-	}
-	if old != nil {
-		n.tellDomains(old, view)
-	}
-	n.countMembers(view)
-}
-
+// tellDomains writes into the audit trail which failure domains came or went
+// between two views. old is nil for the first view.
 func (n *Node) tellDomains(old, view *membership.View) {
+	if old == nil {
+		return
+	}
 	for _, name := range view.Unreachable {
 		if !slices.Contains(old.Unreachable, name) {
 			n.audit(port.AuditEvent{Kind: port.AuditDomainChanged, Subject: name, Detail: "unreachable"})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -217,7 +217,7 @@
 	}
 	n.viewBuilt = now
 	view := n.table.View(now)
-	n.tellMembership(n.view.Swap(view), view)
+	n.tellDomains(n.view.Swap(view), view)
 	n.state.SetPlace(len(view.Peers), int(n.rank.Load()))
 }
 
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -3,10 +3,12 @@
 import (
 	"time"
 
+	"tamarackquay/internal/membership"
 	"tamarackquay/internal/port"
 )
 
-// observePeriod is the least time between two rounds of gauges.
+// observePeriod is the least time between two rounds of gauges and of member
+// events: what happens faster is seen together.
 const observePeriod = time.Second
 
 // observer notes what operators ask about later: how the platform answers,
@@ -32,16 +34,20 @@
 	}
 }
 
-// observe sets gauges and records the refusals of a period that is over.
-func (o *observer) observe(n *Node, now time.Time, s *Status) {
+// observe sets gauges and records what changed since the last round.
+func (o *observer) observe(n *Node, now time.Time, s *Status, view *membership.View) {
 	if now.Sub(o.last) < observePeriod {
 		return
 	}
 	o.last = now
+	for _, event := range memberEvents(n.table.TakeChanges()) {
+		n.audit(event)
+	}
 	for _, event := range o.refusals.due(now) {
 		n.audit(event)
 	}
 	n.setGauges(now, s)
+	n.countMembers(view)
 }
 
 func (n *Node) setGauges(now time.Time, s *Status) {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -75,7 +75,7 @@
 	})
 	s.Health = previous.Health.next(now, state, reasons)
 	s.pulse = n.newPulse(now)
-	n.observer.observe(n, now, s)
+	n.observer.observe(n, now, s, view)
 	return s
 }
 
