--- a/internal/adapter/settings/settings_test.go
+++ b/internal/adapter/settings/settings_test.go
@@ -72,6 +72,16 @@
 	assert.Equal(t, len(s.Warnings), 0, "%v", s.Warnings)
 }
 
+// The example is what a first node's settings are copied from.
+func TestExampleIsGood(t *testing.T) {
+	const name = "../../../examples/node.toml"
+	source, err := os.ReadFile(name)
+	assert.NilError(t, err)
+	s, found := Parse(name, source)
+	assert.NilError(t, found.AsError())
+	assert.Equal(t, len(s.Warnings), 0, "%v", s.Warnings)
+}
+
 func TestFaults(t *testing.T) {
 	for _, test := range []struct {
 		desc     string
--- a/internal/report/svg.go
+++ b/internal/report/svg.go
@@ -74,9 +74,13 @@
 	return plotHeight - bottomEdge - part*(plotHeight-topEdge-bottomEdge)
 }
 
-func (p plot) begin(w io.Writer, title string) {
+// title fits the plot; the command, which may not, is the description.
+const title = "waits of answered calls, from the intended send to the last byte"
+
+func (p plot) begin(w io.Writer, command string) {
 	fmt.Fprintf(w, `<svg xmlns="http://www.w3.org/2000/svg" viewBox="0 0 %d %d" font-family="sans-serif" font-size="12">`+"\n", plotWidth, plotHeight)
-	fmt.Fprintf(w, `<rect width="%d" height="%d" fill="white"/><text x="%d" y="20">%s</text>`+"\n", plotWidth, plotHeight, leftEdge, html.EscapeString(title))
+	fmt.Fprintf(w, "<desc>%s</desc>\n", html.EscapeString(command))
+	fmt.Fprintf(w, `<rect width="%d" height="%d" fill="white"/><text x="%d" y="20">%s</text>`+"\n", plotWidth, plotHeight, leftEdge, title)
 }
 
 func (p plot) axes(w io.Writer) {
