--- a/cmd/tamarackd/run.go
+++ b/cmd/tamarackd/run.go
@@ -27,7 +27,6 @@
 	"tamarackquay/internal/distribution"
 	"tamarackquay/internal/membership"
 	"tamarackquay/internal/node"
-	"tamarackquay/internal/port"
 )
 
 // Times of a planned stop.
@@ -99,7 +98,7 @@
 func newDaemon(s settings.Settings, logger *log.Logger, identity *peertls.Config) *daemon {
 	clock := wallClock{}
 	trail := auditlog.New(logger)
-	meter := newMeter()
+	meter := metrics.New()
 	d := &daemon{
 		log:     logger,
 		peers:   peerws.NewCountingClient(identity, clock.Now, meter),
@@ -123,14 +122,6 @@
 	return d
 }
 
-// newMeter returns a meter that also shows the control messages of the process.
-func newMeter() *metrics.Meter {
-	meter := metrics.New()
-	meter.Read(port.MetricControlBytes, peerws.DirectionSent, func() float64 { return float64(peerws.SentBytes()) })
-	meter.Read(port.MetricControlBytes, peerws.DirectionReceived, func() float64 { return float64(peerws.ReceivedBytes()) })
-	return meter
-}
-
 func nodeConfig(s settings.Settings) node.Config {
 	return node.Config{
 		Self: membership.VM{
--- a/internal/adapter/metrics/metrics.go
+++ b/internal/adapter/metrics/metrics.go
@@ -32,11 +32,6 @@
 	m.set.GetOrCreateGauge(series(metric, label), nil).Set(value)
 }
 
-// Read makes a series whose value is read each time it is rendered.
-func (m *Meter) Read(metric port.Metric, label string, value func() float64) {
-	m.set.GetOrCreateGauge(series(metric, label), value)
-}
-
 func series(metric port.Metric, label string) string {
 	if label == "" {
 		return string(metric)
--- a/internal/adapter/peerws/codec.go
+++ b/internal/adapter/peerws/codec.go
@@ -60,12 +60,10 @@
 		return nil, errors.Wrap(err, "encode message")
 	}
 	raw, err := cbor.Marshal(envelope{Type: message.MessageType(), Question: question, Answer: answer, Body: body})
-	traffic.sent.Add(uint64(len(raw)))
 	return raw, errors.Wrap(err, "encode envelope")
 }
 
 func decode(raw []byte) (envelope, port.Message, error) {
-	traffic.received.Add(uint64(len(raw)))
 	var frame envelope
 	if err := decoder.Unmarshal(raw, &frame); err != nil {
 		return frame, nil, errors.Wrap(ErrBadMessage, err.Error())
--- a/internal/port/metric.go
+++ b/internal/port/metric.go
@@ -50,9 +50,6 @@
 	// MetricPlatformReachable is 1 while the node's own reads of the platform
 	// are answered.
 	MetricPlatformReachable Metric = "tamarack_platform_reachable"
-	// MetricControlBytes counts bytes of control messages between peers before
-	// TLS, by direction.
-	MetricControlBytes Metric = "tamarack_control_bytes_total"
 	// MetricHealth is 1 for the state that the node is in, by state.
 	MetricHealth Metric = "tamarack_health"
 )
