--- a/internal/command/explain/explain.go
+++ b/internal/command/explain/explain.go
@@ -51,6 +51,8 @@
 	flags.StringVar(&o.query.FailureDomain, "failure-domain", "", "where the request enters")
 	flags.StringVar(&o.node, "node", "", "operators' address of a node to ask for its state and live targets")
 	flags.StringVar(&o.reason, "reason", "", "explain the reason of a refusal")
+	// The flag exists: it was declared above.
+	_ = c.RegisterFlagCompletionFunc("reason", cobra.FixedCompletions(explain.Reasons(), cobra.ShellCompDirectiveNoFileComp))
 	command.AddFormat(c, &o.format)
 	return c
 }
--- a/internal/command/explain/print.go
+++ b/internal/command/explain/print.go
@@ -19,7 +19,7 @@
 func (o *options) explainReason(c *cobra.Command) error {
 	meaning, ok := explain.MeaningOf(port.Reason(o.reason))
 	if !ok {
-		return errors.Errorf("--reason %q: there is no such reason", o.reason)
+		return errors.Errorf("--reason %q: there is no such reason; the reasons are %s", o.reason, strings.Join(explain.Reasons(), ", "))
 	}
 	if o.format == command.FormatJSON {
 		return command.PrintJSON(c.OutOrStdout(), meaning)
--- a/internal/explain/reason.go
+++ b/internal/explain/reason.go
@@ -1,6 +1,10 @@
 package explain
 
-import "tamarackquay/internal/port"
+import (
+	"slices"
+
+	"tamarackquay/internal/port"
+)
 
 // Meaning is what a refusal's reason tells a caller and an operator.
 type Meaning struct {
@@ -42,6 +46,16 @@
 	return meaning, ok
 }
 
+// Reasons lists every reason, sorted.
+func Reasons() []string {
+	var reasons []string
+	for reason := range meanings {
+		reasons = append(reasons, string(reason))
+	}
+	slices.Sort(reasons)
+	return reasons
+}
+
 // conditions lists the refusals that depend on the load of the moment.
 func conditions(route Route) []Condition {
 	return []Condition{
--- a/test/docs/docs_test.go
+++ b/test/docs/docs_test.go
@@ -245,6 +245,9 @@
 		for _, command := range tree.Commands() {
 			assert.Check(t, strings.Contains(all.String(), command.CommandPath()), "no page shows %s", command.CommandPath())
 			assert.Check(t, command.Example != "", "%s has no example", command.CommandPath())
+			for _, match := range shown.FindAllStringSubmatch(command.Example, -1) {
+				checkCommand(t, "the help of "+command.CommandPath(), tree, match[2])
+			}
 		}
 	}
 }
