A wait until the deadline ends as the owner's refusal, not as unknown

Cause: entry and owner gave up at the same moment. A request that never left the owner's queue was told to its caller as 'outcome unknown at deadline', without Retry-After, whenever the owner's refusal came a moment after the entry's timer. Ruled out: letting the entry wait past the deadline, which would hold back the final answer. Change: the owner gets a tenth of what is left less, at most 100 ms, so that its answer can come back. A target that answers in the last tenth of the deadline is now cut.

--- a/internal/adapter/peerforward/peerforward.go
+++ b/internal/adapter/peerforward/peerforward.go
@@ -99,10 +99,25 @@
 		callhttp.HeaderVersion:   {call.Version.String()},
 		// What is left of the deadline travels, not the deadline itself: the
 		// VMs' clocks need not agree.
-		callhttp.HeaderBudget: {callhttp.FormatMillis(call.Deadline.Sub(c.now()))},
+		callhttp.HeaderBudget: {callhttp.FormatMillis(ownerBudget(call.Deadline.Sub(c.now())))},
 		callhttp.HeaderStall:  {callhttp.FormatMillis(call.Stall)},
 	}
 }
 
+const (
+	// replyShare is the part of what is left of a deadline that is kept for the
+	// owner's answer to come back, and replyMax its bound: a round trip between
+	// regions and the delays of a busy VM.
+	replyShare = 10
+	replyMax   = 100 * time.Millisecond
+)
+
+// ownerBudget is how long the owner may take for the first byte. An owner that
+// gave up at the very deadline would be heard only after the entry's own timer
+// had run out: a request that never left the queue would end as unknown.
+func ownerBudget(left time.Duration) time.Duration {
+	return left - min(left/replyShare, replyMax)
+}
+
 // Close drops idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
