--- a/internal/adapter/settings/settings.go
+++ b/internal/adapter/settings/settings.go
@@ -98,7 +98,7 @@
 			ForgetAfter:  tomlfile.Duration(10 * time.Minute),
 		},
 		Requests: Requests{
-			QueuePerSlot:   4,
+			QueuePerSlot:   6,
 			MaxAttempts:    3,
 			MaxHeaderBytes: 32 << 10,
 			MaxBodyBytes:   64 << 20,
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -58,7 +58,6 @@
 	ReasonDeadline  Reason = "deadline"
 	ReasonLimit     Reason = "limit"
 	ReasonNoGrant   Reason = "no-grant"
-	ReasonDraining  Reason = "draining"
 	ReasonBusy      Reason = "busy"
 	ReasonDuplicate Reason = "duplicate-call"
 )
--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -110,11 +110,7 @@
 // next moment at which the customer's slots are likely to free up, so that
 // callers who were refused together don't return together.
 func (q *Queue) retryAfter(now time.Time, c *customer, long bool) time.Duration {
-	hold := q.holdOf(c, long)
-	if hold == 0 {
-		hold = unknownHold.Seconds()
-	}
-	interval := seconds(hold / c.slotsOf(long))
+	interval := q.returnInterval(c, long)
 	earliest := now.Add(interval)
 	if c.nextReturn.Before(earliest) {
 		c.nextReturn = earliest
@@ -127,6 +123,15 @@
 	return jitter(c.nextReturn.Sub(now), q.random)
 }
 
+// returnInterval is the mean time between two of the customer's slots.
+func (q *Queue) returnInterval(c *customer, long bool) time.Duration {
+	hold := q.holdOf(c, long)
+	if hold == 0 {
+		hold = unknownHold.Seconds()
+	}
+	return min(seconds(hold/c.slotsOf(long)), maxRetryAfter)
+}
+
 func jitter(d time.Duration, random *rand.Rand) time.Duration {
 	factor := jitterLow + jitterWidth*random.Float64()
 	return max(time.Duration(float64(d)*factor), minRetryAfter)
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -59,6 +59,22 @@
 // Waiting is the number of requests in the queue.
 func (q *Queue) Waiting() int { return q.waiting }
 
+// Eligible is the number of waiting requests whose customers may use a free
+// slot; it visits every customer.
+func (q *Queue) Eligible() int {
+	total := 0
+	for _, c := range q.customers {
+		if c.held >= c.limit {
+			continue
+		}
+		total += c.short.count
+		if ok, lent := c.mayRunLong(); ok && (!lent || q.lentLong < q.lentLongBound) {
+			total += c.long.count
+		}
+	}
+	return total
+}
+
 // Slots is the number of requests that may run now.
 func (q *Queue) Slots() int { return q.slots }
 
@@ -140,6 +156,12 @@
 }
 
 func (q *Queue) refuse(now time.Time, c *customer, r *Request, reason Reason) (Decision, Changes) {
+	if reason == ReasonBusy {
+		// The entry node tries elsewhere; a booked return would only make
+		// callers who are really refused wait longer.
+		after := jitter(q.returnInterval(c, r.Long), q.random)
+		return Decision{Verdict: Refused, Reason: reason, RetryAfter: after}, q.changes
+	}
 	after := q.retryAfter(now, c, r.Long)
 	return Decision{Verdict: Refused, Reason: reason, RetryAfter: after}, q.changes
 }
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -304,6 +304,22 @@
 	}
 }
 
+// An entry probes a full target a thousand times and goes elsewhere each time.
+// The probes book no return: the first caller that is really refused is told to
+// come back with the next slot, and a probe never joins the queue.
+func TestProbesBookNoReturn(t *testing.T) {
+	b := newBench(t, 1, map[string]Share{"a": {Guaranteed: 1, Limit: 1}})
+	b.admit(1, Request{Customer: "a"})
+	b.enqueue(4, Request{Customer: "a"})
+	for range 1000 {
+		_, probe, _ := b.offer(Request{Customer: "a", NoWait: true})
+		assert.Equal(t, probe.Reason, ReasonBusy)
+	}
+	_, refused, _ := b.offer(Request{Customer: "a"})
+	assert.Equal(t, refused.Reason, ReasonQueueFull)
+	assert.Check(t, refused.RetryAfter < 2*unknownHold, "%s", refused.RetryAfter)
+}
+
 // The target loses half its slots while all run and more wait. Nothing that
 // runs is cut, nothing starts until the excess has ended, and what waits is
 // neither lost nor doubled.
@@ -471,3 +487,39 @@
 		})
 	}
 }
+
+// The system restarts under ten times its load: the queue has measured nothing
+// yet. What waits is bounded all the same, everyone else is told at once when
+// to come back, and each contract has its part of the slots from the start.
+func TestRestartUnderOverload(t *testing.T) {
+	b := newBench(t, 4, halves())
+	refused := 0
+	for range 100 {
+		for _, customer := range []string{"a", "a", "a", "b"} {
+			if _, decision, _ := b.offer(Request{Customer: customer}); decision.Verdict == Refused {
+				assert.Check(t, decision.RetryAfter >= minRetryAfter)
+				refused++
+			}
+		}
+	}
+	assert.Equal(t, b.q.Running()+b.q.Waiting(), 4+2*2*4)
+	assert.Equal(t, refused, 400-b.q.Running()-b.q.Waiting())
+	for _, id := range []string{"r1", "r2", "r3", "r4"} {
+		b.now = b.now.Add(50 * time.Millisecond)
+		b.release(id)
+	}
+	assert.Equal(t, b.q.customers["a"].held, 2)
+	assert.Equal(t, b.q.customers["b"].held, 2)
+}
+
+// BenchmarkMemory gives the slopes of docs/CAPACITY.md.
+func BenchmarkMemory(b *testing.B) {
+	for _, size := range []struct{ customers, waiting int }{{3, 0}, {300, 0}, {300, 12000}} {
+		b.Run(fmt.Sprintf("customers=%d/waiting=%d", size.customers, size.waiting), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				loaded(18, size.customers, size.waiting)
+			}
+		})
+	}
+}
--- a/internal/contract/check_service.go
+++ b/internal/contract/check_service.go
@@ -15,7 +15,7 @@
 		c.count(place, "slots", service.Slots, MaxSlots)
 		c.count(place, "max_connections", service.MaxConnections, MaxConnections)
 		c.wait(place, "slow_start", service.SlowStart.Std(), true)
-		c.part(place, "long_lent", service.LongLentPart())
+		c.part(place, "long_lent", service.LongLent)
 		c.committed(place, service)
 	}
 }
--- a/internal/contract/check_test.go
+++ b/internal/contract/check_test.go
@@ -34,16 +34,14 @@
 }
 
 func TestCheckFinds(t *testing.T) {
-	half := 0.5
-	nan := math.NaN()
 	cases := []struct {
 		desc  string
 		spoil func(set *Set, c *Contract, service *Service)
 		want  []finding.Code
 	}{
 		{"nothing wrong", func(*Set, *Contract, *Service) {}, nil},
-		{"long lent part", func(_ *Set, _ *Contract, s *Service) { s.LongLent = &half }, nil},
-		{"long lent not a number", func(_ *Set, _ *Contract, s *Service) { s.LongLent = &nan }, []finding.Code{CodeOutOfRange}},
+		{"long lent part", func(_ *Set, _ *Contract, s *Service) { s.LongLent = 0.5 }, nil},
+		{"long lent not a number", func(_ *Set, _ *Contract, s *Service) { s.LongLent = math.NaN() }, []finding.Code{CodeOutOfRange}},
 		{"no slots", func(_ *Set, _ *Contract, s *Service) { s.Slots = 0 }, []finding.Code{CodeOutOfRange}},
 		{"huge slots", func(_ *Set, _ *Contract, s *Service) { s.Slots = 1 << 40 }, []finding.Code{CodeOutOfRange}},
 		{"huge commitment", func(_ *Set, _ *Contract, s *Service) { s.Committed["north-1"] = math.MaxInt }, []finding.Code{CodeOutOfRange}},
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -28,20 +28,8 @@
 	SlowStart tomlfile.Duration `toml:"slow_start" cbor:"slow_start"`
 	// LongLent is the part of the slots guaranteed to customers that long
 	// requests of other customers may borrow, 0 to 1. Such a slot comes back
-	// only after minutes. Absent means DefaultLongLent.
-	LongLent *float64 `toml:"long_lent" cbor:"long_lent,omitempty"`
-}
-
-// DefaultLongLent is the part of guaranteed slots that long requests of other
-// customers may borrow where the service doesn't say.
-const DefaultLongLent = 0.25
-
-// LongLentPart is LongLent or its default.
-func (s *Service) LongLentPart() float64 {
-	if s.LongLent == nil {
-		return DefaultLongLent
-	}
-	return *s.LongLent
+	// only after minutes, so nothing is lent unless the service says so.
+	LongLent float64 `toml:"long_lent" cbor:"long_lent,omitempty"`
 }
 
 // CommittedUpstreams is the number of upstreams paid for over all domains.
--- a/internal/contract/parse_test.go
+++ b/internal/contract/parse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -21,6 +22,17 @@
 	}
 }
 
+// The contract that the operators' page tells newcomers to start from is good.
+func TestDocumentedContractIsGood(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operators/contracts.md")
+	assert.NilError(t, err)
+	_, rest, _ := strings.Cut(string(page), "```toml\n")
+	example, _, found := strings.Cut(rest, "```")
+	assert.Check(t, found)
+	_, faults := Parse([]Source{{Name: "contracts.md", Text: []byte(example)}})
+	assert.NilError(t, faults.AsError())
+}
+
 // Faults of form and of meaning in two contracts come together with their
 // lines, so that an operator mends all of them in one go.
 func TestFindingsCarryTheirPlace(t *testing.T) {
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -42,7 +42,7 @@
 		return terms
 	}
 	terms.Slots = service.Slots
-	terms.LongLent = service.LongLentPart()
+	terms.LongLent = service.LongLent
 	for i := range current.Set().Contracts {
 		contract := &current.Set().Contracts[i]
 		if grant := contract.Grant(service.Name); grant != nil {
@@ -80,8 +80,18 @@
 	delete(g.waiters, id)
 }
 
+// refusalDetails say in a sentence what each reason means.
+var refusalDetails = map[admission.Reason]string{
+	admission.ReasonQueueFull: "the customer is over its contract and its queue at this target is full",
+	admission.ReasonDeadline:  "no slot is likely to fall free before the deadline",
+	admission.ReasonLimit:     "the customer holds as many slots as its contract allows",
+	admission.ReasonNoGrant:   "the customer's contract grants nothing of this service",
+	admission.ReasonBusy:      "no slot is free at this target",
+	admission.ReasonDuplicate: "a request with this id is known already",
+}
+
 func refusalOf(reason admission.Reason, retryAfter time.Duration) *port.Refusal {
-	return port.Refuse(port.Reason(reason), retryAfter, "admission refused the request")
+	return &port.Refusal{Reason: port.Reason(reason), RetryAfter: retryAfter, Detail: refusalDetails[reason]}
 }
 
 // enter waits for a slot. On success the caller must call leave once.
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -52,7 +52,9 @@
 }
 
 func (n *Node) admissionRequest(call *port.Call) admission.Request {
-	request := admission.Request{ID: call.ID, Customer: call.Customer, Depth: call.Depth, Deadline: call.Deadline}
+	request := admission.Request{
+		ID: call.ID, Customer: call.Customer, Depth: call.Depth, Deadline: call.Deadline, NoWait: call.NoWait,
+	}
 	current := n.current.Load()
 	contract := current.Contract(call.Customer)
 	if contract == nil {
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -81,6 +81,9 @@
 	// Depth is how many calls of the same chain are open above this one; 0 is
 	// a caller's own request.
 	Depth int
+	// NoWait asks the owner node to refuse the call where it would have to
+	// wait for a slot, so that the entry node can try another target first.
+	NoWait bool
 	// Deadline bounds the wait for the first byte of the answer.
 	Deadline time.Time
 	// Stall bounds the wait between two bytes of the answer's body.
