--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -28,8 +28,21 @@
 	SlowStart tomlfile.Duration `toml:"slow_start" cbor:"slow_start"`
 	// LongLent is the part of the slots guaranteed to customers that long
 	// requests of other customers may borrow, 0 to 1. Such a slot comes back
-	// only after minutes, so nothing is lent unless the service says so.
-	LongLent float64 `toml:"long_lent" cbor:"long_lent,omitempty"`
+	// only after minutes. Absent means DefaultLongLent.
+	LongLent *float64 `toml:"long_lent" cbor:"long_lent,omitempty"`
+}
+
+// DefaultLongLent lends nothing: with a quarter, customers that paused were
+// kept to 0.74 of their contract when they came back
+// (docs/measurements/admission.md).
+const DefaultLongLent = 0.0
+
+// LongLentPart is LongLent or its default.
+func (s *Service) LongLentPart() float64 {
+	if s.LongLent == nil {
+		return DefaultLongLent
+	}
+	return *s.LongLent
 }
 
 // CommittedUpstreams is the number of upstreams paid for over all domains.
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -42,7 +42,7 @@
 		return terms
 	}
 	terms.Slots = service.Slots
-	terms.LongLent = service.LongLent
+	terms.LongLent = service.LongLentPart()
 	for i := range current.Set().Contracts {
 		contract := &current.Set().Contracts[i]
 		if grant := contract.Grant(service.Name); grant != nil {
--- a/internal/port/audit.go
+++ b/internal/port/audit.go
@@ -14,12 +14,17 @@
 	AuditStarted       AuditKind = "started"
 	AuditApplied       AuditKind = "version-applied"
 	AuditRefused       AuditKind = "version-refused"
+	AuditConflict      AuditKind = "version-conflict"
+	AuditIncomplete    AuditKind = "version-incomplete"
 	AuditMemberChanged AuditKind = "member-changed"
 	AuditStopping      AuditKind = "stopping"
 	AuditStopped       AuditKind = "stopped"
 	AuditPlatformDown  AuditKind = "platform-down"
 	AuditPlatformUp    AuditKind = "platform-up"
 	AuditPaused        AuditKind = "paused"
+	// AuditRequestsRefused sums up the refusals of requests of one reason over
+	// a minute: Subject is the reason, Detail the count.
+	AuditRequestsRefused AuditKind = "requests-refused"
 )
 
 // AuditEvent is one entry of the trail.
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -76,6 +76,8 @@
 	Customer string
 	Route    string
 	Service  string
+	// Entry is the VM whose node took the request from its caller.
+	Entry string
 	// Version is the sender's applied version.
 	Version snapshot.Version
 	// Depth is how many calls of the same chain are open above this one; 0 is
