admission: keep a slot for calls of a chain that come back to the service

Cause: an outer call holds its slot while it waits for an inner call of the same service. Under load outer calls hold all slots, their inner calls wait, and nothing ends before a deadline.

Deeper calls already went first. While revisits come, and 10 s longer, one slot for each deeper level is kept from shallower calls, half the slots at most. Offer now lists the admitted request among those that started, in order, which the property test needs to judge reserved slots and which removes a special case. The experiment implements experiment.Experiment, so tamarackload runs it; its runs go side by side.

Mutation check: nothing reserved, never forgotten, shares ignored and limits ignored in reserved slots: each red.

--- a/cmd/tamarackload/main.go
+++ b/cmd/tamarackload/main.go
@@ -10,12 +10,13 @@
 	"syscall"
 
 	"tamarackquay/internal/experiment"
+	"tamarackquay/internal/experiment/admission"
 	"tamarackquay/internal/load/cli"
 	"tamarackquay/standin/target"
 )
 
 // experiments are those that 'tamarackload experiment' lists.
-var experiments []experiment.Experiment
+var experiments = []experiment.Experiment{admission.Experiment{}}
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -29,6 +29,9 @@
 	// Depth is how many calls of the same chain are open above this one; 0 is
 	// a caller's own request.
 	Depth int
+	// Revisits is how many of those open calls hold a slot of this same
+	// service; above 0 the chain is a cycle.
+	Revisits int
 	// Deadline is when the caller stops waiting for the first byte.
 	Deadline time.Time
 	// Long requests hold a slot for minutes.
@@ -77,7 +80,7 @@
 	RetryAfter time.Duration
 }
 
-// Changes are what an event did to requests that waited. The slices belong to
+// Changes are what an event did to requests, in order. The slices belong to
 // the queue and are overwritten by its next event.
 type Changes struct {
 	Started []Request
--- a/internal/admission/customer.go
+++ b/internal/admission/customer.go
@@ -107,6 +107,17 @@
 	return &c.short
 }
 
+// tier is the heap that the customer's next slot is given from.
+func (c *customer) tier() int {
+	switch {
+	case c.held < c.whole:
+		return heapBelow
+	case float64(c.held) < c.guaranteed:
+		return heapFraction
+	}
+	return heapLent
+}
+
 // weight divides lent slots among customers.
 func (c *customer) weight() float64 { return max(c.share.Guaranteed, leastWeight) }
 
--- a/internal/admission/lane.go
+++ b/internal/admission/lane.go
@@ -95,6 +95,21 @@
 	return nil
 }
 
+// firstWhere returns the first request in order that the condition holds for, or
+// nil. It may look at every one.
+func (l *lane) firstWhere(condition func(*entry) bool) *entry {
+	for i, word := range l.used {
+		for ; word != 0; word &= word - 1 {
+			for e := l.buckets[i*wordBits+bits.TrailingZeros64(word)].head; e != nil; e = e.next {
+				if condition(e) {
+					return e
+				}
+			}
+		}
+	}
+	return nil
+}
+
 // firstDead returns a request at the head of a bucket that is past its deadline,
 // or nil. Requests of one bucket mostly share a route, so the oldest dies first.
 func (l *lane) firstDead(now time.Time) *entry {
--- a/internal/admission/property_test.go
+++ b/internal/admission/property_test.go
@@ -31,6 +31,7 @@
 	ended   map[string]int
 	offered int
 	lacking map[string]time.Time
+	seen    [MaxDepth + 1]time.Time
 }
 
 func newModel(t *rapid.T) *model {
@@ -103,9 +104,23 @@
 	return FloorSlots(m.terms.LongLent, m.q.Slots()) + FloorSlots(1-claimed, m.q.Slots())
 }
 
+// reserved is how many slots are kept for deeper calls of cycles seen lately.
+func (m *model) reserved(level int) int {
+	deepest := level
+	for deeper := level + 1; deeper <= MaxDepth; deeper++ {
+		if !m.seen[deeper].IsZero() && m.now.Sub(m.seen[deeper]) <= revisitMemory {
+			deepest = deeper
+		}
+	}
+	return min(deepest-level, m.q.Slots()/2)
+}
+
 // eligible reports whether a waiting request may run on a free slot.
 func (m *model) eligible(r Request) bool {
 	held, long := m.held(r.Customer)
+	if m.q.Slots()-len(m.running) <= m.reserved(r.Revisits) {
+		return false
+	}
 	if held >= m.limit(r.Customer) || !r.Deadline.After(m.now) {
 		return false
 	}
@@ -158,8 +173,6 @@
 	delete(m.ends, id)
 }
 
-// take books an event's changes. Requests that start in one event start at the
-// same moment: they are checked against those that go on waiting.
 func (m *model) take(changes Changes) {
 	for _, d := range changes.Dropped {
 		_, waited := m.waiting[d.Request.ID]
@@ -170,8 +183,6 @@
 		_, waited := m.waiting[r.ID]
 		assert.Assert(m.t, waited, "%s started but did not wait", r.ID)
 		delete(m.waiting, r.ID)
-	}
-	for _, r := range changes.Started {
 		m.start(r)
 	}
 }
@@ -184,18 +195,17 @@
 		Deadline: m.now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(m.t, "deadline")) * time.Millisecond),
 	}
 	m.offered++
+	if rapid.IntRange(0, 19).Draw(m.t, "cycle") == 0 {
+		r.Revisits = 1 + r.Depth
+		m.seen[r.Revisits] = m.now
+	}
 	decision, changes := m.q.Offer(m.now, r)
-	if decision.Verdict == Admitted {
+	if decision.Verdict == Refused {
+		m.ended[r.ID]++
+	} else {
 		m.waiting[r.ID] = r
-		changes.Started = append(slices.Clone(changes.Started), r)
 	}
 	m.take(changes)
-	switch decision.Verdict {
-	case Queued:
-		m.waiting[r.ID] = r
-	case Refused:
-		m.ended[r.ID]++
-	}
 }
 
 // advance moves time on; requests that end in between give their slots back.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -28,6 +27,11 @@
 	lentLongBound int
 	arrivals      uint64
 
+	// levels and revisiting serve chains that come back to the service; see
+	// cycle.go. Revisiting counts those that wait.
+	levels     revisitLevels
+	revisiting int
+
 	// contested is for how many seconds some customer has waited for a part
 	// of a slot; fractional slots are charged in this time, so that using one
 	// that nobody else wants costs nothing.
@@ -59,27 +63,11 @@
 // Waiting is the number of requests in the queue.
 func (q *Queue) Waiting() int { return q.waiting }
 
-// Eligible is the number of waiting requests whose customers may use a free
-// slot; it visits every customer.
-func (q *Queue) Eligible() int {
-	total := 0
-	for _, c := range q.customers {
-		if c.held >= c.limit {
-			continue
-		}
-		total += c.short.count
-		if ok, lent := c.mayRunLong(); ok && (!lent || q.lentLong < q.lentLongBound) {
-			total += c.long.count
-		}
-	}
-	return total
-}
-
 // Slots is the number of requests that may run now.
 func (q *Queue) Slots() int { return q.slots }
 
 // Offer decides on a new request. Requests that waited may start or end by the
-// same event.
+// same event; an admitted one is itself among those that started.
 func (q *Queue) Offer(now time.Time, r Request) (Decision, Changes) {
 	q.begin(now)
 	c := q.customers[r.Customer]
@@ -92,6 +80,7 @@
 	if _, known := q.entries[r.ID]; known {
 		return Decision{Verdict: Refused, Reason: ReasonDuplicate}, q.changes
 	}
+	q.levels.see(now, &r)
 	e := q.newEntry(c, r)
 	if q.running < q.slots {
 		// Enough slots may be free for those that wait as well: a target
@@ -99,7 +88,6 @@
 		q.enqueue(e)
 		q.start(now)
 		if e.running {
-			q.changes.Started = without(q.changes.Started, r.ID)
 			return Decision{Verdict: Admitted}, q.changes
 		}
 		q.dequeue(e)
@@ -112,12 +100,6 @@
 	return Decision{Verdict: Queued}, q.changes
 }
 
-// without takes the request that the caller of Offer learns of by the verdict
-// out of the started ones.
-func without(started []Request, id string) []Request {
-	return slices.DeleteFunc(started, func(r Request) bool { return r.ID == id })
-}
-
 // Release gives back the slot of a request that ended. Unknown and waiting
 // requests are left alone.
 func (q *Queue) Release(now time.Time, id string) Changes {
@@ -230,11 +212,10 @@
 // whose callers have gone, and the living must not wait behind their work.
 func (q *Queue) start(now time.Time) {
 	for q.running < q.slots {
-		c, from := q.tiers.next(q.lentLong < q.lentLongBound)
-		if c == nil {
+		e, from := q.next(now)
+		if e == nil {
 			return
 		}
-		e := c.best(q.lentLong < q.lentLongBound)
 		if !e.request.Deadline.After(now) {
 			q.drop(now, e, ReasonDeadline)
 			continue
@@ -243,6 +224,20 @@
 	}
 }
 
+// next returns the request that the next free slot goes to, and the tier of its
+// customer, or nil.
+func (q *Queue) next(now time.Time) (*entry, int) {
+	if q.slots-q.running <= q.reserved(now, 0) {
+		return q.nextInner(now)
+	}
+	lentLongLeft := q.lentLong < q.lentLongBound
+	c, from := q.tiers.next(lentLongLeft)
+	if c == nil {
+		return nil, 0
+	}
+	return c.best(lentLongLeft), from
+}
+
 func (q *Queue) run(now time.Time, e *entry, from int) {
 	c := e.customer
 	hold := q.holdOf(c, e.request.Long)
@@ -250,8 +245,7 @@
 		hold = unknownHold.Seconds()
 	}
 	q.tiers.charge(c, from, hold)
-	c.lane(e.request.Long).remove(e)
-	q.waiting--
+	q.unlist(e)
 	e.running = true
 	e.started = now
 	q.hold(c, e.request.Long, 1)
@@ -303,13 +297,23 @@
 	}
 	c.lane(e.request.Long).push(e)
 	q.waiting++
+	if e.request.Revisits > 0 {
+		q.revisiting++
+	}
 	q.tiers.place(c)
 }
 
 func (q *Queue) dequeue(e *entry) {
+	q.unlist(e)
+	q.tiers.place(e.customer)
+}
+
+func (q *Queue) unlist(e *entry) {
 	e.customer.lane(e.request.Long).remove(e)
 	q.waiting--
-	q.tiers.place(e.customer)
+	if e.request.Revisits > 0 {
+		q.revisiting--
+	}
 }
 
 func (q *Queue) newEntry(c *customer, r Request) *entry {
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -197,6 +197,24 @@
 	assert.DeepEqual(t, b.release(outer[0]), inner[:1])
 }
 
+// Chains come back to the service that they hold a slot of. New chains must not
+// take the last slot: were all held by outer calls, no inner call could run and
+// nothing would end before its deadline. Once such chains have stopped coming,
+// nothing is kept back.
+func TestCycleFindsAReservedSlot(t *testing.T) {
+	b := newBench(t, 3, map[string]Share{"a": {Guaranteed: 1, Limit: 1}})
+	outer := b.admit(1, Request{Customer: "a"})
+	inner := b.admit(1, Request{Customer: "a", Depth: 1, Revisits: 1})
+	b.release(inner[0])
+	b.admit(1, Request{Customer: "a"})
+	chain := b.enqueue(1, Request{Customer: "a", Deadline: b.now.Add(time.Minute)})
+	inner = b.admit(1, Request{Customer: "a", Depth: 1, Revisits: 1})
+	assert.Equal(t, len(b.release(inner[0])), 0, "the slot is kept for the next inner call")
+	b.now = b.now.Add(2 * revisitMemory)
+	assert.DeepEqual(t, b.release(outer[0]), chain)
+	b.admit(1, Request{Customer: "a"})
+}
+
 // Archives may borrow only a bounded part of what others are guaranteed, so the
 // short requests of a customer that comes back find the rest at once. Slots
 // that nobody is guaranteed are lent to archives freely.
--- a/internal/admission/tiers.go
+++ b/internal/admission/tiers.go
@@ -36,8 +36,10 @@
 
 func (h *customerHeap) Len() int { return len(h.items) }
 
-func (h *customerHeap) Less(i, j int) bool {
-	a, b := h.items[i], h.items[j]
+func (h *customerHeap) Less(i, j int) bool { return h.before(h.items[i], h.items[j]) }
+
+// before reports whether a is served before b.
+func (h *customerHeap) before(a, b *customer) bool {
 	if ka, kb := h.key(a), h.key(b); ka != kb {
 		return ka < kb
 	}
@@ -106,11 +108,10 @@
 func (t *tiers) place(c *customer) {
 	longOK, lentLong := c.mayRunLong()
 	eligible := c.held < c.limit && (c.short.count > 0 || longOK)
-	below := c.held < c.whole
-	fraction := !below && float64(c.held) < c.guaranteed
-	lent := !below && !fraction
-	t.heaps[heapBelow].set(c, eligible && below)
-	t.heaps[heapFraction].set(c, eligible && fraction)
+	tier := c.tier()
+	lent := tier == heapLent
+	t.heaps[heapBelow].set(c, eligible && tier == heapBelow)
+	t.heaps[heapFraction].set(c, eligible && tier == heapFraction)
 	t.heaps[heapLent].set(c, eligible && lent && (c.short.count > 0 || longOK && !lentLong))
 	t.heaps[heapLentLong].set(c, eligible && lent && longOK && lentLong)
 }
--- a/internal/experiment/admission/experiment.go
+++ b/internal/experiment/admission/experiment.go
@@ -7,9 +7,14 @@
 package admission
 
 import (
-	"fmt"
+	"context"
+	"io"
+	"runtime"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"tamarackquay/internal/experiment"
 )
 
 // Config chooses what to run.
@@ -48,149 +53,109 @@
 // lookupSeconds is the mean service time of a short request.
 const lookupSeconds = 0.05
 
-// Run makes every experiment and returns the report.
-func Run(config Config) (Report, error) {
-	if config.Seconds <= 0 || config.Seconds > 3600 {
-		return Report{}, errors.Errorf("seconds is %v, give more than 0 and at most 3600", config.Seconds)
-	}
-	if config.QueuePerSlot < 1 {
-		return Report{}, errors.Errorf("queue per slot is %d, give at least 1", config.QueuePerSlot)
-	}
-	report := Report{Config: config}
-	for _, deployment := range []Deployment{CoOperative, LightingRecords} {
-		for _, load := range Loads {
-			for _, policy := range Policies {
-				report.add(Overload(config, deployment, load, policy))
-			}
-		}
-		for _, bound := range []int{2, 4, 6, 8, 12} {
-			report.add(QueueBound(config, deployment, bound))
-		}
-		for _, multiple := range []float64{0, 1, 5, 20} {
-			for _, policy := range Policies {
-				report.add(Classes(config, deployment, multiple, policy))
-			}
-		}
-		for _, load := range Loads {
-			for _, placement := range Placements {
-				report.add(Placed(config, deployment, load, placement))
-			}
-		}
-		for _, placement := range []Placement{PlaceNear, PlaceRegion} {
-			report.add(OneRegion(config, deployment, placement))
-		}
-		for _, part := range []float64{0, 0.25, 0.5, 1} {
-			report.add(Long(config, deployment, part))
-		}
-		for _, cut := range []bool{false, true} {
-			report.add(Limit(config, deployment, cut))
-		}
-	}
-	return report, nil
-}
+// Experiment implements experiment.Experiment.
+type Experiment struct{}
 
-// Overload offers load times the capacity. One customer, "surge", sends up to
-// twenty times its contract; the others share the rest.
-func Overload(config Config, deployment Deployment, load float64, policy Policy) Result {
-	surge := min(20*surgeShare, max(load-0.9*min(load, 1), surgeShare*load))
-	others := (load - surge) / (1 - surgeShare)
-	demands := []demand{
-		{customer: "large", share: 0.4, limit: 1, load: 0.4 * others},
-		{customer: "middle", share: 0.3, limit: 1, load: 0.3 * others},
-		{customer: "small", share: 0.2, limit: 1, load: 0.2 * others},
-		{customer: "surge", share: surgeShare, limit: 1, load: surge},
-	}
-	return run(scenario{
-		config: config, name: "overload", detail: fmt.Sprintf("load %g", load),
-		deployment: deployment, policy: policy, placement: PlaceProbe, demands: demands,
-	})
-}
+var _ experiment.Experiment = Experiment{}
 
-// QueueBound shows what the bound of the queues costs: a short queue drops
-// requests that a moment later would have had a slot, a long one lets them wait.
-func QueueBound(config Config, deployment Deployment, bound int) Result {
-	config.QueuePerSlot = bound
-	r := Overload(config, deployment, 1.2, PolicyShares)
-	r.Experiment = "queue-bound"
-	r.Detail = fmt.Sprintf("%d a slot", bound)
-	return r
-}
+// Name implements experiment.Experiment.
+func (Experiment) Name() string { return "admission" }
 
-// surgeShare is the guaranteed share of the customer that sends too much.
-const surgeShare = 0.1
-
-// Classes lets one customer's internal lookups grow to multiple times its
-// share, while its inspectors and another customer go on as before.
-func Classes(config Config, deployment Deployment, multiple float64, policy Policy) Result {
-	const share = 0.7
-	demands := []demand{
-		{customer: "records", class: "inspector", share: share, limit: 1, load: 0.1},
-		{customer: "records", class: "internal", rank: 1, share: share, limit: 1, load: share * multiple},
-		{customer: "other", class: "other", share: 1 - share, limit: 1, load: 0.25},
-	}
-	return run(scenario{
-		config: config, name: "classes", detail: fmt.Sprintf("lookups %gx", multiple),
-		deployment: deployment, policy: policy, placement: PlaceProbe, demands: demands,
-	})
+// Summary implements experiment.Experiment.
+func (Experiment) Summary() string {
+	return "contracts kept under overload, against first come first served and a fixed partition"
 }
 
-// Placed compares where requests wait. Requests enter unevenly, as callers do.
-func Placed(config Config, deployment Deployment, load float64, placement Placement) Result {
-	demands := []demand{
-		{customer: "one", share: 0.6, limit: 1, load: 0.6 * load},
-		{customer: "two", share: 0.4, limit: 1, load: 0.4 * load},
+// quickSeconds is the virtual time of a quick run.
+const quickSeconds = 2
+
+// Run implements experiment.Experiment.
+func (Experiment) Run(ctx context.Context, w io.Writer, options experiment.Options) error {
+	config := DefaultConfig()
+	config.Seed = options.Seed
+	if options.Quick {
+		config.Seconds = quickSeconds
+	}
+	report, err := Run(ctx, config)
+	if err != nil {
+		return err
 	}
-	return run(scenario{
-		config: config, name: "placement", detail: fmt.Sprintf("load %g", load),
-		deployment: deployment, policy: PolicyShares, placement: placement, demands: demands, skewed: true,
-	})
+	return report.WriteText(w)
 }
 
-// OneRegion lets all demand of one customer enter in one region, at its full
-// guarantee, while another customer sends three times the capacity everywhere.
-func OneRegion(config Config, deployment Deployment, placement Placement) Result {
-	demands := []demand{
-		{customer: "local", share: 0.5, limit: 1, load: 0.5, entries: entriesOfRegion},
-		{customer: "everywhere", share: 0.5, limit: 1, load: 3},
+// Run makes every run of the experiment and returns the report. Runs share
+// nothing, so they go side by side; the report doesn't depend on which ends
+// first.
+func Run(ctx context.Context, config Config) (Report, error) {
+	if err := config.check(); err != nil {
+		return Report{}, err
+	}
+	var plan []func() Result
+	for _, deployment := range []Deployment{CoOperative, LightingRecords} {
+		plan = append(plan, runsOf(config, deployment)...)
 	}
-	return run(scenario{
-		config: config, name: "one-region", detail: "local demand 1x its guarantee",
-		deployment: deployment, policy: PolicyShares, placement: placement, demands: demands,
-	})
+	report := Report{Config: config, Runs: make([]Result, len(plan))}
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(runtime.GOMAXPROCS(0))
+	for i, run := range plan {
+		group.Go(func() error {
+			if err := ctx.Err(); err != nil {
+				return err
+			}
+			report.Runs[i] = run()
+			return nil
+		})
+	}
+	return report, group.Wait()
 }
 
-// Limit lets one customer send twice the capacity against a limit of 0.3, with
-// the fleet whole or cut into two halves that can't reach each other.
-func Limit(config Config, deployment Deployment, cut bool) Result {
-	demands := []demand{
-		{customer: "limited", share: 0.2, limit: 0.3, load: 2},
-		{customer: "other", share: 0.5, limit: 1, load: 0.4},
+func (c Config) check() error {
+	if !(c.Seconds > 0 && c.Seconds <= 3600) {
+		return errors.Errorf("seconds is %v, give more than 0 and at most 3600", c.Seconds)
 	}
-	detail := "whole fleet"
-	if cut {
-		detail = "fleet cut in two"
+	if c.QueuePerSlot < 1 {
+		return errors.Errorf("queue per slot is %d, give at least 1", c.QueuePerSlot)
 	}
-	return run(scenario{
-		config: config, name: "limit", detail: detail, deployment: deployment,
-		policy: PolicyShares, placement: PlaceProbe, demands: demands, cut: cut,
-	})
+	return nil
 }
 
-// longSeconds is the mean service time of an archive.
-const longSeconds = 60
-
-// Long lets one customer's archives, ten times the capacity, meet another's
-// short tallies that pause and come back at their full guarantee. Part is how
-// much of what others are guaranteed archives may borrow. Archives take
-// minutes, so this run lasts eight times as long as the others.
-func Long(config Config, deployment Deployment, part float64) Result {
-	config.Seconds *= 8
-	demands := []demand{
-		{customer: "tallies", class: "crew", share: 0.6, limit: 1, load: 0.6, pause: 15},
-		{customer: "archives", class: "download", share: 0.3, limit: 1, load: 10, service: longSeconds, long: true},
+// runsOf lists the runs of one deployment.
+func runsOf(config Config, deployment Deployment) []func() Result {
+	var plan []func() Result
+	add := func(run func() Result) { plan = append(plan, run) }
+	for _, load := range Loads {
+		for _, policy := range Policies {
+			add(func() Result { return Overload(config, deployment, load, policy) })
+		}
+	}
+	for _, bound := range []int{2, 4, 6, 8, 12} {
+		add(func() Result { return QueueBound(config, deployment, bound) })
+	}
+	for _, multiple := range []float64{0, 1, 5, 20} {
+		for _, policy := range Policies {
+			add(func() Result { return Classes(config, deployment, multiple, policy) })
+		}
+	}
+	for _, load := range Loads {
+		for _, placement := range Placements {
+			add(func() Result { return Placed(config, deployment, load, placement) })
+		}
+	}
+	for _, placement := range []Placement{PlaceNear, PlaceRegion} {
+		add(func() Result { return OneRegion(config, deployment, placement) })
+	}
+	for _, part := range []float64{0, 0.25, 0.5, 1} {
+		add(func() Result { return Long(config, deployment, part) })
+	}
+	for _, load := range []float64{0.3, 0.6, 1.2} {
+		for _, inner := range []int{1, 2} {
+			add(func() Result { return Cycle(config, deployment, inner, load, true, PolicyFirstCome) })
+			add(func() Result { return Cycle(config, deployment, inner, load, false, PolicyShares) })
+			add(func() Result { return Cycle(config, deployment, inner, load, true, PolicyShares) })
+		}
+	}
+	for _, cut := range []bool{false, true} {
+		add(func() Result { return Limit(config, deployment, cut) })
 	}
-	return run(scenario{
-		config: config, name: "long", detail: fmt.Sprintf("long_lent %g", part), deployment: deployment,
-		policy: PolicyShares, placement: PlaceProbe, demands: demands, longLent: part,
-	})
+	return plan
 }
--- a/internal/experiment/admission/experiment_test.go
+++ b/internal/experiment/admission/experiment_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"tamarackquay/internal/experiment"
 )
 
 // gated is the run whose figures the tests below bound. Virtual time and the
@@ -128,7 +130,7 @@
 
 func TestConfigIsChecked(t *testing.T) {
 	for _, config := range []Config{{}, {Seconds: 1}, {Seconds: 4000, QueuePerSlot: 1}} {
-		_, err := Run(config)
+		_, err := Run(t.Context(), config)
 		assert.Check(t, err != nil)
 	}
 }
@@ -145,11 +147,23 @@
 	assert.Check(t, all < 0.5, "kept %.3f with no bound", all)
 }
 
+// Each request calls the same service again while it holds its slot, and there
+// is more demand than slots. Where inner calls are known as such they go first
+// and find a slot kept for them, so that chains end. Outer calls hold their slot
+// for both service times, so two thirds of the slots' time can be work at best.
+// Where inner calls are not known, outer ones hold all slots until deadlines
+// pass.
+func TestCyclesKeepMoving(t *testing.T) {
+	t.Parallel()
+	marked := Cycle(gated(4), CoOperative, 1, 1.2, true, PolicyShares)
+	unmarked := Cycle(gated(4), CoOperative, 1, 1.2, false, PolicyShares)
+	assert.Check(t, marked.Goodput > 0.55, "goodput %.3f", marked.Goodput)
+	assert.Check(t, unmarked.Goodput < 0.2, "goodput %.3f", unmarked.Goodput)
+}
+
 // BenchmarkReport prints the figures of docs/measurements/admission.md.
 func BenchmarkReport(b *testing.B) {
 	for b.Loop() {
-		report, err := Run(DefaultConfig())
-		assert.NilError(b, err)
-		assert.NilError(b, report.WriteText(os.Stdout))
+		assert.NilError(b, Experiment{}.Run(b.Context(), os.Stdout, experiment.Options{Seed: 1}))
 	}
 }
--- a/internal/experiment/admission/measure.go
+++ b/internal/experiment/admission/measure.go
@@ -40,7 +40,7 @@
 
 func newMeasure(w *world) *measure {
 	m := &measure{
-		w: w, from: w.scenario.config.Seconds * warmUp, until: w.end(),
+		w: w, from: w.scenario.config.Seconds * warmUp, until: w.lastArrival(),
 		heldNow: map[string]int{}, heldMost: map[string]int{}, refusals: map[string]int{},
 	}
 	for range w.scenario.demands {
@@ -71,19 +71,27 @@
 func (m *measure) offered(c *call) {
 	if m.counts(c) {
 		m.streams[c.stream].offered++
-		m.streams[c.stream].demand += c.service
+		m.streams[c.stream].demand += c.work()
+		c.wanted = c.work()
 	}
 }
 
 func (m *measure) started(c *call) {
-	if m.counts(c) {
-		m.streams[c.stream].received += c.service
+	if m.counts(c) && c.parent == nil {
 		// A histogram refuses values above its range, which the deadline
 		// keeps far away.
 		_ = m.streams[c.stream].waits.RecordValue(int64((m.w.now - c.arrived) * microsPerSecond))
 	}
 }
 
+// ended counts a caller's request that ended; work that was done for one that
+// failed below is lost.
+func (m *measure) ended(c *call) {
+	if m.counts(c) && !c.failed {
+		m.streams[c.stream].received += c.wanted
+	}
+}
+
 func (m *measure) refused(c *call, reason admission.Reason) {
 	if m.counts(c) {
 		m.streams[c.stream].refused++
--- a/internal/experiment/admission/policy.go
+++ b/internal/experiment/admission/policy.go
@@ -64,7 +64,7 @@
 	switch {
 	case len(q.running) < q.slots:
 		q.running[r.ID] = true
-		return admission.Decision{Verdict: admission.Admitted}, admission.Changes{}
+		return admission.Decision{Verdict: admission.Admitted}, admission.Changes{Started: []admission.Request{r}}
 	case r.NoWait:
 		return admission.Decision{Verdict: admission.Refused, Reason: admission.ReasonBusy}, admission.Changes{}
 	case len(q.waiting) >= q.bound:
--- a/internal/experiment/admission/world.go
+++ b/internal/experiment/admission/world.go
@@ -28,6 +28,11 @@
 	// pause lets the stream come and go: nothing for so many seconds, then
 	// requests for as many; 0 means that it never pauses.
 	pause float64
+	// inner is how many calls to the same service each request makes, one
+	// below the other; each holds its slot until the one below has ended.
+	inner int
+	// unmarked calls don't tell that they are inner ones.
+	unmarked bool
 	// entries are where the requests enter; empty means everywhere.
 	entries []int
 }
@@ -58,6 +63,22 @@
 	target  int
 	arrived float64
 	service float64
+	// parent waits for the call with its slot held; nil for callers' requests.
+	parent *call
+	// below are the service times of the inner calls still to be made.
+	below []float64
+	// wanted is the service time of the request with all inner calls.
+	wanted float64
+	failed bool
+}
+
+// work is the service time of a request with its inner calls.
+func (c *call) work() float64 {
+	total := c.service
+	for _, service := range c.below {
+		total += service
+	}
+	return total
 }
 
 // deadlineSeconds is how long callers wait for a slot.
@@ -154,24 +175,27 @@
 	heap.Push(&w.events, event{at: at, order: w.order, kind: kind, call: c})
 }
 
-// end is when arrivals stop; what is left then runs out.
-func (w *world) end() float64 { return w.scenario.config.Seconds * (1 + warmUp) }
+// lastArrival is when arrivals stop; what is left then runs out.
+func (w *world) lastArrival() float64 { return w.scenario.config.Seconds * (1 + warmUp) }
 
 // scheduleArrival draws the next request of a stream: Poisson arrivals and
 // exponential service times.
 func (w *world) scheduleArrival(stream int) {
 	d := &w.scenario.demands[stream]
 	mean := cmp.Or(d.service, lookupSeconds)
-	rate := d.load * float64(w.scenario.deployment.capacity()) / mean
+	rate := d.load * float64(w.scenario.deployment.capacity()) / (mean * float64(1+d.inner))
 	if rate == 0 {
 		return
 	}
 	at := d.resume(w.now + w.arrivals.ExpFloat64()/rate)
-	if at > w.end() {
+	if at > w.lastArrival() {
 		return
 	}
 	w.count++
 	c := &call{stream: stream, entry: w.drawEntry(d), arrived: at, service: w.arrivals.ExpFloat64() * mean}
+	for range d.inner {
+		c.below = append(c.below, w.arrivals.ExpFloat64()*mean)
+	}
 	c.request = admission.Request{
 		ID: strconv.Itoa(w.count), Customer: d.customer, Rank: d.rank, Long: d.long,
 		Deadline: time.Unix(0, 0).Add(time.Duration((at + deadlineSeconds) * float64(time.Second))),
@@ -211,16 +235,53 @@
 		w.measure.offered(e.call)
 		w.offer(e.call)
 	case eventFinish:
-		c := e.call
-		w.chooser.open[c.entry][c.target]--
-		w.measure.held(c, -1)
-		delete(w.calls, c.request.ID)
-		w.take(w.queues[c.target].Release(w.time(), c.request.ID))
+		if len(e.call.below) > 0 {
+			w.callInner(e.call)
+			return
+		}
+		w.finish(e.call)
 	case eventDeadline:
 		w.expire(e.call)
 	}
 }
 
+// finish ends a call that runs, and then the call that waits for it.
+func (w *world) finish(c *call) {
+	w.chooser.open[c.entry][c.target]--
+	w.measure.held(c, -1)
+	delete(w.calls, c.request.ID)
+	w.take(w.queues[c.target].Release(w.time(), c.request.ID))
+	w.end(c)
+}
+
+// end tells the caller of a call how it went.
+func (w *world) end(c *call) {
+	if c.parent == nil {
+		w.measure.ended(c)
+		return
+	}
+	c.parent.failed = c.parent.failed || c.failed
+	w.finish(c.parent)
+}
+
+// callInner makes the call below c; it enters at the node of c's own target and
+// has what is left of c's deadline.
+func (w *world) callInner(c *call) {
+	w.count++
+	inner := &call{
+		stream: c.stream, entry: c.target, arrived: w.now, service: c.below[0], parent: c, below: c.below[1:],
+		request: c.request,
+	}
+	c.below = nil
+	inner.request.ID = strconv.Itoa(w.count)
+	if !w.scenario.demands[c.stream].unmarked {
+		inner.request.Depth++
+		inner.request.Revisits++
+	}
+	w.calls[inner.request.ID] = inner
+	w.offer(inner)
+}
+
 // offer tries targets until one admits the call or lets it wait.
 func (w *world) offer(c *call) {
 	reason := admission.ReasonQueueFull
@@ -235,15 +296,15 @@
 		c.target = target
 		c.request.NoWait = next.noWait
 		decision, changes := w.queues[target].Offer(w.time(), c.request)
+		if decision.Verdict != admission.Refused {
+			w.chooser.open[c.entry][target]++
+		}
 		w.take(changes)
 		switch decision.Verdict {
 		case admission.Admitted:
-			w.chooser.open[c.entry][target]++
-			w.start(c)
 			return
 		case admission.Queued:
-			w.chooser.open[c.entry][target]++
-			w.schedule(c.arrived+deadlineSeconds, eventDeadline, c)
+			w.schedule(c.request.Deadline.Sub(time.Unix(0, 0)).Seconds(), eventDeadline, c)
 			return
 		}
 		reason = decision.Reason
@@ -272,6 +333,8 @@
 func (w *world) refuse(c *call, reason admission.Reason) {
 	delete(w.calls, c.request.ID)
 	w.measure.refused(c, reason)
+	c.failed = true
+	w.end(c)
 }
 
 func (w *world) expire(c *call) {
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -53,7 +53,8 @@
 
 func (n *Node) admissionRequest(call *port.Call) admission.Request {
 	request := admission.Request{
-		ID: call.ID, Customer: call.Customer, Depth: call.Depth, Deadline: call.Deadline, NoWait: call.NoWait,
+		ID: call.ID, Customer: call.Customer, Deadline: call.Deadline, NoWait: call.NoWait,
+		Depth: len(call.Chain), Revisits: revisits(call),
 	}
 	current := n.current.Load()
 	contract := current.Contract(call.Customer)
@@ -69,6 +70,17 @@
 	return request
 }
 
+// revisits counts the open calls of the chain that hold a slot of the service.
+func revisits(call *port.Call) int {
+	count := 0
+	for _, service := range call.Chain {
+		if service == call.Service {
+			count++
+		}
+	}
+	return count
+}
+
 // copyBufferBytes is the size of the buffer that bodies pass through.
 const copyBufferBytes = 64 << 10
 
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -80,9 +80,9 @@
 	Entry string
 	// Version is the sender's applied version.
 	Version snapshot.Version
-	// Depth is how many calls of the same chain are open above this one; 0 is
-	// a caller's own request.
-	Depth int
+	// Chain names the services of the calls of the same chain that are open
+	// above this one, outermost first; empty for a caller's own request.
+	Chain []string
 	// NoWait asks the owner node to refuse the call where it would have to
 	// wait for a slot, so that the entry node can try another target first.
 	NoWait bool
