Decide attempts as a whole: retries, budget, resume, choice, departing

Cause: the thin dispatch judged the last attempt alone. Found in it: - An idempotent request whose first attempt may have run and whose second was refused was told "did not run". - Only body-less requests were offered elsewhere, so a refused filing never was. - The list of targets was scanned and copied for each request. - A hung target used up the whole deadline; nothing bounded retries. - Callers that stop reading held a slot for ever; the stall timer also ran while the caller was the slow one. - Callers that give up, or bring a short deadline, looked like failures. - A planned stop refused callers at once and closed idle connections at once.

Now: one flight per request keeps what all its attempts prove. Small bodies are kept; a large one is handed on only unread, and an attempt that is over can read nothing of it. A budget per service bounds retries. Targets that say they take no work are left alone and cost no budget. Pools of targets are built when the service's own targets change, cut to a rendezvous subset of eight per distance, and chosen from by two choices on own open count, latency and aged reports, with slow start and ejection of at most half. Bodies that break or stall are resumed from another target under a strong ETag. Owner nodes remember the calls of the last half minute, and answer a duplicate with "unknown": the first may have run. A node behind the call's version serves what its own version knows. A stopping node lingers as an entry and closes connections with its answers.

Ruled out: refusing every call that is newer than the owner (a refusal storm each time a version spreads); charging the budget for refusals of stopping nodes (a third of a domain restarted at once would then cost callers their answers); a hedge that keeps the first attempt running (two slots for one request).

--- a/cmd/tamarackd/run.go
+++ b/cmd/tamarackd/run.go
@@ -31,6 +31,9 @@
 
 // Times of a planned stop.
 const (
+	// linger is longer than callers usually leave between two requests, and
+	// short beside the time that a planned stop may take.
+	linger            = time.Second
 	closeTimeout      = 5 * time.Second
 	readHeaderTimeout = 10 * time.Second
 	idleSweep         = 15 * time.Second
@@ -133,6 +136,7 @@
 		Membership:   membership.Config{SuspectAfter: s.Peers.SuspectAfter.Std(), ForgetAfter: s.Peers.ForgetAfter.Std()},
 		QueuePerSlot: s.Requests.QueuePerSlot,
 		MaxAttempts:  s.Requests.MaxAttempts,
+		Linger:       linger,
 		Drain:        s.Requests.Drain.Std(),
 		Seed:         uint64(time.Now().UnixNano()),
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -1,8 +1,9 @@
 package node
 
 import (
-	"context"
+	"maps"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -11,14 +12,16 @@
 
 	"tamarackquay/internal/adapter/callhttp"
 	"tamarackquay/internal/contract"
-	"tamarackquay/internal/membership"
 	"tamarackquay/internal/port"
-	"tamarackquay/internal/routing"
 	"tamarackquay/internal/snapshot"
 )
 
-// retryWhenNotReady is told to callers of a node that has no version yet.
-const retryWhenNotReady = 2 * time.Second
+// When to come back, as told to callers.
+const (
+	retryWhenNotReady  = 2 * time.Second
+	retryWhenStopping  = time.Second
+	retryAfterDeadline = time.Second
+)
 
 // ServeCaller is the entry of a caller's request: it finds the contract and
 // route, chooses targets, and passes the answer back.
@@ -26,11 +29,12 @@
 	n.running.Add(1)
 	defer n.running.Add(-1)
 	w.Header().Set(callhttp.HeaderEntry, n.config.Self.ID)
-	current := n.current.Load()
+	n.closeWhenStopping(w)
 	if refusal := n.mayServe(); refusal != nil {
 		n.fail(w, "", refusal)
 		return
 	}
+	current := n.current.Load()
 	call, route, refusal := n.newCall(current, r)
 	if refusal != nil {
 		n.fail(w, "", refusal)
@@ -38,15 +42,57 @@
 	}
 	w.Header().Set(callhttp.HeaderVersion, current.Version().String())
 	w.Header().Set(callhttp.HeaderRequestID, call.ID)
-	answer, done, err := n.dispatch(r.Context(), call, route)
+	body, refusal := n.takeBody(w, r, call)
+	if refusal != nil {
+		n.fail(w, route.Name, refusal)
+		return
+	}
+	f := n.newFlight(call, route, current.Service(call.Service), body)
+	f.shortened = r.Header.Get(callhttp.HeaderBudget) != ""
+	d, err := f.dispatch(r.Context())
 	if err != nil {
 		n.fail(w, route.Name, err)
 		return
 	}
-	defer done()
+	d = f.resumable(r.Context(), d)
+	defer func() { d.release() }()
 	n.ports.Meter.Count(port.MetricAnswered, route.Name, 1)
-	w.Header().Set(callhttp.HeaderOwner, answer.Owner)
-	passAnswer(w, answer, call.Stall)
+	w.Header().Set(callhttp.HeaderOwner, d.answer.Owner)
+	passAnswer(w, call.Method, d.answer, call.Stall)
+}
+
+// takeBody keeps a small body before any target is asked: a caller that sends
+// slowly then holds no slot. The deadline bounds it.
+func (n *Node) takeBody(w http.ResponseWriter, r *http.Request, call *port.Call) (*requestBody, *port.Refusal) {
+	if r.ContentLength == 0 {
+		return &requestBody{}, nil
+	}
+	control := http.NewResponseController(w)
+	// Recorders of tests have no deadlines; a connection always has.
+	_ = control.SetReadDeadline(call.Deadline)
+	body, length, err := readBody(r.Body, r.ContentLength)
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, port.Refuse(port.ReasonBodyTooLarge, 0, "the body is over %d bytes", tooLarge.Limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, port.Refuse(port.ReasonDeadline, retryAfterDeadline, "the body did not arrive before the deadline")
+	case err != nil:
+		return nil, port.Refuse(port.ReasonBadRequest, 0, "%v", err)
+	}
+	call.ContentLength = length
+	return body, nil
+}
+
+// deadline is the route's, shortened by what the caller has left itself. A
+// target that calls on passes its own deadline down the chain in this way.
+func (n *Node) deadline(route *contract.Route, r *http.Request) time.Time {
+	budget := route.Deadline.Std()
+	if left, err := callhttp.ParseMillis(r.Header.Get(callhttp.HeaderBudget)); err == nil && left < budget {
+		budget = left
+	}
+	return n.ports.Clock.Now().Add(budget)
 }
 
 // fail tells the caller that there is no answer, and what is known.
@@ -60,10 +106,24 @@
 	callhttp.WriteError(w, err)
 }
 
+// mayServe reports whether callers are served. A stopping node goes on for a
+// while, through the targets of other nodes; see Stop.
 func (n *Node) mayServe() *port.Refusal {
+	if n.closed.Load() {
+		return port.Refuse(port.ReasonStopping, retryWhenStopping, "this node is stopping; ask another")
+	}
+	return n.mayKnow()
+}
+
+// mayOwn reports whether the local target takes new work.
+func (n *Node) mayOwn() *port.Refusal {
 	if n.stopping.Load() {
-		return port.Refuse(port.ReasonStopping, time.Second, "this node is stopping; ask another")
+		return port.Refuse(port.ReasonStopping, retryWhenStopping, "this VM is stopping; ask another")
 	}
+	return n.mayKnow()
+}
+
+func (n *Node) mayKnow() *port.Refusal {
 	if !n.ready.Load() {
 		return port.Refuse(port.ReasonNotReady, retryWhenNotReady, "this node has no current configuration yet")
 	}
@@ -90,20 +150,20 @@
 		Route:         route.Name,
 		Service:       route.Service,
 		Version:       current.Version(),
-		Deadline:      n.ports.Clock.Now().Add(route.Deadline.Std()),
+		Deadline:      n.deadline(route, r),
+		Entry:         n.config.Self.ID,
 		Stall:         route.Stall.Std(),
 		Method:        r.Method,
 		Target:        r.URL.RequestURI(),
 		Header:        withoutToken(r.Header),
-		Body:          r.Body,
 		ContentLength: r.ContentLength,
 	}, route, nil
 }
 
 // withoutToken keeps the caller's secret from targets.
 func withoutToken(from http.Header) http.Header {
-	header := from.Clone()
-	header.Del("Authorization")
+	header := maps.Clone(from)
+	delete(header, "Authorization")
 	return header
 }
 
@@ -114,61 +174,3 @@
 	defer n.randomMu.Unlock()
 	return n.config.Self.ID + "-" + strconv.FormatUint(n.random.Uint64(), 36)
 }
-
-// dispatch offers the call to one target after another until one answers or
-// another try is not allowed. The returned function must be called when the
-// answer's body has been passed on.
-func (n *Node) dispatch(ctx context.Context, call *port.Call, route *contract.Route) (*port.Answer, func(), error) {
-	var tried []string
-	var last error
-	for range n.config.MaxAttempts {
-		targets := n.view.Load().Targets[call.Service]
-		vm, ok := n.choose(targets, route, tried)
-		if !ok {
-			break
-		}
-		tried = append(tried, vm.ID)
-		n.load.add(vm.ID, 1)
-		answer, done, err := n.attempt(ctx, vm, call)
-		if err == nil {
-			return answer, func() { done(); n.load.add(vm.ID, -1) }, nil
-		}
-		n.load.add(vm.ID, -1)
-		last = err
-		if !mayRetry(err, call, route) || !call.Deadline.After(n.ports.Clock.Now()) {
-			break
-		}
-	}
-	if last == nil {
-		last = port.Refuse(port.ReasonNoTarget, retryWhenNotReady, "no live target of service %s", call.Service)
-	}
-	return nil, nil, last
-}
-
-func (n *Node) choose(targets []membership.VM, route *contract.Route, tried []string) (membership.VM, bool) {
-	n.randomMu.Lock()
-	defer n.randomMu.Unlock()
-	return routing.Choose(n.place, targets, route.Spill, tried, n.load.of, n.random)
-}
-
-// mayRetry reports whether another target may be offered the call. A body that
-// may have been read in part can't be sent again.
-func mayRetry(err error, call *port.Call, route *contract.Route) bool {
-	outcome := routing.Unknown
-	var refusal *port.Refusal
-	if errors.As(err, &refusal) {
-		outcome = routing.DidNotRun
-	}
-	return call.ContentLength == 0 && routing.MayRetry(outcome, route.Idempotent)
-}
-
-func (n *Node) attempt(ctx context.Context, vm membership.VM, call *port.Call) (*port.Answer, func(), error) {
-	if vm.ID == n.config.Self.ID {
-		return n.own(ctx, call)
-	}
-	answer, err := n.ports.Forward.Forward(ctx, vm, call)
-	if err != nil {
-		return nil, nil, err
-	}
-	return answer, func() { answer.Body.Close() }, nil
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"tamarackquay/internal/membership"
 	"tamarackquay/internal/port"
 	"tamarackquay/internal/routing"
+	"tamarackquay/internal/routing/p2c"
 	"tamarackquay/internal/snapshot"
 )
 
@@ -38,6 +39,11 @@
 	QueuePerSlot int
 	// MaxAttempts bounds how many targets one request is offered to.
 	MaxAttempts int
+	// Policy chooses among equally distant targets; nil means two choices.
+	Policy routing.Policy
+	// Linger is how long a stopping node still serves callers, closing their
+	// connections with each answer.
+	Linger time.Duration
 	// Drain bounds how long a planned stop waits for running requests.
 	Drain time.Duration
 	// Seed starts the node's random numbers.
@@ -60,7 +66,6 @@
 type Node struct {
 	config Config
 	ports  Ports
-	place  routing.Place
 
 	events   chan event
 	current  atomic.Pointer[snapshot.Snapshot]
@@ -71,8 +76,14 @@
 	// running counts requests that this node serves as entry or owner.
 	running atomic.Int64
 
-	gate *gate
-	load *loadCounter
+	// closed is set when a stopping node no longer serves callers.
+	closed atomic.Bool
+
+	gate    *gate
+	targets *directory
+	recent  *recent
+	// carried is the highest version that a forwarded call told of.
+	carried atomic.Pointer[snapshot.Version]
 
 	randomMu sync.Mutex
 	random   *rand.Rand
@@ -88,18 +99,21 @@
 // New returns a node that has not started.
 func New(config Config, ports Ports) *Node {
 	now := ports.Clock.Now()
+	if config.Policy == nil {
+		config.Policy = p2c.Policy{}
+	}
 	self := membership.Record{VM: config.Self, Incarnation: uint64(now.UnixNano()), State: membership.Live}
 	n := &Node{
-		config: config,
-		ports:  ports,
-		place:  routing.Place{FailureDomain: config.Self.FailureDomain, Region: config.Self.Region},
-		events: make(chan event, eventBacklog),
-		gate:   newGate(ports.Clock),
-		load:   newLoadCounter(),
-		random: rand.New(rand.NewPCG(config.Seed, self.Incarnation)),
-		state:  distribution.New(config.Distribution, now),
-		table:  membership.NewTable(config.Membership, self, now),
-		self:   self,
+		config:  config,
+		ports:   ports,
+		events:  make(chan event, eventBacklog),
+		gate:    newGate(ports.Clock),
+		targets: newDirectory(config.Self),
+		recent:  newRecent(),
+		random:  rand.New(rand.NewPCG(config.Seed, self.Incarnation)),
+		state:   distribution.New(config.Distribution, now),
+		table:   membership.NewTable(config.Membership, self, now),
+		self:    self,
 	}
 	n.publish(now)
 	return n
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"strconv"
+	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"tamarackquay/internal/adapter/callhttp"
 	"tamarackquay/internal/admission"
+	"tamarackquay/internal/contract"
+	"tamarackquay/internal/distribution"
 	"tamarackquay/internal/port"
 )
 
@@ -17,24 +20,36 @@
 func (n *Node) Own(w http.ResponseWriter, r *http.Request, call *port.Call) {
 	n.running.Add(1)
 	defer n.running.Add(-1)
+	n.closeWhenStopping(w)
+	if !n.recent.first(call.ID) {
+		// The first one may have run, so this is no refusal.
+		callhttp.WriteError(w, &port.Unknown{Stage: stageDuplicate, Cause: errors.Errorf("call %s came twice", call.ID)})
+		return
+	}
 	answer, done, err := n.own(r.Context(), call)
 	if err != nil {
 		callhttp.WriteError(w, err)
 		return
 	}
 	defer done()
-	passAnswer(w, answer, call.Stall)
+	passAnswer(w, call.Method, answer, call.Stall)
 }
 
+// stageDuplicate is the stage of a call that was forwarded twice.
+const stageDuplicate = "duplicate"
+
 // own admits the call and runs it on the local target. The returned function
 // gives the slot back and must be called once the answer's body is passed on.
 func (n *Node) own(ctx context.Context, call *port.Call) (*port.Answer, func(), error) {
-	if refusal := n.mayServe(); refusal != nil {
+	if refusal := n.mayOwn(); refusal != nil {
 		return nil, nil, refusal
 	}
 	if call.Service != n.config.Self.Service {
 		return nil, nil, port.Refuse(port.ReasonWrongOwner, 0, "this VM runs service %s", n.config.Self.Service)
 	}
+	if refusal := n.catchUp(call); refusal != nil {
+		return nil, nil, refusal
+	}
 	if refusal := n.gate.enter(ctx, n.admissionRequest(call)); refusal != nil {
 		return nil, nil, refusal
 	}
@@ -44,12 +59,55 @@
 		return nil, nil, err
 	}
 	answer.Owner = n.config.Self.ID
+	answer.Body = newStallReader(answer.Body, call.Stall)
 	return answer, func() {
 		answer.Body.Close()
 		n.gate.leave(call.ID)
 	}, nil
 }
 
+// catchUp compares the call's version with the node's own. A call of a newer
+// version starts a pull. It is refused only if this node's older version does
+// not know its contract, route and grant: the terms that it does know are still
+// terms that the customer had a moment ago, and refusing every call for as long
+// as a version spreads would refuse what can be served.
+func (n *Node) catchUp(call *port.Call) *port.Refusal {
+	current := n.current.Load()
+	if !call.Version.NewerThan(current.Version()) {
+		return nil
+	}
+	n.reportVersion(call)
+	owner := current.Contract(call.Customer)
+	if owner != nil && owner.Grant(call.Service) != nil && hasRoute(owner, call.Route) {
+		return nil
+	}
+	return port.Refuse(port.ReasonBehind, retryWhenBehind, "this node has version %s, the call has %s", current.Version(), call.Version)
+}
+
+// retryWhenBehind is about the time in which a version reaches every node.
+const retryWhenBehind = time.Second
+
+func hasRoute(owner *contract.Contract, name string) bool {
+	return slices.ContainsFunc(owner.Routes, func(route contract.Route) bool { return route.Name == name })
+}
+
+// reportVersion tells the control loop of a newer version, once for each. It
+// never waits: a call must not be held up by a busy loop, and the next call
+// tells it again.
+func (n *Node) reportVersion(call *port.Call) {
+	if known := n.carried.Load(); known != nil && !call.Version.NewerThan(*known) {
+		return
+	}
+	version := call.Version
+	select {
+	case n.events <- func(ctx context.Context, now time.Time) {
+		n.perform(ctx, n.state.VersionReported(now, distribution.Source(call.Entry), version))
+	}:
+		n.carried.Store(&version)
+	default:
+	}
+}
+
 func (n *Node) admissionRequest(call *port.Call) admission.Request {
 	request := admission.Request{ID: call.ID, Customer: call.Customer, Deadline: call.Deadline}
 	current := n.current.Load()
@@ -65,47 +123,3 @@
 	}
 	return request
 }
-
-// copyBufferBytes is the size of the buffer that bodies pass through.
-const copyBufferBytes = 64 << 10
-
-// passAnswer writes an answer through. If its body breaks, the connection is
-// cut: a clean end of stream would pass half an archive off as whole.
-func passAnswer(w http.ResponseWriter, answer *port.Answer, stall time.Duration) {
-	header := w.Header()
-	callhttp.CopyHeader(header, answer.Header)
-	if answer.ContentLength >= 0 {
-		header.Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
-	}
-	w.WriteHeader(answer.Status)
-	if err := copyBody(w, answer.Body, stall); err != nil {
-		panic(http.ErrAbortHandler)
-	}
-}
-
-// copyBody passes the body on as it comes and ends it when no byte arrives for
-// the stall time.
-func copyBody(w http.ResponseWriter, body io.ReadCloser, stall time.Duration) error {
-	timer := time.AfterFunc(stall, func() { body.Close() })
-	defer timer.Stop()
-	control := http.NewResponseController(w)
-	buffer := make([]byte, copyBufferBytes)
-	for {
-		count, err := body.Read(buffer)
-		timer.Reset(stall)
-		if count > 0 {
-			if _, writeErr := w.Write(buffer[:count]); writeErr != nil {
-				return writeErr
-			}
-			if count < len(buffer) {
-				control.Flush()
-			}
-		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
--- /dev/null
+++ b/internal/node/request_test.go
@@ -0,0 +1,365 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"tamarackquay/internal/adapter/callhttp"
+	"tamarackquay/internal/contract"
+	"tamarackquay/internal/distribution"
+	"tamarackquay/internal/membership"
+	"tamarackquay/internal/port"
+	"tamarackquay/internal/snapshot"
+	"tamarackquay/internal/tomlfile"
+)
+
+// fakeOwners stands for all other owner nodes: answer gives each attempt's
+// outcome, by its place in the order of attempts.
+type fakeOwners struct {
+	answer func(ctx context.Context, number int, to membership.VM, call *port.Call) (*port.Answer, error)
+
+	mu    sync.Mutex
+	calls []port.Call
+	to    []string
+}
+
+func (f *fakeOwners) Forward(ctx context.Context, to membership.VM, call *port.Call) (*port.Answer, error) {
+	f.mu.Lock()
+	number := len(f.calls)
+	f.calls = append(f.calls, *call)
+	f.to = append(f.to, to.ID)
+	f.mu.Unlock()
+	return f.answer(ctx, number, to, call)
+}
+
+func answerOf(status int, header http.Header, body io.Reader, length int64) *port.Answer {
+	if header == nil {
+		header = http.Header{}
+	}
+	return &port.Answer{Status: status, Header: header, Body: io.NopCloser(body), ContentLength: length}
+}
+
+func ok(body string) *port.Answer {
+	return answerOf(http.StatusOK, nil, strings.NewReader(body), int64(len(body)))
+}
+
+var errDied = &port.Unknown{Stage: "answer", Cause: io.ErrUnexpectedEOF}
+
+// requestSet has an idempotent route, one that is not, and the service that
+// runs at the node under test.
+func requestSet() *contract.Set {
+	route := func(name string, idempotent bool, methods ...string) contract.Route {
+		return contract.Route{Name: name, Prefix: "/" + name, Service: "tally", Class: "crew", Idempotent: idempotent,
+			Methods: methods, Deadline: tomlfile.Duration(4 * time.Second), Stall: tomlfile.Duration(100 * time.Millisecond)}
+	}
+	return &contract.Set{
+		Services: []contract.Service{{Name: "tally", Slots: 4, MaxConnections: 10, Committed: map[string]int{"domain-0": 1}}},
+		Contracts: []contract.Contract{{
+			Customer: "co-operative", TokenHashes: []string{contract.HashToken("token")}, Classes: []string{"crew"},
+			Grants: []contract.Grant{{Service: "tally", Share: 0.5, Limit: 1}},
+			Routes: []contract.Route{route("tallies", true), route("returns", false, "POST"), route("once", false, "GET")},
+		}},
+	}
+}
+
+// newEntry returns a ready node of another service with targets that owners
+// stand for: three in its own domain and three in another region.
+func newEntry(t *testing.T, owners *fakeOwners) *Node {
+	t.Helper()
+	n := New(Config{
+		Self:         membership.VM{ID: "entry", FailureDomain: "domain-0", Region: "region-0", Service: "other"},
+		Distribution: distribution.DefaultConfig(), Membership: membership.DefaultConfig(),
+		QueuePerSlot: 4, MaxAttempts: 3, Drain: time.Minute, Seed: 1,
+	}, Ports{Forward: owners, Target: noTarget{}, Clock: virtualClock{}, Audit: noAudit{}, Meter: silentMeter{}, Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}})
+	publication, err := snapshot.Build(requestSet(), snapshot.Origin{Version: snapshot.Version{Epoch: 1, Revision: 2}})
+	assert.NilError(t, err)
+	current, found := snapshot.Assemble(publication.Manifest, publication.Parts)
+	assert.NilError(t, found.AsError())
+	n.current.Store(current)
+	n.ready.Store(true)
+	n.view.Store(viewOf(3))
+	return n
+}
+
+// viewOf has that many targets in the node's own domain and in another region.
+func viewOf(each int) *membership.View {
+	view := &membership.View{Targets: map[string][]membership.VM{}}
+	for i := range 2 * each {
+		vm := membership.VM{ID: fmt.Sprintf("vm-%d", i), FailureDomain: "domain-0", Region: "region-0", Service: "tally"}
+		if i >= each {
+			vm.FailureDomain, vm.Region = "domain-9", "region-9"
+		}
+		view.Targets["tally"] = append(view.Targets["tally"], vm)
+	}
+	return view
+}
+
+type noAudit struct{}
+
+func (noAudit) Record(port.AuditEvent) {}
+
+func serve(n *Node, method, path string, body io.Reader) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(method, path, body)
+	request.Header.Set("Authorization", "Bearer token")
+	recorder := httptest.NewRecorder()
+	n.ServeCaller(recorder, request)
+	return recorder
+}
+
+// A caller's request meets one outcome after another. It is told that it did
+// not run only when no attempt can have run, and a request that is not
+// idempotent is never offered again after an attempt that may have run.
+func TestOutcomesOfAttempts(t *testing.T) {
+	full := port.Refuse(port.ReasonQueueFull, 3*time.Second, "full")
+	shed := port.Refuse(port.ReasonShed, 2*time.Second, "shed")
+	stopping := port.Refuse(port.ReasonStopping, time.Second, "stopping")
+	cases := []struct {
+		desc, method, path string
+		outcomes           []error
+		attempts           int
+		outcome            string
+		retryAfter         string
+	}{
+		{"first answer", "GET", "/tallies", []error{nil}, 1, "", ""},
+		{"idempotent and unknown is tried elsewhere", "GET", "/tallies", []error{errDied, nil}, 2, "", ""},
+		{"unknown and then refused is unknown", "GET", "/tallies", []error{errDied, full, full}, 3, callhttp.OutcomeUnknown, ""},
+		{"not idempotent and unknown is never tried again", "POST", "/returns", []error{errDied, nil}, 1, callhttp.OutcomeUnknown, ""},
+		{"a GET can be not idempotent", "GET", "/once", []error{errDied, nil}, 1, callhttp.OutcomeUnknown, ""},
+		{"a refused filing is offered elsewhere with its body", "POST", "/returns", []error{shed, stopping, nil}, 3, "", ""},
+		{"the soonest refusal is told", "POST", "/returns", []error{full, shed, full}, 3, callhttp.OutcomeDidNotRun, "2"},
+		{"a refusal that no other target would change", "GET", "/tallies", []error{port.Refuse(port.ReasonNoGrant, 0, "none")}, 1, callhttp.OutcomeDidNotRun, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			owners := &fakeOwners{}
+			owners.answer = func(_ context.Context, number int, _ membership.VM, call *port.Call) (*port.Answer, error) {
+				if c.outcomes[number] != nil {
+					return nil, c.outcomes[number]
+				}
+				if call.Body == nil {
+					return ok("whole"), nil
+				}
+				content, err := io.ReadAll(call.Body)
+				return ok(string(content)), err
+			}
+			var body io.Reader
+			if c.method == http.MethodPost {
+				body = strings.NewReader("whole")
+			}
+			got := serve(newEntry(t, owners), c.method, c.path, body)
+			assert.Equal(t, len(owners.calls), c.attempts)
+			assert.Equal(t, got.Header().Get(callhttp.HeaderOutcome), c.outcome)
+			assert.Equal(t, got.Header().Get("Retry-After"), c.retryAfter)
+			if c.outcome == "" {
+				assert.Equal(t, got.Body.String(), "whole")
+			}
+		})
+	}
+}
+
+// Each attempt has an id of its own and goes to another target, after a target
+// without room to another region.
+func TestAttemptsGoElsewhere(t *testing.T) {
+	owners := &fakeOwners{answer: func(context.Context, int, membership.VM, *port.Call) (*port.Answer, error) {
+		return nil, port.Refuse(port.ReasonQueueFull, time.Second, "full")
+	}}
+	serve(newEntry(t, owners), "GET", "/tallies", nil)
+	assert.Equal(t, len(owners.calls), 3)
+	near := map[string]bool{"vm-0": true, "vm-1": true, "vm-2": true}
+	assert.Assert(t, near[owners.to[0]] && !near[owners.to[1]] && !near[owners.to[2]], "%v", owners.to)
+	assert.Assert(t, owners.to[1] != owners.to[2])
+	assert.Assert(t, owners.calls[0].ID != owners.calls[1].ID)
+}
+
+// While every target fails, retries must not add a load that keeps the targets
+// from recovering.
+func TestRetriesDontAmplify(t *testing.T) {
+	for _, failure := range []error{errDied, port.Refuse(port.ReasonQueueFull, time.Second, "full"), port.Refuse(port.ReasonUnreachable, time.Second, "down")} {
+		owners := &fakeOwners{answer: func(context.Context, int, membership.VM, *port.Call) (*port.Answer, error) { return nil, failure }}
+		n := newEntry(t, owners)
+		const requests = 1000
+		for range requests {
+			serve(n, "GET", "/tallies", nil)
+		}
+		amplification := float64(len(owners.calls)) / requests
+		t.Logf("amplification %.3f under %v", amplification, failure)
+		assert.Assert(t, amplification < 1.1, "amplification %.3f", amplification)
+	}
+}
+
+// One target of three hangs. The caller of an idempotent request still gets its
+// answer before the deadline, from another target; the hung attempt is ended.
+func TestHungTargetLeavesTimeForAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ended := false
+		owners := &fakeOwners{answer: func(ctx context.Context, number int, _ membership.VM, call *port.Call) (*port.Answer, error) {
+			if number > 0 {
+				return ok("whole"), nil
+			}
+			time.Sleep(time.Until(call.Deadline))
+			ended = true
+			return nil, errDied
+		}}
+		start := time.Now()
+		got := serve(newEntry(t, owners), "GET", "/tallies", nil)
+		assert.Equal(t, got.Body.String(), "whole")
+		assert.Assert(t, ended && time.Since(start) == 2*time.Second, "took %s", time.Since(start))
+	})
+}
+
+// Callers that give up say nothing about the target: it must not be ejected.
+func TestCallersThatGiveUpEjectNobody(t *testing.T) {
+	owners := &fakeOwners{answer: func(context.Context, int, membership.VM, *port.Call) (*port.Answer, error) { return nil, errDied }}
+	n := newEntry(t, owners)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 50 {
+		request := httptest.NewRequest("GET", "/tallies", nil).WithContext(ctx)
+		request.Header.Set("Authorization", "Bearer token")
+		n.ServeCaller(httptest.NewRecorder(), request)
+	}
+	for range 50 {
+		request := httptest.NewRequest("GET", "/tallies", nil)
+		request.Header.Set("Authorization", "Bearer token")
+		request.Header.Set(callhttp.HeaderBudget, "1")
+		n.ServeCaller(httptest.NewRecorder(), request)
+	}
+	for target := range n.targets.service("tally").pool.Load().all {
+		assert.Assert(t, target.available(time.Now()), "%s is out", target.vm.ID)
+	}
+}
+
+// At most half of a service's targets are put out, however many fail.
+func TestEjectionIsCapped(t *testing.T) {
+	owners := &fakeOwners{answer: func(context.Context, int, membership.VM, *port.Call) (*port.Answer, error) { return nil, errDied }}
+	n := newEntry(t, owners)
+	for range 200 {
+		serve(n, "GET", "/tallies", nil)
+	}
+	out := 0
+	for target := range n.targets.service("tally").pool.Load().all {
+		if !target.available(time.Now()) {
+			out++
+		}
+	}
+	assert.Equal(t, out, 3)
+}
+
+// A large body is offered elsewhere only while not a byte of it was read, and
+// an attempt that is over can read nothing of it any more.
+func TestLargeBodyIsHandedOnUnread(t *testing.T) {
+	large := bytes.Repeat([]byte("x"), 2*keptBodyBytes)
+	for _, read := range []bool{false, true} {
+		owners := &fakeOwners{}
+		var first io.Reader
+		owners.answer = func(_ context.Context, number int, _ membership.VM, call *port.Call) (*port.Answer, error) {
+			if number > 0 {
+				_, err := first.Read(make([]byte, 1))
+				assert.ErrorIs(t, err, errRevoked)
+				content, err := io.ReadAll(call.Body)
+				assert.Equal(t, len(content), len(large))
+				return ok("whole"), err
+			}
+			first = call.Body
+			if read {
+				_, _ = call.Body.Read(make([]byte, 1))
+			}
+			return nil, port.Refuse(port.ReasonShed, time.Second, "shed")
+		}
+		got := serve(newEntry(t, owners), "POST", "/returns", bytes.NewReader(large))
+		want := ""
+		if read {
+			want = callhttp.OutcomeDidNotRun
+		}
+		assert.Equal(t, got.Header().Get(callhttp.HeaderOutcome), want)
+	}
+}
+
+// A forwarded call that comes a second time is not run, nor is it called "did
+// not run": the first one may have.
+func TestDuplicateForwardRunsOnce(t *testing.T) {
+	n := newEntry(t, nil)
+	n.config.Self.Service = "tally"
+	runs := &countingTarget{}
+	n.ports.Target = runs
+	n.gate.configure(admissionTerms(n.current.Load(), n.config))
+	call := &port.Call{ID: "id", Customer: "co-operative", Service: "tally", Route: "returns", Method: "POST", Stall: time.Second, Deadline: time.Now().Add(time.Second)}
+	for _, want := range []string{"", callhttp.OutcomeUnknown} {
+		recorder := httptest.NewRecorder()
+		n.Own(recorder, httptest.NewRequest("POST", "/returns", nil), call)
+		assert.Equal(t, recorder.Header().Get(callhttp.HeaderOutcome), want)
+	}
+	assert.Equal(t, runs.count, 1)
+}
+
+type countingTarget struct{ count int }
+
+func (c *countingTarget) Do(context.Context, *port.Call) (*port.Answer, error) {
+	c.count++
+	return ok("ran"), nil
+}
+
+// The memory of forwarded calls keeps at least its last recentCalls and at most
+// twice as many.
+func TestRecentIsBounded(t *testing.T) {
+	r := newRecent()
+	for i := range 5 * recentCalls {
+		assert.Assert(t, r.first(fmt.Sprint(i)))
+		assert.Assert(t, len(r.now)+len(r.old) <= 2*recentCalls)
+	}
+	for i := range recentCalls {
+		assert.Assert(t, !r.first(fmt.Sprint(5*recentCalls-1-i)))
+	}
+}
+
+// A call comes with a newer version than the owner node has. It runs if the
+// older version has the same route and grant, and else did not run: behind.
+func TestOwnerBehindTheCall(t *testing.T) {
+	n := newEntry(t, nil)
+	n.config.Self.Service = "tally"
+	n.ports.Target = &countingTarget{}
+	n.gate.configure(admissionTerms(n.current.Load(), n.config))
+	cases := []struct{ customer, route, want string }{
+		{"co-operative", "tallies", ""},
+		{"co-operative", "new-route", string(port.ReasonBehind)},
+		{"new-customer", "tallies", string(port.ReasonBehind)},
+	}
+	for i, c := range cases {
+		recorder := httptest.NewRecorder()
+		n.Own(recorder, httptest.NewRequest("GET", "/", nil), &port.Call{
+			ID: fmt.Sprint(i), Customer: c.customer, Route: c.route, Service: "tally", Stall: time.Second,
+			Version: snapshot.Version{Epoch: 1, Revision: 3}, Deadline: time.Now().Add(time.Second),
+		})
+		assert.Equal(t, recorder.Header().Get(callhttp.HeaderReason), c.want)
+	}
+	assert.Equal(t, len(n.events), 1, "a newer version starts one pull, not one for each call")
+}
+
+// A stopping node takes no work for its own target at once, serves callers for
+// a while through others, and closes their connections with each answer.
+func TestStoppingNodeClosesPolitely(t *testing.T) {
+	owners := &fakeOwners{answer: func(context.Context, int, membership.VM, *port.Call) (*port.Answer, error) { return ok("whole"), nil }}
+	n := newEntry(t, owners)
+	n.stopping.Store(true)
+	got := serve(n, "GET", "/tallies", nil)
+	assert.Equal(t, got.Body.String()+got.Header().Get("Connection"), "wholeclose")
+	_, _, err := n.own(t.Context(), &port.Call{Service: "other"})
+	var refusal *port.Refusal
+	assert.Assert(t, errors.As(err, &refusal) && refusal.Reason == port.ReasonStopping)
+	n.closed.Store(true)
+	got = serve(n, "GET", "/tallies", nil)
+	assert.Equal(t, got.Header().Get(callhttp.HeaderReason)+got.Header().Get("Connection"), "stoppingclose")
+}
--- /dev/null
+++ b/internal/routing/random/random.go
@@ -0,0 +1,16 @@
+// Package random picks any candidate, whatever its cost. It is a baseline.
+package random
+
+import (
+	"math/rand/v2"
+
+	"tamarackquay/internal/routing"
+)
+
+// Policy implements routing.Policy.
+type Policy struct{}
+
+var _ routing.Policy = Policy{}
+
+// Pick implements routing.Policy.
+func (Policy) Pick(group routing.Group, random *rand.Rand) int { return random.IntN(group.Len()) }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -4,9 +4,6 @@
 package routing
 
 import (
-	"math/rand/v2"
-	"slices"
-
 	"tamarackquay/internal/contract"
 	"tamarackquay/internal/membership"
 )
@@ -38,8 +35,8 @@
 	return OtherRegion
 }
 
-// within reports whether a route's spill lets a request go that far.
-func within(spill contract.Spill, distance Distance) bool {
+// Within reports whether a route's spill lets a request go that far.
+func Within(spill contract.Spill, distance Distance) bool {
 	switch spill {
 	case contract.SpillDomain:
 		return distance == SameDomain
@@ -49,34 +46,6 @@
 	return true
 }
 
-// Choose returns the target for the next attempt: the nearest group that has a
-// target not yet tried, and within it the less loaded of two random ones. It
-// reports false when none is left.
-func Choose(from Place, targets []membership.VM, spill contract.Spill, tried []string, load func(id string) int, random *rand.Rand) (membership.VM, bool) {
-	var nearest []membership.VM
-	best := OtherRegion + 1
-	for _, vm := range targets {
-		distance := from.DistanceTo(vm)
-		if !within(spill, distance) || slices.Contains(tried, vm.ID) || distance > best {
-			continue
-		}
-		if distance < best {
-			best = distance
-			nearest = nearest[:0]
-		}
-		nearest = append(nearest, vm)
-	}
-	if len(nearest) == 0 {
-		return membership.VM{}, false
-	}
-	first := nearest[random.IntN(len(nearest))]
-	second := nearest[random.IntN(len(nearest))]
-	if load(second.ID) < load(first.ID) {
-		return second, true
-	}
-	return first, true
-}
-
 // Outcome is what is known of an attempt once it is over.
 type Outcome uint8
 
@@ -102,3 +71,14 @@
 	}
 	return false
 }
+
+// NextDistance is the least distance for the attempt after one that went as
+// far as last. A target that had no room was already the less loaded of two,
+// so its neighbours are likely full too and the request goes further; one that
+// failed says nothing about its neighbours.
+func NextDistance(last Distance, full bool) Distance {
+	if full && last < OtherRegion {
+		return last + 1
+	}
+	return last
+}
--- /dev/null
+++ b/internal/routing/stats.go
@@ -0,0 +1,146 @@
+package routing
+
+import (
+	"math"
+	"time"
+)
+
+// Weights and times of the cost of a target.
+const (
+	// latencyFloor is what faster targets are taken for; differences below it
+	// are noise.
+	latencyFloor = time.Millisecond
+	// latencyGain is the weight of one new observation.
+	latencyGain = 0.2
+	// latencyHalfLife is the time without an observation in which the
+	// remembered latency halves, so that a target that was slow is tried again.
+	latencyHalfLife = 5 * time.Second
+	// reportWeight is what a running request counts that the target reports
+	// and this node did not send. A report lags and may lie, so it weighs less
+	// than what the node counts itself.
+	reportWeight = 0.25
+	// reportAge is when a report counts nothing any more.
+	reportAge = 2 * time.Second
+	// minWeight is the weight of a target that has just started.
+	minWeight = 0.1
+)
+
+// Ejection: after so many failures in a row a target is left alone for a time
+// that doubles with each further ejection.
+const (
+	ejectAfter   = 5
+	ejectFor     = time.Second
+	ejectForMost = 30 * time.Second
+)
+
+// avoidFor is how long a target is left alone that said it takes no new work;
+// by then membership has the news.
+const avoidFor = 2 * time.Second
+
+// Stats is what a node itself saw of one target. It is not safe for concurrent
+// use.
+type Stats struct {
+	// Since is when the target was first seen; zero for targets that were there
+	// when the node started, which are taken for warm.
+	Since time.Time
+
+	open       int
+	latency    time.Duration
+	observed   time.Time
+	reported   float64
+	reportedAt time.Time
+	failures   int
+	ejections  int
+	outUntil   time.Time
+}
+
+// Begin counts an attempt that is sent.
+func (s *Stats) Begin() { s.open++ }
+
+// End counts an attempt that is over, its body included.
+func (s *Stats) End() { s.open-- }
+
+// Open is the number of attempts that run.
+func (s *Stats) Open() int { return s.open }
+
+// Answered takes an answer that came after the latency.
+func (s *Stats) Answered(now time.Time, latency time.Duration) {
+	s.failures = 0
+	s.ejections = 0
+	s.observe(now, latency)
+}
+
+func (s *Stats) observe(now time.Time, latency time.Duration) {
+	if s.observed.IsZero() {
+		s.latency = latency
+	} else {
+		s.latency += time.Duration(latencyGain * float64(latency-s.latency))
+	}
+	s.observed = now
+}
+
+// Failed takes an attempt that failed. It reports whether the target is due
+// for ejection; Eject then puts it out, if the cap allows.
+func (s *Stats) Failed() bool {
+	s.failures++
+	return s.failures >= ejectAfter
+}
+
+// Eject leaves the target alone for a while.
+func (s *Stats) Eject(now time.Time) {
+	away := min(ejectFor<<min(s.ejections, 10), ejectForMost)
+	s.ejections++
+	// One more failure after the return ejects it again.
+	s.failures = ejectAfter - 1
+	s.outUntil = now.Add(away)
+}
+
+// Avoid leaves a target alone that said it takes no new work.
+func (s *Stats) Avoid(now time.Time) { s.outUntil = now.Add(avoidFor) }
+
+// Available reports whether the target is neither ejected nor avoided.
+func (s *Stats) Available(now time.Time) bool { return !now.Before(s.outUntil) }
+
+// Reported takes the load that the target told: requests that it runs.
+func (s *Stats) Reported(now time.Time, running int) {
+	s.reported = float64(running)
+	s.reportedAt = now
+}
+
+// Cost is what one more request costs at the target: the requests ahead of it
+// times the time that each takes. slowStart is how long a cold target takes to
+// reach full weight.
+func (s *Stats) Cost(now time.Time, slowStart time.Duration) float64 {
+	ahead := float64(s.open) + 1 + reportWeight*s.reportedLoad(now)
+	return ahead * s.agedLatency(now) / s.weight(now, slowStart)
+}
+
+func (s *Stats) reportedLoad(now time.Time) float64 {
+	age := now.Sub(s.reportedAt)
+	if age >= reportAge {
+		return 0
+	}
+	others := max(0, s.reported-float64(s.open))
+	return others * float64(reportAge-age) / float64(reportAge)
+}
+
+func (s *Stats) agedLatency(now time.Time) float64 {
+	latency := float64(s.latency)
+	if silence := now.Sub(s.observed); silence > time.Second {
+		latency *= math.Exp2(-float64(silence) / float64(latencyHalfLife))
+	}
+	return max(latency, float64(latencyFloor))
+}
+
+func (s *Stats) weight(now time.Time, slowStart time.Duration) float64 {
+	if s.Since.IsZero() || slowStart <= 0 {
+		return 1
+	}
+	age := float64(now.Sub(s.Since)) / float64(slowStart)
+	return min(1, max(minWeight, age))
+}
+
+// MayEject reports whether one more of a service's targets may be put out when
+// so many already are. At least half stay: failures of most targets at once say
+// more about the node or the service than about any one target.
+func MayEject(total, out int) bool { return (out+1)*2 <= total }
