--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -32,9 +32,10 @@
 	LongLent *float64 `toml:"long_lent" cbor:"long_lent,omitempty"`
 }
 
-// DefaultLongLent is the part of guaranteed slots that long requests of other
-// customers may borrow where the service doesn't say.
-const DefaultLongLent = 0.25
+// DefaultLongLent lends nothing: with a quarter, customers that paused were
+// kept to 0.74 of their contract when they came back
+// (docs/measurements/admission.md).
+const DefaultLongLent = 0.0
 
 // LongLentPart is LongLent or its default.
 func (s *Service) LongLentPart() float64 {
