--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -3,8 +3,8 @@
 import (
 	"maps"
 	"net/http"
-	"os"
 	"strconv"
+	"os"
 	"strings"
 	"time"
 
@@ -153,6 +153,7 @@
 		Version:       current.Version(),
 		Deadline:      n.deadline(route, r),
 		Entry:         n.config.Self.ID,
+		Chain:         callhttp.ParseChain(r.Header),
 		Stall:         route.Stall.Std(),
 		Method:        r.Method,
 		Target:        r.URL.RequestURI(),
