Keep nodes that start together out of step

Cause: measured at 240 and 480 nodes in 13 domains, a domain stayed lost two minutes after a partition had healed. All nodes of a mesh had restarted at one instant with one seed, so their random numbers agreed: all probed the same domain at the same tick, and none of them for the next twelve.

Ruled out: records (all live everywhere), the partition itself (a fresh mesh healed), loss of contacts on their way through a domain.

The source of random numbers now differs by VM id, and the domain that is probed is the staler of two random ones instead of the next in turn. Either alone leaves TestHerdRestartDoesNotProbeInStep red.

--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -122,15 +122,25 @@
 	t.credit += math.Min(maxCrossRate, math.Max(minCrossRate, rate))
 	var probes []Probe
 	for ; t.credit >= 1; t.credit-- {
-		t.crossTurn++
-		d := near.domains[t.crossTurn%len(near.domains)]
-		if vm, ok := t.contactOf(d); ok {
+		if vm, ok := t.contactOf(t.stalerDomain(near.domains)); ok {
 			probes = append(probes, Probe{VM: vm, Record: t.members[vm.ID].record, Across: true})
 		}
 	}
 	return probes
 }
 
+// stalerDomain returns that of two random domains which was not heard from for
+// longer. Taking turns instead would let nodes that started together try the
+// same domain at the same tick, and none of them for many ticks.
+func (t *Table) stalerDomain(domains []*domain) *domain {
+	one := domains[t.random.IntN(len(domains))]
+	two := domains[t.random.IntN(len(domains))]
+	if two.contact.Before(one.contact) {
+		return two
+	}
+	return one
+}
+
 // rejoin tries VMs that are known and silent: those that only the list named,
 // and suspects. It is how a fresh node finds its first peers, and how parts of
 // the fleet that lost each other meet again.
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -28,7 +28,15 @@
 type gossipQueue struct{ items []queued }
 
 func (q *gossipQueue) push(record Record) {
-	q.insert(queued{id: record.VM.ID, rounds: roundsPerRecord}, record.State != Live)
+	urgent := record.State != Live
+	rounds := roundsPerRecord
+	if !urgent {
+		// In a herd restart each arrival is sent fewer times: all of them
+		// together would cost every node the fleet's records twelve times
+		// over, and the exchanges bring what is missed.
+		rounds = max(1, roundsPerRecord-len(q.items)/RecordsPerMessage)
+	}
+	q.insert(queued{id: record.VM.ID, rounds: rounds}, urgent)
 }
 
 func (q *gossipQueue) pushMark(id string) {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -59,13 +59,13 @@
 	trustAfter time.Time
 	ticks      uint64
 	credit     float64
-	crossTurn  int
 	ringTurn   int
 	hurry      int
 
-	lastSync time.Time
-	nextSync time.Time
-	synced   bool
+	lastRaise time.Time
+	lastSync  time.Time
+	nextSync  time.Time
+	synced    bool
 	// syncPace is the mean time between exchanges now, in heartbeats.
 	syncPace int
 
@@ -83,21 +83,24 @@
 		members: map[string]*member{}, domains: map[string]*domain{},
 		addresses: map[string]*member{}, marks: map[string]*member{},
 	}
-	// Nodes that started together would else all try the same domain at the
-	// same tick, and none of them for the next ten.
+	// Nodes that started together would else all probe at the same ticks.
 	t.credit = random.Float64()
-	t.crossTurn = random.IntN(1 << 16)
 	t.ringTurn = random.IntN(rings)
 	t.self = t.add(now, self)
 	t.queue.push(self)
 	return t
 }
 
-// Change is a step of one VM from one state to another, for the audit trail.
+// Change is a step of one VM from one state to another, for the audit trail. A
+// VM that is forgotten goes to Gone.
 type Change struct {
 	VM   VM
 	From State
 	To   State
+	// Raised is set when this node raised its own incarnation, because peers
+	// held a higher one: from an earlier start when the clock stood ahead, or
+	// from another process that uses the same VM id.
+	Raised bool
 }
 
 // maxChanges bounds the changes kept for the trail between two takes.
@@ -220,7 +223,7 @@
 	case !record.newer(&m.record):
 		return false
 	case m == t.self:
-		t.refute(now, record)
+		return t.refute(now, record)
 	default:
 		t.replace(now, m, record)
 	}
@@ -233,17 +236,26 @@
 // process did not begin, or a higher incarnation (from a start when the clock
 // stood ahead of now), is beaten only by a higher incarnation; without that, a
 // VM whose clock stepped back would stay out of every choice.
-func (t *Table) refute(now time.Time, claim Record) {
+//
+// Incarnations are raised at most once a heartbeat. Two processes with one VM id
+// by mistake raise them against each other; the fleet must not be flooded by it.
+func (t *Table) refute(now time.Time, claim Record) bool {
 	own := t.self.record
 	sameStart := claim.Incarnation == own.Incarnation && claim.Sequence+1 < maxSequence
 	if sameStart && claim.State.departure() <= own.State.departure() {
 		own.Sequence = claim.Sequence + 1
 	} else {
+		if now.Sub(t.lastRaise) < t.config.heartbeat() {
+			return false
+		}
+		t.lastRaise = now
 		own.Incarnation = claim.Incarnation + 1
 		own.Sequence = 0
+		t.changes = append(t.changes, Change{VM: own.VM, From: own.State, To: own.State, Raised: true})
 	}
 	t.replace(now, t.self, own)
 	t.queue.push(own)
+	return true
 }
 
 // Depart makes this node's own record say that it takes no new work.
@@ -361,6 +373,11 @@
 }
 
 func (t *Table) forget(now time.Time, id string, m *member) {
+	if m.heard() {
+		gone := m.record
+		gone.State = Gone
+		t.note(m.record, gone)
+	}
 	t.domain(now, m.record.VM.FailureDomain).remove(m)
 	delete(t.members, id)
 	delete(t.marks, id)
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -221,3 +221,22 @@
 	table.Heard(began, word("x", 5, 0, Suspect))
 	assert.Check(t, chosen(table, began, "x") && chosen(table, began, "y") && !chosen(table, began, "z"))
 }
+
+// Two processes run under one VM id by mistake. Each beats the other's word; they
+// must not drive each other, and the fleet's gossip, faster than a heartbeat.
+func TestTwoProcessesWithOneIDAreSlow(t *testing.T) {
+	one, two := newTestTable(), NewTable(DefaultConfig(), word("self", 20, 0, Live), began, rand.New(rand.NewPCG(1, 1)))
+	now := began
+	raised := 0
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		one.Heard(now, two.Self())
+		two.Heard(now, one.Self())
+	}
+	for _, change := range append(one.TakeChanges(), two.TakeChanges()...) {
+		if change.Raised {
+			raised++
+		}
+	}
+	assert.Check(t, raised >= 10 && raised <= 21, "%d in ten seconds", raised)
+}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -52,13 +54,21 @@
 		n.post(ctx, func(_ context.Context, now time.Time) { n.takeNews(now, m) })
 		return nil, nil
 	case port.ProbeRequest:
-		return port.ProbeReply{From: n.config.Self.ID, Reached: n.exchange(ctx, m.VM)}, nil
+		return port.ProbeReply{From: n.config.Self.ID, Reached: n.knows(m.VM) && n.exchange(ctx, m.VM)}, nil
 	case port.SyncRequest:
 		return n.syncReply(ctx, m)
 	}
 	return nil, errors.Errorf("no handler for message type %d", message.MessageType())
 }
 
+// knows reports whether a VM stands in the table as given. A peer's word alone
+// must not make this node connect to any address.
+func (n *Node) knows(vm membership.VM) bool {
+	records := n.view.Load().Records
+	i, ok := slices.BinarySearchFunc(records, vm.ID, func(r membership.Record, id string) int { return strings.Compare(r.VM.ID, id) })
+	return ok && records[i].VM == vm
+}
+
 func (n *Node) takeNews(now time.Time, news port.Gossip) {
 	for _, record := range news.Records {
 		n.table.Heard(now, record)
--- a/internal/node/member_test.go
+++ b/internal/node/member_test.go
@@ -293,3 +293,24 @@
 		t.Logf("complete after %s", took)
 	})
 }
+
+// All nodes restart at the same instant with the same seed of random numbers. In
+// step with each other they would probe one domain together and none of them
+// the next for long, which then looks cut off though it is not.
+func TestHerdRestartDoesNotProbeInStep(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		m := settledMesh(t, 65, 13)
+		for i, mn := range m.nodes {
+			m.kill(mn)
+			m.replace(i)
+		}
+		m.until(15*time.Second, "herd", func() bool { return m.complete(m.nodes, 65) })
+		for range 60 {
+			time.Sleep(time.Second)
+			for _, mn := range m.nodes {
+				assert.Assert(t, len(mn.View().Unreachable) == 0, "%s lost %v", mn.vm.ID, mn.View().Unreachable)
+			}
+		}
+	})
+}
--- a/internal/node/membercost_test.go
+++ b/internal/node/membercost_test.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"fmt"
 	"os"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,8 +53,10 @@
 	if os.Getenv("MEASURE") == "" {
 		t.Skip("set MEASURE=1 to measure")
 	}
-	for _, size := range []struct{ nodes, domains int }{{12, 4}, {48, 4}, {120, 4}, {240, 4}, {48, 13}, {120, 13}, {240, 13}} {
-		synctest.Test(t, func(t *testing.T) { measureSize(t, size.nodes, size.domains) })
+	for _, size := range []struct{ nodes, domains int }{{12, 4}, {48, 4}, {120, 4}, {240, 4}, {48, 13}, {120, 13}, {240, 13}, {480, 13}, {1600, 13}} {
+		t.Run(fmt.Sprintf("%d-%d", size.nodes, size.domains), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { measureSize(t, size.nodes, size.domains) })
+		})
 	}
 }
 
@@ -72,6 +76,77 @@
 	t.Logf("N=%d domains=%d stop out after %s (%.0f B more a node in 5 s), kill out after %s", nodes, domains, stop, 5*(news.bytes-rest.bytes), kill)
 }
 
+// TestMeasureStorms prints what a restart of all nodes at once and the healing of
+// a cut domain cost, at the worst second. Asked for like TestMeasureMembership.
+func TestMeasureStorms(t *testing.T) {
+	if os.Getenv("MEASURE") == "" {
+		t.Skip("set MEASURE=1 to measure")
+	}
+	for _, nodes := range []int{48, 120, 240, 480} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { measureStorms(t, nodes) })
+		})
+	}
+}
+
+func measureStorms(t *testing.T, nodes int) {
+	m := settledMesh(t, nodes, 13)
+	time.Sleep(30 * time.Second)
+	for i, mn := range m.nodes {
+		m.kill(mn)
+		m.replace(i)
+	}
+	worst, took := m.worstSecond(t, func() bool { return m.complete(m.nodes, nodes) })
+	t.Logf("N=%d all restarted: complete after %s, %.0f B a node in the worst second", nodes, took, worst)
+	time.Sleep(30 * time.Second)
+	within := func(vm membership.VM) bool { return vm.FailureDomain == "domain-2" }
+	m.network.Cut(func(from, to membership.VM) bool { return within(from) != within(to) })
+	time.Sleep(time.Minute)
+	m.network.Cut(func(membership.VM, membership.VM) bool { return false })
+	worst, took = m.worstSecond(t, func() bool { return m.complete(m.nodes, nodes) })
+	t.Logf("N=%d domain healed: complete after %s, %.0f B a node in the worst second", nodes, took, worst)
+}
+
+// worstSecond runs until done, ten seconds at least, and returns the bytes that
+// a node sent on average in the worst second, and when done came.
+func (m *mesh) worstSecond(t *testing.T, done func() bool) (worst float64, took time.Duration) {
+	t.Helper()
+	m.network.Traffic()
+	start := time.Now()
+	for time.Since(start) < 10*time.Second || took == 0 {
+		time.Sleep(time.Second)
+		worst = max(worst, float64(m.network.Traffic().Bytes)/float64(len(m.nodes)))
+		if took == 0 && done() {
+			took = time.Since(start)
+		}
+		assert.Assert(t, time.Since(start) < 2*time.Minute)
+	}
+	return worst, took
+}
+
+// TestMeasureState prints the heap that one member takes in a table and its view.
+func TestMeasureState(t *testing.T) {
+	if os.Getenv("MEASURE") == "" {
+		t.Skip("set MEASURE=1 to measure")
+	}
+	for _, size := range []int{120, 240, 480, 1600} {
+		before := heap()
+		n := newBenchNode(size)
+		n.viewBuilt = time.Time{}
+		n.publish(time.Now())
+		t.Logf("N=%d: %d bytes of heap a member", size, (heap()-before)/uint64(size))
+		runtime.KeepAlive(n)
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
 // BenchmarkBeat measures what one heartbeat costs the receiving table and its
 // view, in a fleet at rest.
 func BenchmarkBeat(b *testing.B) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 	"golang.org/x/time/rate"
 
@@ -118,9 +119,9 @@
 		events: make(chan event, eventBacklog),
 		gate:   newGate(ports.Clock, config.Seed),
 		load:   newLoadCounter(),
-		random: rand.New(rand.NewPCG(config.Seed, self.Incarnation)),
-		state:  distribution.New(config.Distribution, now, rand.New(rand.NewPCG(config.Seed, self.Incarnation+1))),
-		table:  membership.NewTable(config.Membership, self, now, rand.New(rand.NewPCG(self.Incarnation, config.Seed))),
+		random: newRandom(config, self.Incarnation),
+		state:  distribution.New(config.Distribution, now, newRandom(config, self.Incarnation+1)),
+		table:  membership.NewTable(config.Membership, self, now, newRandom(config, self.Incarnation+2)),
 
 		listTried: make(chan struct{}),
 		served:    rate.NewLimiter(serveBytesPerSecond, serveBurst),
@@ -131,6 +132,13 @@
 	return n
 }
 
+// newRandom returns a source that differs between VMs also when they share a
+// seed and the instant of their start, as in a herd restart: nodes whose random
+// numbers agree do all things at the same time.
+func newRandom(config Config, stream uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(config.Seed^xxhash.Sum64String(config.Self.ID), stream))
+}
+
 // event is something that happened, to be handled by the control loop.
 type event func(ctx context.Context, now time.Time)
 
--- a/internal/node/trail.go
+++ b/internal/node/trail.go
@@ -110,12 +110,18 @@
 	return events
 }
 
+// raisedDetail tells that this node found a higher incarnation of its own VM id.
+const raisedDetail = "raised its incarnation over another process or an earlier start with its VM id"
+
 // memberEvents turns changes of members into audit events, one for each state
 // that members changed to.
 func memberEvents(changes []membership.Change) []port.AuditEvent {
 	changed := map[string][]string{}
 	for _, change := range changes {
 		state := change.To.String()
+		if change.Raised {
+			state = raisedDetail
+		}
 		changed[state] = append(changed[state], change.VM.ID)
 	}
 	var events []port.AuditEvent
