Tell who left meanwhile after a partition, and those who leave too

Ruled out: gossip lost on the way (the records were right everywhere else); paused nodes. A third kind was a fault of the test: a node whose drain time is over has no work left and is told nothing.

The first VM heard of a silent domain is now asked for what was missed, and departures found that way are passed on; departing VMs stay among those that gossip reaches.

--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -235,9 +235,11 @@
 	var near neighbours
 	own := t.domains[t.self.record.VM.FailureDomain]
 	for ring := range rings {
-		after, before := t.besides(own, ring)
-		near.add(after, true)
-		near.add(before, false)
+		probed, _ := t.besides(own, ring, t.probed)
+		near.probe(probed)
+		after, before := t.besides(own, ring, t.talks)
+		near.gossip(after)
+		near.gossip(before)
 	}
 	for _, d := range t.domains {
 		if d != own {
@@ -248,25 +250,28 @@
 	return near
 }
 
-func (n *neighbours) add(m *member, probed bool) {
-	if m == nil {
-		return
-	}
-	if probed && !slices.Contains(n.after, m) {
+func (n *neighbours) probe(m *member) {
+	if m != nil && !slices.Contains(n.after, m) {
 		n.after = append(n.after, m)
 	}
-	if !slices.Contains(n.around, m.record.VM) {
+}
+
+func (n *neighbours) gossip(m *member) {
+	if m != nil && !slices.Contains(n.around, m.record.VM) {
 		n.around = append(n.around, m.record.VM)
 	}
 }
 
-// besides returns the live VMs next to this one on a ring.
-func (t *Table) besides(d *domain, ring int) (after, before *member) {
+// probed reports whether a VM is watched for signs of life. A superseded one
+// still is: its successor answers in its place, which counts as no answer, and
+// so it is suspected in time.
+func (t *Table) probed(m *member) bool { return m.heard() && m.record.State == Live }
+
+// besides returns the VMs next to this one on a ring, of those that are wanted.
+func (t *Table) besides(d *domain, ring int, wanted func(*member) bool) (after, before *member) {
 	origin := t.self.positions[ring]
 	for _, m := range d.members {
-		// A superseded VM is still probed: its successor answers in its
-		// place, which counts as no answer, and so it is suspected in time.
-		if m == t.self || !m.heard() || m.record.State != Live {
+		if m == t.self || !wanted(m) {
 			continue
 		}
 		if after == nil || m.positions[ring]-origin < after.positions[ring]-origin {
@@ -279,7 +284,9 @@
 	return after, before
 }
 
-// talks reports whether control messages to a VM make sense.
+// talks reports whether control messages to a VM make sense. One that departs
+// still finishes requests, for which it may have to choose targets: it must
+// hear who else departs.
 func (t *Table) talks(m *member) bool {
 	return m.heard() && (m.record.State == Live || m.record.State == Departing) && !t.superseded(m)
 }
--- a/internal/membership/domain.go
+++ b/internal/membership/domain.go
@@ -68,8 +68,9 @@
 	return xxhash.Sum64(append(raw, byte(r.State)))
 }
 
-// Contact notes that a VM was heard directly. It reports whether that ended an
-// isolation.
+// Contact notes that a VM was heard directly. It reports whether that ended a
+// silence, of the VM's domain or of all: the VM should then be asked for what
+// was missed, since others may have departed meanwhile.
 func (t *Table) Contact(now time.Time, vm VM) bool {
 	if vm.ID == t.self.record.VM.ID {
 		return false
@@ -77,13 +78,14 @@
 	t.lastContact = now
 	d := t.domain(now, vm.FailureDomain)
 	d.failures = 0
+	returned := !d.reachable
 	t.contacted(d, now)
-	if !t.isolated {
-		return false
+	if t.isolated {
+		t.isolated = false
+		t.restart(now)
+		returned = true
 	}
-	t.isolated = false
-	t.restart(now)
-	return true
+	return returned
 }
 
 func (t *Table) contacted(d *domain, at time.Time) {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -205,9 +205,14 @@
 
 // Synced takes records of an anti-entropy exchange. They are old news to most,
 // so they are not passed on: a fresh node would send the whole fleet around.
+// Departures of VMs that were known are passed on: after a partition the first
+// node that asks across must tell its domain who left meanwhile.
 func (t *Table) Synced(now time.Time, records []Record) {
 	for _, record := range records {
-		t.merge(now, record)
+		_, known := t.members[record.VM.ID]
+		if t.merge(now, record) && known && record.State.departure() > 0 {
+			t.queue.push(record)
+		}
 	}
 }
 
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -151,11 +151,11 @@
 // word about it, it is told, so that it can refute what is wrong.
 func (n *Node) meet(ctx context.Context, now time.Time, from membership.Record) {
 	n.table.Heard(now, from)
-	n.table.Contact(now, from.VM)
+	returned := n.table.Contact(now, from.VM)
 	if known, ok := n.table.Rebuttal(from); ok {
 		n.send(ctx, membership.News{To: []membership.VM{from.VM}, Records: []membership.Record{known}})
 	}
-	if from.VM.ID != n.config.Self.ID && n.table.FirstSync(now) {
+	if from.VM.ID != n.config.Self.ID && (n.table.FirstSync(now) || returned) {
 		n.startSync(ctx, from.VM)
 	}
 }
