--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -3,8 +3,8 @@
 import (
 	"maps"
 	"net/http"
-	"strconv"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
