--- a/internal/node/gate_test.go
+++ b/internal/node/gate_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -150,3 +152,41 @@
 		assert.DeepEqual(t, []int{running, waiting, len(g.waiters)}, []int{0, 0, 0})
 	})
 }
+
+// One customer sends twenty times its contract, another what it was promised.
+// Each caller is a goroutine of its own, as in the node. The second customer
+// gets what it asks for, no slot is idle, and refused callers hear at once.
+func TestGateKeepsContractsUnderOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slots, service, seconds = 10, 50 * time.Millisecond, 4
+		g := newGate(virtualClock{}, 1)
+		g.configure(admission.Terms{Slots: slots, QueuePerSlot: 8, Shares: map[string]admission.Share{
+			"steady": {Guaranteed: 0.6, Limit: 1}, "surge": {Guaranteed: 0.4, Limit: 1},
+		}})
+		perSecond := float64(slots) / service.Seconds()
+		var served [2]atomic.Int64
+		var callers sync.WaitGroup
+		send := func(i int, customer string, rate float64) {
+			for n := range int(rate * seconds) {
+				callers.Go(func() {
+					time.Sleep(time.Duration(float64(n) / rate * float64(time.Second)))
+					start := time.Now()
+					r := admission.Request{ID: fmt.Sprintf("%s-%d", customer, n), Customer: customer, Deadline: start.Add(2 * time.Second)}
+					if refusal := g.enter(t.Context(), r); refusal != nil {
+						assert.Check(t, time.Since(start) == 0, "told after %s", time.Since(start))
+						return
+					}
+					time.Sleep(service)
+					g.leave(r.ID)
+					served[i].Add(1)
+				})
+			}
+		}
+		send(0, "steady", 0.6*perSecond)
+		send(1, "surge", 20*0.4*perSecond)
+		callers.Wait()
+		total := perSecond * seconds
+		assert.Check(t, float64(served[0].Load()) >= 0.99*0.6*total, "%d of %.0f", served[0].Load(), 0.6*total)
+		assert.Check(t, float64(served[0].Load()+served[1].Load()) >= 0.99*total)
+	})
+}
