Failures of distribution as tests, and the platform's next version at once

Writing them found two faults. A platform that had failed to give the parts of a broken version was put off by up to 30 s, and the next good version waited with it (TestBrokenPartIsNeverApplied was red in one run of several; TestNextVersionDoesNotWaitForABrokenOne shows it each time).

Change: the platform's failures are forgotten with another version; every node but the first reader waits about BackupWait, once. Tests in virtual time: stale platform, ten minutes without it while VMs are replaced, crossing publications, two operators in two cut regions, broken part, missing service, a domain cut ten minutes, a domain cut from the platform only, a region cut while half restarts, a reader that wakes with old news, readers that are blind, a restore under a new epoch, a reconnect storm.

--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -36,8 +36,8 @@
 	FetchRetryMax time.Duration
 	// FetchTimeout ends the wait for an answer that never comes.
 	FetchTimeout time.Duration
-	// BackupWait is how long each reader below the first of its region leaves
-	// the platform's parts to the readers above it.
+	// BackupWait is about how long a node that is not the first reader of its
+	// region leaves the platform's parts to that reader.
 	BackupWait time.Duration
 	// ReadyHold bounds how long a fresh process waits for a version that was
 	// only reported to it, and for reports, so that a false number or a fleet
@@ -239,7 +239,15 @@
 		delete(s.sources, Platform)
 		return
 	}
-	s.learn(Platform, offered, FromPlatform, now.Add(time.Duration(s.rank)*s.config.BackupWait))
+	if known := s.sources[Platform]; known != nil && known.claim != offered {
+		// Its failures were about another version.
+		delete(s.sources, Platform)
+	}
+	due := now
+	if s.rank > 0 {
+		due = now.Add(around(s.random, s.config.BackupWait))
+	}
+	s.learn(Platform, offered, FromPlatform, due)
 }
 
 func (s *State) mayStage(offered content) bool {
--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -254,3 +254,19 @@
 	assert.Equal(t, count[Apply](feed(s, start, build(t, 10, 3, snapshot.Hash{}, "tally"))), 0)
 	assert.Equal(t, len(contract.Check(s.Applied().Set(), contract.NoPlaces{})), 0)
 }
+
+// The platform failed many times to give the parts of a broken version. The
+// next version is another matter: waiting out the old pause would keep it from
+// the fleet for up to half a minute.
+func TestNextVersionDoesNotWaitForABrokenOne(t *testing.T) {
+	s := newState()
+	now := start
+	s.ManifestReceived(now, Platform, build(t, 1, 1, snapshot.Hash{}, "tally").Manifest)
+	for range 8 {
+		s.FetchFailed(now, Platform, 0)
+		now = now.Add(time.Minute)
+		s.Tick(now)
+	}
+	s.FetchFailed(now, Platform, 0)
+	assert.Equal(t, count[Apply](feed(s, now, build(t, 2, 2, snapshot.Hash{}, "tally"))), 1)
+}
--- /dev/null
+++ b/internal/node/measure_test.go
@@ -0,0 +1,343 @@
+package node
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tamarackquay/internal/contract"
+	"tamarackquay/internal/membership"
+	"tamarackquay/internal/port"
+	"tamarackquay/internal/snapshot"
+	"tamarackquay/standin/memnet"
+)
+
+var measure = flag.Bool("measure", false, "print the tables of docs/measurements/distribution.md")
+
+// deployment is one of the brief's two places: three regions of two domains.
+type deployment struct {
+	name    string
+	domains time.Duration
+}
+
+var (
+	coOperative = deployment{"co-operative", 500 * time.Microsecond}
+	lighting    = deployment{"lighting", 1500 * time.Microsecond}
+)
+
+const (
+	measuredDomains = 6
+	regionLatency   = 20 * time.Millisecond
+	changes         = 5
+	changeEvery     = 10 * time.Second
+	restFor         = 30 * time.Second
+)
+
+// measuredSet has 30 services and 100 contracts; a change alters one contract.
+func measuredSet(change int) *contract.Set {
+	set := &contract.Set{}
+	for i := range 30 {
+		set.Services = append(set.Services, contract.Service{Name: fmt.Sprintf("service-%d", i), Slots: 12,
+			MaxConnections: 110, Committed: map[string]int{"domain-0": 6, "domain-1": 6}})
+	}
+	template := meshSet(5 * time.Second).Contracts[0]
+	for i := range 100 {
+		c := template
+		c.Customer = fmt.Sprintf("customer-%d", i)
+		c.TokenHashes = []string{contract.HashToken(c.Customer)}
+		c.Grants, c.Routes = nil, nil
+		for j := range 4 {
+			service := fmt.Sprintf("service-%d", (i+j)%30)
+			c.Grants = append(c.Grants, contract.Grant{Service: service, Share: 0.01, Limit: 1})
+			route := template.Routes[0]
+			route.Name, route.Prefix, route.Service = fmt.Sprintf("route-%d", j), fmt.Sprintf("/%d/", j), service
+			c.Routes = append(c.Routes, route)
+		}
+		set.Contracts = append(set.Contracts, c)
+	}
+	changed := &set.Contracts[change%len(set.Contracts)].Routes[0]
+	changed.Deadline += changed.Deadline * 2
+	return set
+}
+
+// figures are what one run gives.
+type figures struct {
+	nodes         int
+	p50, p99, max time.Duration
+	// perChange are bytes of one change per node, crossing those between
+	// regions in all, reads those of the platform.
+	perChange, crossing, reads float64
+	// restReads and restBytes are a second and, for bytes, a node.
+	restReads, restBytes float64
+	// start is the time until all nodes have the first version, and startPeak
+	// the most reads in one second meanwhile.
+	start     time.Duration
+	startPeak int
+}
+
+func (f figures) String() string {
+	return fmt.Sprintf("| %3d | %v | %v | %v | %.0f | %.0f | %.1f | %.2f | %.0f | %v | %d |", f.nodes,
+		f.p50.Round(time.Millisecond), f.p99.Round(time.Millisecond), f.max.Round(time.Millisecond), f.perChange, f.crossing, f.reads,
+		f.restReads, f.restBytes, f.start.Round(10*time.Millisecond), f.startPeak)
+}
+
+const figuresHead = "| nodes | p50 | p99 | max | bytes/node/change | cross-region bytes/change | reads/change | reads/s at rest | bytes/s/node at rest, without heartbeats | start of all | peak reads/s |"
+
+// fleetUnderTest is what a measurement drives: ours or a baseline.
+type fleetUnderTest interface {
+	// appliedAt gives each node's time of its last apply, and whether it has
+	// the version.
+	appliedAt(version snapshot.Version) []time.Time
+	traffic() memnet.Traffic
+}
+
+func (m *mesh) appliedAt(version snapshot.Version) []time.Time {
+	var times []time.Time
+	for _, mn := range m.nodes {
+		mn.mu.Lock()
+		if len(mn.applied) > 0 && mn.applied[len(mn.applied)-1] == version {
+			times = append(times, mn.appliedAt)
+		}
+		mn.mu.Unlock()
+	}
+	return times
+}
+
+func (m *mesh) traffic() memnet.Traffic { return m.network.Traffic() }
+
+// run starts with nothing known, then rests, then makes changes.
+func run(m *mesh, fleet fleetUnderTest, count int) figures {
+	f := figures{nodes: count}
+	began := time.Now()
+	m.publishSet(measuredSet(0))
+	waitAll(m, fleet, count)
+	f.start = time.Since(began)
+	time.Sleep(15 * time.Second)
+	f.startPeak = m.platform.TakeReads().Peak
+	fleet.traffic()
+	time.Sleep(restFor)
+	rest := m.platform.TakeReads()
+	f.restReads = float64(rest.Total) / restFor.Seconds()
+	f.restBytes = float64(fleet.traffic().Control+rest.Bytes) / restFor.Seconds() / float64(count)
+	var took []time.Duration
+	for change := range changes {
+		took = append(took, oneChange(m, fleet, count, change+1, &f)...)
+	}
+	slices.Sort(took)
+	f.p50, f.p99, f.max = took[len(took)/2], took[len(took)*99/100], took[len(took)-1]
+	return f
+}
+
+func oneChange(m *mesh, fleet fleetUnderTest, count, change int, f *figures) []time.Duration {
+	fleet.traffic()
+	m.platform.TakeReads()
+	began := time.Now()
+	m.publishSet(measuredSet(change))
+	waitAll(m, fleet, count)
+	// What the change itself costs ends soon after the last node has it; the
+	// reads of the rest are taken off again below.
+	reads := m.platform.TakeReads()
+	traffic := fleet.traffic()
+	rest := f.restReads * time.Since(began).Seconds()
+	f.perChange += float64(traffic.Control+reads.Bytes) / float64(count) / changes
+	f.crossing += float64(traffic.CrossControl+reads.CrossRegion) / changes
+	f.reads += max(0, float64(reads.Total)-rest) / changes
+	var took []time.Duration
+	for _, at := range fleet.appliedAt(m.version) {
+		took = append(took, at.Sub(began))
+	}
+	time.Sleep(changeEvery)
+	return took
+}
+
+func waitAll(m *mesh, fleet fleetUnderTest, count int) {
+	m.t.Helper()
+	began := time.Now()
+	for len(fleet.appliedAt(m.version)) < count {
+		assert.Assert(m.t, time.Since(began) < time.Minute, "%d of %d", len(fleet.appliedAt(m.version)), count)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// measureOurs runs a mesh; adjust may change it before it starts.
+func measureOurs(t *testing.T, d deployment, count int, adjust func(*mesh)) figures {
+	var f figures
+	synctest.Test(t, func(t *testing.T) {
+		m := emptyMesh(t, count, measuredDomains)
+		m.links(d.domains, regionLatency)
+		adjust(m)
+		m.startAll(count, measuredDomains)
+		defer m.stopAll()
+		f = run(m, m, count)
+		m.checkHistory()
+	})
+	return f
+}
+
+func unadjusted(*mesh) {}
+
+// One change costs bounded bytes, reads and virtual time; these are the
+// regression bounds of docs/measurements/distribution.md.
+func TestCostOfOneChangeIsBounded(t *testing.T) {
+	t.Parallel()
+	f := measureOurs(t, coOperative, 48, unadjusted)
+	t.Log(f)
+	assert.Check(t, f.p99 < 300*time.Millisecond, "p99 %s", f.p99)
+	assert.Check(t, f.max < 3*time.Second, "max %s", f.max)
+	assert.Check(t, f.perChange < 12_000, "%.0f bytes per node and change", f.perChange)
+	assert.Check(t, f.crossing < 60_000, "%.0f bytes cross per change", f.crossing)
+	assert.Check(t, f.reads < 40, "%.1f reads per change", f.reads)
+	assert.Check(t, f.restReads < 15, "%.1f reads/s at rest", f.restReads)
+	assert.Check(t, f.restBytes < 400, "%.0f bytes/s and node at rest", f.restBytes)
+	assert.Check(t, f.startPeak < 400, "%d reads in one second of a start", f.startPeak)
+}
+
+var sizes = []int{12, 48, 120, 240}
+
+// TestMeasureGrowth prints our figures and the baselines' for growing fleets,
+// and what the slopes give at 1,600 nodes.
+func TestMeasureGrowth(t *testing.T) {
+	if !*measure {
+		t.Skip("prints tables; run with -measure")
+	}
+	for _, d := range []deployment{coOperative, lighting} {
+		var rows []figures
+		t.Logf("ours, %s\n%s", d.name, figuresHead)
+		for _, count := range sizes {
+			rows = append(rows, measureOurs(t, d, count, unadjusted))
+			t.Log(rows[len(rows)-1])
+		}
+		extrapolate(t, rows)
+		for _, b := range baselines {
+			t.Logf("baseline, %s, %s", b.name, d.name)
+			rows = nil
+			for _, count := range sizes {
+				rows = append(rows, measureBaseline(t, d, count, b))
+				t.Log(rows[len(rows)-1])
+			}
+			extrapolate(t, rows)
+		}
+	}
+}
+
+// extrapolate fits a line to each figure over the number of nodes.
+func extrapolate(t *testing.T, rows []figures) {
+	for _, column := range []struct {
+		name string
+		of   func(figures) float64
+	}{
+		{"bytes/node/change", func(f figures) float64 { return f.perChange }},
+		{"cross-region bytes/change", func(f figures) float64 { return f.crossing }},
+		{"reads/change", func(f figures) float64 { return f.reads }},
+		{"reads/s at rest", func(f figures) float64 { return f.restReads }},
+		{"peak reads/s at start", func(f figures) float64 { return float64(f.startPeak) }},
+	} {
+		a, b, rms := fit(rows, column.of)
+		t.Logf("  %s = %.2f + %.4f N, rms error %.2f; at 1,600: %.0f", column.name, a, b, rms, a+b*1600)
+	}
+}
+
+// fit is least squares: y = a + b*nodes, with the root mean square error.
+func fit(rows []figures, of func(figures) float64) (a, b, rms float64) {
+	var n, sx, sy, sxx, sxy float64
+	for _, row := range rows {
+		x, y := float64(row.nodes), of(row)
+		n, sx, sy, sxx, sxy = n+1, sx+x, sy+y, sxx+x*x, sxy+x*y
+	}
+	b = (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	a = (sy - b*sx) / n
+	for _, row := range rows {
+		e := of(row) - a - b*float64(row.nodes)
+		rms += e * e / n
+	}
+	return a, b, math.Sqrt(rms)
+}
+
+// loseAnnounces loses a part of all announces, from a seed.
+func (m *mesh) loseAnnounces(part float64) {
+	random := rand.New(rand.NewPCG(3, 4))
+	m.network.Lose(func(_, _ membership.VM, message port.Message) bool {
+		return message.MessageType() == port.TypeAnnounce && random.Float64() < part
+	})
+}
+
+// TestMeasurePatience prints the curve of the policy between time and bytes,
+// with announces lost so that news must be overheard.
+func TestMeasurePatience(t *testing.T) {
+	if !*measure {
+		t.Skip("prints tables; run with -measure")
+	}
+	for _, lost := range []float64{0, 0.3, 1} {
+		for _, patience := range []time.Duration{0, 250 * time.Millisecond, time.Second, 4 * time.Second} {
+			for _, redundancy := range []int{1, 2, 3} {
+				f := measureOurs(t, coOperative, 48, func(m *mesh) {
+					m.config.Patience, m.config.Redundancy = patience, redundancy
+					m.loseAnnounces(lost)
+				})
+				t.Logf("| %.0f %% | %v | %d | %v | %v | %v | %.0f | %.0f |", 100*lost, patience, redundancy,
+					f.p50.Round(time.Millisecond), f.p99.Round(time.Millisecond), f.max.Round(time.Millisecond), f.perChange, f.crossing)
+			}
+		}
+	}
+}
+
+// callsEvery is the time between two calls of one node in the measurement
+// below: ten a second, far fewer than the size to design for has.
+const callsEvery = 100 * time.Millisecond
+
+// carryVersions lets each node call a random other one, and both hear the
+// other's version, as if calls carried it.
+func (m *mesh) carryVersions(stop <-chan struct{}) {
+	random := rand.New(rand.NewPCG(5, 6))
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(callsEvery):
+		}
+		for _, mn := range m.nodes {
+			other := m.nodes[random.IntN(len(m.nodes))]
+			mn.overhear(other)
+			other.overhear(mn)
+		}
+	}
+}
+
+func (m *meshNode) overhear(other *meshNode) {
+	if m == other {
+		return
+	}
+	beat := other.status.Load().beat
+	m.post(context.Background(), func(ctx context.Context, now time.Time) {
+		m.perform(ctx, m.state.VersionReported(now, m.claimOf(beat)))
+	})
+}
+
+// TestMeasureVersionsOnCalls prints convergence with and without versions
+// carried by calls.
+func TestMeasureVersionsOnCalls(t *testing.T) {
+	if !*measure {
+		t.Skip("prints tables; run with -measure")
+	}
+	for _, lost := range []float64{0, 0.3, 1} {
+		for _, carried := range []bool{false, true} {
+			f := measureOurs(t, coOperative, 48, func(m *mesh) {
+				m.loseAnnounces(lost)
+				if carried {
+					m.calls = make(chan struct{})
+					go m.carryVersions(m.calls)
+				}
+			})
+			t.Logf("| %.0f %% | %v | %v | %v | %v | %.0f | %.0f |", 100*lost, carried,
+				f.p50.Round(time.Millisecond), f.p99.Round(time.Millisecond), f.max.Round(time.Millisecond), f.perChange, f.crossing)
+		}
+	}
+}
--- a/internal/node/mesh_test.go
+++ b/internal/node/mesh_test.go
@@ -34,6 +34,8 @@
 	root     snapshot.Hash
 	// config is what nodes that start from now on get.
 	config distribution.Config
+	// calls ends the calls of a measurement when it is closed; nil without.
+	calls chan struct{}
 }
 
 type meshNode struct {
@@ -45,10 +47,17 @@
 	mu sync.Mutex
 	// applied are the versions that the node put in force, in order.
 	applied []snapshot.Version
+	// appliedAt is when it last did.
+	appliedAt time.Time
+	// told counts the entries of the audit trail by kind.
+	told map[port.AuditKind]int
 }
 
 // Record implements port.Audit: it keeps the history of applied versions.
 func (m *meshNode) Record(event port.AuditEvent) {
+	m.mu.Lock()
+	m.told[event.Kind]++
+	m.mu.Unlock()
 	if event.Kind != port.AuditApplied {
 		return
 	}
@@ -57,6 +66,7 @@
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		m.applied = append(m.applied, version)
+		m.appliedAt = event.Time
 	}
 }
 
@@ -92,20 +102,30 @@
 }
 
 func newMesh(t *testing.T, count, domains int) *mesh {
+	m := emptyMesh(t, count, domains)
+	m.startAll(count, domains)
+	return m
+}
+
+// emptyMesh is a mesh whose nodes have not started.
+func emptyMesh(t *testing.T, count, domains int) *mesh {
 	m := &mesh{t: t, network: memnet.New(), platform: memnet.NewPlatform(), config: distribution.DefaultConfig()}
 	var list []membership.Record
 	for i := range count {
 		list = append(list, membership.Record{VM: meshVM(i, domains), State: membership.Live})
 	}
 	m.platform.SetVMs(list)
+	return m
+}
+
+func (m *mesh) startAll(count, domains int) {
 	for i := range count {
 		m.nodes = append(m.nodes, m.start(meshVM(i, domains)))
 	}
-	return m
 }
 
 func (m *mesh) start(vm membership.VM) *meshNode {
-	mn := &meshNode{vm: vm, done: make(chan struct{})}
+	mn := &meshNode{vm: vm, done: make(chan struct{}), told: map[port.AuditKind]int{}}
 	mn.Node = New(Config{
 		Self: vm, Seeds: []string{meshVM(0, 1).PeerAddress}, Heartbeat: time.Second, ListInterval: 5 * time.Second,
 		Pace: distribution.DefaultPace(), Distribution: m.config, Membership: membership.DefaultConfig(),
@@ -132,6 +152,9 @@
 }
 
 func (m *mesh) stopAll() {
+	if m.calls != nil {
+		close(m.calls)
+	}
 	for _, mn := range m.nodes {
 		m.kill(mn)
 	}
@@ -150,28 +173,89 @@
 	}
 }
 
-// publish puts the next version out and returns it.
-func (m *mesh) publish() snapshot.Version {
-	m.version = snapshot.Version{Epoch: 1, Revision: m.version.Revision + 1}
-	set := meshSet(time.Duration(m.version.Revision) * time.Second)
-	publication, err := snapshot.Build(set, snapshot.Origin{Version: m.version, Parent: m.root})
+// build makes a publication of the set.
+func (m *mesh) build(version snapshot.Version, set *contract.Set) *snapshot.Publication {
+	m.t.Helper()
+	publication, err := snapshot.Build(set, snapshot.Origin{Version: version, Parent: m.root})
 	assert.NilError(m.t, err)
+	return publication
+}
+
+// publish puts the next version out and returns it.
+func (m *mesh) publish() *snapshot.Publication {
+	m.t.Helper()
+	return m.publishSet(meshSet(time.Duration(m.version.Revision+1) * time.Second))
+}
+
+func (m *mesh) publishSet(set *contract.Set) *snapshot.Publication {
+	m.t.Helper()
+	publication := m.build(snapshot.Version{Epoch: max(m.version.Epoch, 1), Revision: m.version.Revision + 1}, set)
+	m.version = publication.Manifest.Version
 	m.root = publication.Manifest.Root
 	assert.NilError(m.t, m.platform.Publish(publication))
-	return m.version
+	return publication
+}
+
+// replace takes node i away and starts a new process at its address.
+func (m *mesh) replace(i int) *meshNode {
+	old := m.nodes[i]
+	m.kill(old)
+	m.nodes[i] = m.start(old.vm)
+	return m.nodes[i]
 }
 
 // behind counts nodes that don't have the last published version in force.
 func (m *mesh) behind() int {
 	count := 0
 	for _, mn := range m.nodes {
-		if current := mn.Snapshot(); current == nil || current.Version() != m.version {
+		if current := mn.Snapshot(); current == nil || current.Root() != m.root || current.Version() != m.version {
 			count++
 		}
 	}
 	return count
 }
 
+// told counts audit entries of a kind over all nodes.
+func (m *mesh) told(kind port.AuditKind) int {
+	count := 0
+	for _, mn := range m.nodes {
+		mn.mu.Lock()
+		count += mn.told[kind]
+		mn.mu.Unlock()
+	}
+	return count
+}
+
+// unready counts nodes that don't serve.
+func (m *mesh) unready() int {
+	count := 0
+	for _, mn := range m.nodes {
+		if !mn.Ready() {
+			count++
+		}
+	}
+	return count
+}
+
+// links sets the latencies of a deployment, one way.
+func (m *mesh) links(domains, regions time.Duration) {
+	m.network.Delay(func(from, to membership.VM) time.Duration {
+		switch {
+		case from.Region != to.Region:
+			return regions
+		case from.FailureDomain != to.FailureDomain:
+			return domains
+		}
+		return 200 * time.Microsecond
+	})
+	m.platform.Delay(func(vm membership.VM) time.Duration {
+		if vm.Region != memnet.HomeRegion {
+			return 2 * regions
+		}
+		return 2 * domains
+	})
+}
+
 // converge sleeps until every node has the last version, and returns how long
 // that took in virtual time.
 func (m *mesh) converge(limit time.Duration) time.Duration {
@@ -199,12 +283,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		m := newMesh(t, 12, 4)
 		defer m.stopAll()
-		m.network.Delay(func(from, to membership.VM) time.Duration {
-			if from.Region != to.Region {
-				return 20 * time.Millisecond
-			}
-			return 500 * time.Microsecond
-		})
+		m.links(500*time.Microsecond, 20*time.Millisecond)
 		m.publish()
 		m.converge(15 * time.Second)
 		m.publish()
--- /dev/null
+++ b/internal/node/outage_test.go
@@ -0,0 +1,361 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tamarackquay/internal/contract"
+	"tamarackquay/internal/membership"
+	"tamarackquay/internal/port"
+	"tamarackquay/internal/snapshot"
+)
+
+// inMesh runs a test on a mesh of 4 domains in 2 regions that has the first
+// version in force, and checks at the end that no node ever went back.
+func inMesh(t *testing.T, count int, test func(m *mesh)) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, count, 4)
+		defer m.stopAll()
+		m.links(500*time.Microsecond, 20*time.Millisecond)
+		m.publish()
+		m.converge(15 * time.Second)
+		time.Sleep(15 * time.Second)
+		test(m)
+		m.checkHistory()
+	})
+}
+
+func inDomain(domain string) func(vm membership.VM) bool {
+	return func(vm membership.VM) bool { return vm.FailureDomain == domain }
+}
+
+func inRegion(region string) func(vm membership.VM) bool {
+	return func(vm membership.VM) bool { return vm.Region == region }
+}
+
+// isolate cuts the VMs that match from all others.
+func (m *mesh) isolate(matches func(vm membership.VM) bool) {
+	m.network.Cut(func(from, to membership.VM) bool { return matches(from) != matches(to) })
+}
+
+func (m *mesh) heal() {
+	m.isolate(func(membership.VM) bool { return false })
+	m.platform.Cut(func(membership.VM) bool { return false })
+}
+
+// Callers of a restarted node would see the configuration go back: the platform
+// serves version 1 again after version 2 was in force, and a process restarts
+// and reads it. Its peers have version 2, so it must not serve before it has
+// that too.
+func TestStalePlatformAfterNews(t *testing.T) {
+	inMesh(t, 12, func(m *mesh) {
+		first := m.build(m.version, meshSet(time.Second))
+		m.publish()
+		m.converge(3 * time.Second)
+		assert.NilError(t, m.platform.Restore(first, 1))
+		// Slow links let the platform speak before the peers do.
+		m.network.Delay(func(_, _ membership.VM) time.Duration { return 1200 * time.Millisecond })
+		for i := range 4 {
+			fresh := m.replace(i)
+			for !fresh.Ready() {
+				time.Sleep(10 * time.Millisecond)
+			}
+			assert.Equal(t, fresh.Snapshot().Version(), m.version, "ready with an old version")
+		}
+		assert.Equal(t, m.behind(), 0)
+	})
+}
+
+// The platform is down for ten minutes while a third of the VMs are replaced at
+// the same addresses. New processes know nobody and nothing; their peers find
+// them by heartbeat and give them the version. Then the platform comes back
+// with news.
+func TestPlatformDownWhileVMsAreReplaced(t *testing.T) {
+	inMesh(t, 12, func(m *mesh) {
+		m.platform.SetDown(true)
+		for i := range 10 {
+			if i%3 == 0 {
+				fresh := m.replace(i)
+				time.Sleep(8 * time.Second)
+				assert.Assert(t, fresh.Ready(), "%s is not ready after 8 s", fresh.vm.ID)
+			}
+			time.Sleep(time.Minute)
+		}
+		assert.Equal(t, m.behind(), 0)
+		m.platform.SetDown(false)
+		m.publish()
+		m.converge(15 * time.Second)
+	})
+}
+
+// Version 3 is published while version 2 is on its way, and nodes hold parts of
+// both. Every node ends on version 3; those that had version 2 in between went
+// up only.
+func TestTwoPublicationsCross(t *testing.T) {
+	inMesh(t, 12, func(m *mesh) {
+		m.publish()
+		time.Sleep(30 * time.Millisecond)
+		m.publish()
+		m.converge(3 * time.Second)
+	})
+}
+
+// Two operators publish different contents as the same version while the regions
+// are cut from each other, and each region takes another one. After the cut the
+// fleet must not stay split between them, and the operators must be told.
+func TestTwoOperatorsPublishOneVersion(t *testing.T) {
+	inMesh(t, 12, func(m *mesh) {
+		version := snapshot.Version{Epoch: 1, Revision: 2}
+		one, two := m.build(version, meshSet(7*time.Second)), m.build(version, meshSet(8*time.Second))
+		m.isolate(inRegion("region-1"))
+		m.platform.Cut(inRegion("region-1"))
+		assert.NilError(t, m.platform.Publish(one))
+		time.Sleep(15 * time.Second)
+		m.platform.Cut(inRegion("region-0"))
+		assert.NilError(t, m.platform.Publish(two))
+		time.Sleep(15 * time.Second)
+		m.version, m.root = version, one.Manifest.Root
+		assert.Equal(t, m.behind(), 6, "region-1 has the other content")
+		if two.Manifest.Root.String() > one.Manifest.Root.String() {
+			m.root = two.Manifest.Root
+		}
+		m.heal()
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, m.behind(), 0)
+		assert.Assert(t, m.told(port.AuditConflict) > 0)
+		for _, mn := range m.nodes {
+			// The same version twice is right here, and only here.
+			mn.applied = nil
+		}
+	})
+}
+
+// A publication has a part whose content is broken. No node may use the rest of
+// it; operators are told, and the next version passes it by.
+func TestBrokenPartIsNeverApplied(t *testing.T) {
+	inMesh(t, 12, func(m *mesh) {
+		before, root := m.version, m.root
+		bad := m.build(snapshot.Version{Epoch: 1, Revision: 2}, meshSet(9*time.Second))
+		last := bad.Manifest.Groups[len(bad.Manifest.Groups)-1]
+		for hash := range bad.Parts {
+			if hash != last {
+				bad.Parts[hash] = append([]byte("x"), bad.Parts[hash]...)
+			}
+		}
+		assert.NilError(t, m.platform.Publish(bad))
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, m.behind(), 0, "left version %s", before)
+		assert.Assert(t, m.told(port.AuditIncomplete) > 0)
+		m.version, m.root = bad.Manifest.Version, root
+		m.publish()
+		m.converge(3 * time.Second)
+	})
+}
+
+// A version has a route to a service that it lacks. Requests on that route
+// would have nowhere to go, so the version is refused whole and told by each
+// reader; the next good one comes into force.
+func TestRouteToMissingServiceIsRefused(t *testing.T) {
+	inMesh(t, 12, func(m *mesh) {
+		root := m.root
+		set := meshSet(9 * time.Second)
+		set.Contracts[0].Routes[0].Service = "absent"
+		m.publishSet(set)
+		time.Sleep(20 * time.Second)
+		for _, mn := range m.nodes {
+			assert.Equal(t, mn.Snapshot().Root(), root)
+		}
+		assert.Assert(t, m.told(port.AuditRefused) > 0)
+		m.publish()
+		m.converge(3 * time.Second)
+	})
+}
+
+// A failure domain is cut from all others and from the platform for ten
+// minutes, and two versions are published meanwhile. It goes on serving what it
+// has; after the cut it has the last version within 15 s.
+func TestDomainCutTenMinutes(t *testing.T) {
+	inMesh(t, 16, func(m *mesh) {
+		cut := inDomain("domain-1")
+		m.isolate(cut)
+		m.platform.Cut(cut)
+		time.Sleep(time.Minute)
+		m.publish()
+		time.Sleep(9 * time.Minute)
+		m.publish()
+		time.Sleep(15 * time.Second)
+		assert.Equal(t, m.behind(), 4, "only the domain that is cut off is behind")
+		assert.Equal(t, m.unready(), 0)
+		m.heal()
+		t.Logf("after the cut: %s", m.converge(15*time.Second))
+	})
+}
+
+// A domain can't reach the platform but can reach a neighbour. It learns of a
+// change from there, as fast as without the cut.
+func TestDomainCutFromThePlatformOnly(t *testing.T) {
+	inMesh(t, 16, func(m *mesh) {
+		m.platform.Cut(inDomain("domain-0"))
+		m.publish()
+		t.Logf("without the platform: %s", m.converge(15*time.Second))
+	})
+}
+
+// A region is cut off and half of its nodes restart at once. The survivors give
+// them the version, so they serve; after the cut they get what was published
+// meanwhile.
+func TestRegionCutWhileHalfOfItRestarts(t *testing.T) {
+	inMesh(t, 16, func(m *mesh) {
+		cut := inRegion("region-1")
+		m.isolate(cut)
+		m.platform.Cut(cut)
+		for i, mn := range m.nodes {
+			if cut(mn.vm) && i%8 < 4 {
+				m.replace(i)
+			}
+		}
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, m.behind(), 0)
+		assert.Equal(t, m.unready(), 0)
+		m.publish()
+		time.Sleep(time.Minute)
+		m.heal()
+		t.Logf("after the cut: %s", m.converge(15*time.Second))
+	})
+}
+
+// A reader freezes for 60 s between a version's manifest and its parts. It
+// wakes with them when the fleet is two versions on, and must not put the old
+// one in force.
+func TestReaderWakesWithOldNews(t *testing.T) {
+	inMesh(t, 12, func(m *mesh) {
+		var reader *meshNode
+		for _, mn := range m.nodes {
+			if mn.vm.Region == "region-0" && mn.rank.Load() == 0 {
+				reader = mn
+			}
+		}
+		frozen := func(vm membership.VM) bool { return vm.ID == reader.vm.ID }
+		m.isolate(frozen)
+		m.platform.Delay(func(vm membership.VM) time.Duration {
+			if frozen(vm) {
+				return time.Minute
+			}
+			return time.Millisecond
+		})
+		m.publish()
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, m.behind(), 1)
+		m.publish()
+		time.Sleep(50 * time.Second)
+		m.publish()
+		m.heal()
+		m.converge(15 * time.Second)
+		time.Sleep(3 * time.Minute)
+		assert.Equal(t, m.behind(), 0)
+	})
+}
+
+// All readers of all regions lose the platform without noticing: their watches
+// just never end. Another node's probe finds the news, or operators would wait
+// until the readers' connections time out.
+func TestBlindReadersAreMadeGood(t *testing.T) {
+	inMesh(t, 24, func(m *mesh) {
+		m.platform.Delay(func(vm membership.VM) time.Duration {
+			for _, mn := range m.nodes {
+				if mn.vm.ID == vm.ID && mn.isReader() {
+					return time.Hour
+				}
+			}
+			return time.Millisecond
+		})
+		time.Sleep(time.Minute)
+		m.publish()
+		t.Logf("without any reader: %s", m.converge(15*time.Second))
+	})
+}
+
+// The platform is restored from a copy older than what is in force, and its own
+// revision counter is lower too. Operators raise the epoch; the fleet must take
+// the version although watches wait for a revision that won't come for long.
+func TestPlatformRestoredUnderANewEpoch(t *testing.T) {
+	inMesh(t, 12, func(m *mesh) {
+		for range 5 {
+			m.publish()
+		}
+		m.converge(3 * time.Second)
+		restored := m.build(snapshot.Version{Epoch: 2, Revision: 1}, meshSet(20*time.Second))
+		assert.NilError(t, m.platform.Restore(restored, 2))
+		m.version, m.root = restored.Manifest.Version, restored.Manifest.Root
+		t.Logf("after the restore: %s", m.converge(30*time.Second))
+	})
+}
+
+// bigSet takes about a megabyte and a half, as a fleet with many contracts
+// does.
+func bigSet() *contract.Set {
+	set := meshSet(time.Second)
+	first := set.Contracts[0]
+	for i := range 120 {
+		c := first
+		c.Customer = fmt.Sprintf("customer-%d", i)
+		c.TokenHashes = []string{contract.HashToken(c.Customer)}
+		c.Grants = []contract.Grant{{Service: "tally", Share: 0.001, Limit: 1}}
+		c.Routes = nil
+		for j := range 90 {
+			route := first.Routes[0]
+			route.Name = fmt.Sprintf("route-%d", j)
+			route.Prefix = fmt.Sprintf("/%d/", j)
+			c.Routes = append(c.Routes, route)
+		}
+		set.Contracts = append(set.Contracts, c)
+	}
+	return set
+}
+
+// busyAfterBurst asks a node for the whole configuration until it tells the
+// asker when to come back, and returns that time; zero if it never does.
+func busyAfterBurst(mn *meshNode, publication *snapshot.Publication) time.Duration {
+	hashes := slices.Collect(maps.Keys(publication.Parts))
+	for range 6 {
+		answer, err := mn.Handle(context.Background(), port.PartsRequest{From: "vm-x", Hashes: hashes})
+		if busy, ok := answer.(port.Busy); ok && err == nil {
+			return busy.RetryAfter
+		}
+	}
+	return 0
+}
+
+// All nodes but one restart at once while the platform is down, and all pull a
+// whole configuration of more than a megabyte from the one that has it. It must
+// not be made to send it 15 times at once: it tells most when to come back, and
+// they get it from each other.
+func TestReconnectStormOnOneNode(t *testing.T) {
+	inMesh(t, 16, func(m *mesh) {
+		publication := m.publishSet(bigSet())
+		whole := 0
+		for _, raw := range publication.Parts {
+			whole += len(raw)
+		}
+		m.converge(15 * time.Second)
+		m.platform.SetDown(true)
+		for i := 1; i < len(m.nodes); i++ {
+			m.replace(i)
+		}
+		assert.Assert(t, busyAfterBurst(m.nodes[0], publication) > 0)
+		before := m.network.SentBy()[m.nodes[0].vm.ID]
+		time.Sleep(2 * time.Second)
+		sent := m.network.SentBy()[m.nodes[0].vm.ID] - before
+		assert.Assert(t, sent < serveBurst+3*serveBytesPerSecond, "one node sent %d bytes", sent)
+		took := m.converge(30 * time.Second)
+		t.Logf("%d bytes each; in 2 s one node sent %d; all had it after %s", whole, sent, took+2*time.Second)
+	})
+}
