Let a region's own reader have a change before its announce crosses

Cause: an announce from another region was acted on at once, while the region's own reader was a few milliseconds from the same version: each change crossed each pair of regions about three times.

Change: an announce from another region waits a quarter of Patience.

--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -21,8 +21,9 @@
 type Config struct {
 	// Patience is how long a version that was overheard from another region
 	// waits for a nearer source before it is fetched from there. It is the
-	// policy between time (short) and cross-region bytes (long); claims from
-	// another failure domain of the same region wait a quarter of it.
+	// policy between time (short) and cross-region bytes (long). Announces from
+	// another region, and what was overheard from another failure domain of the
+	// same region, wait a quarter of it.
 	Patience time.Duration
 	// Redundancy is how many paths lead a version into each failure domain
 	// and to each node of it, so that one lost announce delays nobody.
@@ -142,23 +143,26 @@
 		return nil
 	}
 	due := now
-	if !claim.Told && s.applied != nil {
-		due = now.Add(s.patience(claim.Distance))
+	if s.applied != nil {
+		due = now.Add(s.patience(claim))
 	}
 	s.learn(claim.From, claimed, claim.Distance, due)
 	return s.proceed(now)
 }
 
 // patience is how long a claim waits for a cheaper source. A node without any
-// version does not wait: it serves nobody until it has one.
-func (s *State) patience(distance Distance) time.Duration {
-	switch distance {
-	case SameDomain:
+// version does not wait: it serves nobody until it has one. An announce from
+// another region waits a little, because the region's own reader is about to
+// have the version too: without that each change crosses twice.
+func (s *State) patience(claim Claim) time.Duration {
+	part := s.config.Patience
+	switch {
+	case claim.Distance == SameDomain, claim.Told && claim.Distance == SameRegion:
 		return 0
-	case SameRegion:
-		return around(s.random, s.config.Patience/4)
+	case claim.Distance == SameRegion, claim.Told:
+		part /= 4
 	}
-	return around(s.random, s.config.Patience)
+	return around(s.random, part)
 }
 
 // learn remembers a claim. The first due time of a claim stands: each further
--- a/internal/distribution/source.go
+++ b/internal/distribution/source.go
@@ -34,8 +34,8 @@
 	Root     snapshot.Hash
 	Distance Distance
 	// Told is set when the peer announced the version to this node on
-	// purpose. Such a claim is acted on at once; one overheard on a heartbeat
-	// waits for a cheaper source.
+	// purpose. Such a claim is acted on sooner than one overheard on a
+	// heartbeat.
 	Told bool
 }
 
