Take versions from forwarded calls, and rank readers only when VMs change

Cause: with announces lost a node waits for the next heartbeats. Calls between nodes carry the sender's version already, and nobody looked at it.

Scores are hashed once, only the region's VMs are sorted, and only for a new view.

--- a/internal/distribution/place.go
+++ b/internal/distribution/place.go
@@ -38,10 +38,21 @@
 
 // ordered sorts VMs by their scores, highest first.
 func ordered(salt []byte, vms []membership.VM) []membership.VM {
-	sorted := slices.Clone(vms)
-	slices.SortFunc(sorted, func(a, b membership.VM) int {
-		return cmp.Or(cmp.Compare(score(salt, b.ID), score(salt, a.ID)), cmp.Compare(a.ID, b.ID))
+	type scored struct {
+		score uint64
+		index int
+	}
+	order := make([]scored, len(vms))
+	for i := range vms {
+		order[i] = scored{score(salt, vms[i].ID), i}
+	}
+	slices.SortFunc(order, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(vms[a.index].ID, vms[b.index].ID))
 	})
+	sorted := make([]membership.VM, len(vms))
+	for i, s := range order {
+		sorted[i] = vms[s.index]
+	}
 	return sorted
 }
 
@@ -57,10 +68,7 @@
 func ReaderRank(self membership.VM, live []membership.VM) int {
 	inDomain := map[string]int{}
 	var before [][]membership.VM
-	for _, vm := range ordered(readerSalt, withSelf(self, live)) {
-		if vm.Region != self.Region {
-			continue
-		}
+	for _, vm := range ordered(readerSalt, ofRegion(self, live)) {
 		round := inDomain[vm.FailureDomain]
 		inDomain[vm.FailureDomain]++
 		if round == len(before) {
@@ -80,13 +88,15 @@
 	return rank
 }
 
-func withSelf(self membership.VM, live []membership.VM) []membership.VM {
+// ofRegion returns the VMs of self's region, self among them once.
+func ofRegion(self membership.VM, live []membership.VM) []membership.VM {
+	vms := []membership.VM{self}
 	for _, vm := range live {
-		if vm.ID == self.ID {
-			return live
+		if vm.Region == self.Region && vm.ID != self.ID {
+			vms = append(vms, vm)
 		}
 	}
-	return append(slices.Clone(live), self)
+	return vms
 }
 
 // Audience chooses whom a node tells of a version that it has just applied,
@@ -97,7 +107,7 @@
 // further path has another order, so that a node hangs from another parent.
 func Audience(config Config, self membership.VM, live []membership.VM, root snapshot.Hash, origin Distance) []membership.VM {
 	a := &audience{self: self, chosen: map[string]bool{self.ID: true}}
-	regions, domains := byPlace(self, withSelf(self, live))
+	regions, domains := byPlace(self, live)
 	for path := range config.Redundancy {
 		salt := binary.BigEndian.AppendUint64(root[:], uint64(path))
 		if origin == FromPlatform {
@@ -115,12 +125,13 @@
 func byPlace(self membership.VM, live []membership.VM) (regions, domains map[string][]membership.VM) {
 	regions, domains = map[string][]membership.VM{}, map[string][]membership.VM{}
 	for _, vm := range live {
-		if vm.Region == self.Region {
-			domains[vm.FailureDomain] = append(domains[vm.FailureDomain], vm)
-		} else {
+		if vm.Region != self.Region {
 			regions[vm.Region] = append(regions[vm.Region], vm)
 		}
 	}
+	for _, vm := range ofRegion(self, live) {
+		domains[vm.FailureDomain] = append(domains[vm.FailureDomain], vm)
+	}
 	return regions, domains
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -95,6 +95,10 @@
 	lastTurn atomic.Pointer[time.Time]
 
 	started time.Time
+	// rankedView is the view that rank was found for; the control loop's own.
+	rankedView *membership.View
+	// overheardAt is when a call last told of a newer version, in nanoseconds.
+	overheardAt atomic.Int64
 	// rank is the node's place in the order of readers.
 	rank atomic.Int64
 	// listTried is closed once the VM list was asked for, with or without
--- a/internal/node/outage_test.go
+++ b/internal/node/outage_test.go
@@ -299,6 +299,25 @@
 	})
 }
 
+// Announces and heartbeats to one node are lost for a while, so it does not hear
+// of a change; its callers would be served by old terms. A call forwarded by a
+// peer carries the peer's version, which is enough to start a pull.
+func TestCallTellsOfANewerVersion(t *testing.T) {
+	inMesh(t, 12, func(t *testing.T, m *mesh) {
+		deaf, entry := m.nodes[5], m.nodes[9]
+		m.network.Lose(func(from, to membership.VM, message port.Message) bool {
+			kind := message.MessageType()
+			return to.ID == deaf.vm.ID && (kind == port.TypeAnnounce || kind == port.TypeHeartbeat) || from.ID == deaf.vm.ID && kind == port.TypeHeartbeat
+		})
+		m.platform.Cut(func(vm membership.VM) bool { return vm.ID == deaf.vm.ID })
+		m.publish()
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, m.behind(), 1)
+		deaf.overheard(entry.vm.ID, m.version)
+		m.converge(2 * time.Second)
+	})
+}
+
 // bigSet takes about a megabyte and a half, as a fleet with many contracts
 // does.
 func bigSet() *contract.Set {
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -17,6 +17,7 @@
 func (n *Node) Own(w http.ResponseWriter, r *http.Request, call *port.Call) {
 	n.running.Add(1)
 	defer n.running.Add(-1)
+	n.overheard(call.Entry, call.Version)
 	answer, done, err := n.own(r.Context(), call)
 	if err != nil {
 		callhttp.WriteError(w, err)
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -21,10 +21,15 @@
 	readerStep = time.Second
 )
 
-// updateRank finds the node's place in the order of readers. The control loop
-// calls it once a tick: it sorts the region's VMs.
+// updateRank finds the node's place in the order of readers. It sorts the
+// region's VMs, which at 1,600 is too dear to do when nothing changed.
 func (n *Node) updateRank() {
-	n.rank.Store(int64(distribution.ReaderRank(n.config.Self, liveVMs(n.view.Load()))))
+	view := n.view.Load()
+	if view == n.rankedView {
+		return
+	}
+	n.rankedView = view
+	n.rank.Store(int64(distribution.ReaderRank(n.config.Self, liveVMs(view))))
 }
 
 // isReader reports whether this node is among its region's readers. Nodes that
