Expect as long as unanswered attempts have waited

Cause: a target that hangs answers nothing, so its observed latency never rises.

Change: what is expected of a target is its observed latency or, if longer, the mean time that its unanswered attempts have waited.

Ruled out: ejection alone (five failures in a row come only after a deadline); a higher floor for latency (costs fast targets their order).

--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -109,8 +109,9 @@
 	clock := f.node.ports.Clock
 	start := clock.Now()
 	call := f.attemptCall(start, number)
-	t.begin()
+	t.begin(start)
 	answer, done, err := f.node.offer(ctx, t, call)
+	t.heard(start)
 	if err != nil {
 		t.end()
 		return nil, err
--- a/internal/node/request_test.go
+++ b/internal/node/request_test.go
@@ -338,6 +338,9 @@
 	n.config.Self.Service = "tally"
 	n.ports.Target = &countingTarget{}
 	n.gate.configure(admissionTerms(n.current.Load(), n.config))
+	view := viewOf(1)
+	view.Peers = view.Targets["tally"]
+	n.view.Store(view)
 	cases := []struct{ customer, route, want string }{
 		{"co-operative", "tallies", ""},
 		{"co-operative", "new-route", string(port.ReasonBehind)},
@@ -346,7 +349,7 @@
 	for i, c := range cases {
 		recorder := httptest.NewRecorder()
 		n.Own(recorder, httptest.NewRequest("GET", "/", nil), &port.Call{
-			ID: fmt.Sprint(i), Customer: c.customer, Route: c.route, Service: "tally", Stall: time.Second,
+			ID: fmt.Sprint(i), Customer: c.customer, Route: c.route, Service: "tally", Stall: time.Second, Entry: "vm-0",
 			Version: snapshot.Version{Epoch: 1, Revision: 3}, Deadline: time.Now().Add(time.Second),
 		})
 		assert.Equal(t, recorder.Header().Get(callhttp.HeaderReason), c.want)
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -21,10 +21,17 @@
 	stats routing.Stats
 }
 
-func (t *target) begin() {
+func (t *target) begin(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.stats.Begin()
+	t.stats.Begin(now)
+}
+
+// heard ends the wait for the first byte of an attempt that began at start.
+func (t *target) heard(start time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stats.Heard(start)
 }
 
 func (t *target) end() {
--- a/internal/routing/stats.go
+++ b/internal/routing/stats.go
@@ -44,7 +44,13 @@
 	// when the node started, which are taken for warm.
 	Since time.Time
 
-	open       int
+	open int
+	// silent counts the attempts that no answer has come to, and silentSince
+	// adds up when they began, in seconds since base.
+	silent      int
+	silentSince float64
+	base        time.Time
+
 	latency    time.Duration
 	observed   time.Time
 	reported   float64
@@ -54,8 +60,23 @@
 	outUntil   time.Time
 }
 
-// Begin counts an attempt that is sent.
-func (s *Stats) Begin() { s.open++ }
+// Begin counts an attempt that is sent at now.
+func (s *Stats) Begin(now time.Time) {
+	s.open++
+	if s.silent == 0 {
+		s.base = now
+		s.silentSince = 0
+	}
+	s.silent++
+	s.silentSince += now.Sub(s.base).Seconds()
+}
+
+// Heard takes the attempt that began at start as answered or failed; its body
+// may still be on the way.
+func (s *Stats) Heard(start time.Time) {
+	s.silent--
+	s.silentSince -= start.Sub(s.base).Seconds()
+}
 
 // End counts an attempt that is over, its body included.
 func (s *Stats) End() { s.open-- }
@@ -112,7 +133,7 @@
 // reach full weight.
 func (s *Stats) Cost(now time.Time, slowStart time.Duration) float64 {
 	ahead := float64(s.open) + 1 + reportWeight*s.reportedLoad(now)
-	return ahead * s.agedLatency(now) / s.weight(now, slowStart)
+	return ahead * s.expected(now) / s.weight(now, slowStart)
 }
 
 func (s *Stats) reportedLoad(now time.Time) float64 {
@@ -124,6 +145,19 @@
 	return others * float64(reportAge-age) / float64(reportAge)
 }
 
+// expected is how long an answer is expected to take: what was observed or, if
+// that is longer, how long the unanswered attempts have waited on average. A
+// target that hangs answers nothing, so its observed latency never rises; by
+// its open attempts alone it would look cheaper than the others until it held
+// many times as many, each of which waits until its deadline.
+func (s *Stats) expected(now time.Time) float64 {
+	if s.silent == 0 {
+		return s.agedLatency(now)
+	}
+	waited := now.Sub(s.base).Seconds() - s.silentSince/float64(s.silent)
+	return max(s.agedLatency(now), waited*float64(time.Second))
+}
+
 func (s *Stats) agedLatency(now time.Time) float64 {
 	latency := float64(s.latency)
 	if silence := now.Sub(s.observed); silence > time.Second {
