--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -119,8 +119,9 @@
 	start := clock.Now()
 	call := f.attemptCall(start, number)
 	call.NoWait = probe
-	t.begin()
+	t.begin(start)
 	answer, done, err := f.node.offer(ctx, t, call)
+	t.heard(start)
 	if err != nil {
 		t.end()
 		return nil, err
