admission: give slots back on time alone

Cause: slots come back after sheds, and reserved ones after a cycle, by the passing of time, but waiting requests were only started when another came or ended. Where long requests hold the other slots that is minutes of an idle slot. Found by reading the code as a newcomer.

Ruled out: a timer for each recovery (more state than a tick, for at most one heartbeat gained).

--- a/internal/admission/property_test.go
+++ b/internal/admission/property_test.go
@@ -315,6 +315,8 @@
 				m.configure()
 			}
 			m.check()
+			m.take(m.q.Tick(m.now))
+			m.check()
 		}
 		m.advance(time.Hour)
 		for id := range m.waiting {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -113,6 +113,15 @@
 	return q.changes
 }
 
+// Tick starts what may start only because time has passed: slots come back after
+// sheds, and reserved ones after a cycle. Without it they would stay idle until
+// the next request came or ended, for minutes where only archives run.
+func (q *Queue) Tick(now time.Time) Changes {
+	q.begin(now)
+	q.start(now)
+	return q.changes
+}
+
 // Cancel takes a request out of the queue. It reports whether it was waiting.
 func (q *Queue) Cancel(id string) bool {
 	e := q.entries[id]
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -327,6 +327,23 @@
 	assert.Equal(t, b.q.Slots(), 4)
 }
 
+// A target sheds while an archive runs and a short request waits, and is well a
+// second later. Nobody comes and nothing ends; the waiting request must get the
+// slot all the same, and not when the archive ends.
+func TestSlotThatComesBackIsNotLeftIdle(t *testing.T) {
+	b := newBench(t, 2, map[string]Share{"a": {Guaranteed: 1, Limit: 1}})
+	b.admit(1, Request{Customer: "a", Long: true})
+	shed := b.admit(1, Request{Customer: "a"})[0]
+	b.q.Shed(b.now)
+	b.release(shed)
+	waiting := b.enqueue(1, Request{Customer: "a"})
+	assert.Equal(t, len(b.q.Tick(b.now).Started), 0)
+	b.now = b.now.Add(shedRecovery)
+	started := b.q.Tick(b.now).Started
+	assert.Equal(t, len(started), 1)
+	assert.Equal(t, started[0].ID, waiting[0])
+}
+
 // An id that is already known is refused: releasing one of two would free a
 // slot that the other still holds.
 func TestKnownIDIsRefused(t *testing.T) {
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -156,6 +156,13 @@
 	g.wake(g.queue.Release(g.clock.Now(), id))
 }
 
+// tick lets waiting requests start that time alone has made room for.
+func (g *gate) tick() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.wake(g.queue.Tick(g.clock.Now()))
+}
+
 // observe learns from how a call at the target ended. It must be called before
 // leave.
 func (g *gate) observe(err error) {
--- a/internal/node/gate_test.go
+++ b/internal/node/gate_test.go
@@ -190,3 +190,27 @@
 		assert.Check(t, float64(served[0].Load()+served[1].Load()) >= 0.99*total)
 	})
 }
+
+// A target sheds once while long requests hold the other slots, and one more
+// waits. No request comes or ends; the node's own tick must notice that the slot
+// is back.
+func TestNodeGivesSlotsBackInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, 1, 1)
+		defer m.stopAll()
+		m.publish()
+		m.converge(15 * time.Second)
+		g := m.nodes[0].gate
+		request := func(id string) admission.Request {
+			return admission.Request{ID: id, Customer: "co-operative", Deadline: time.Now().Add(time.Minute)}
+		}
+		for _, id := range []string{"one", "two", "three", "shed"} {
+			assert.Check(t, g.enter(t.Context(), request(id)) == nil)
+		}
+		g.observe(port.Refuse(port.ReasonShed, 0, "shed"))
+		g.leave("shed")
+		begin := time.Now()
+		assert.Check(t, g.enter(t.Context(), request("waiting")) == nil)
+		assert.Check(t, time.Since(begin) <= 3*time.Second, "waited %s", time.Since(begin))
+	})
+}
