--- a/cmd/tamarackd/run.go
+++ b/cmd/tamarackd/run.go
@@ -16,6 +16,7 @@
 
 	"tamarackquay/internal/adapter/auditlog"
 	"tamarackquay/internal/adapter/callerhttp"
+	"tamarackquay/internal/adapter/callhttp"
 	"tamarackquay/internal/adapter/metrics"
 	"tamarackquay/internal/adapter/operatorhttp"
 	"tamarackquay/internal/adapter/peerforward"
@@ -31,6 +32,9 @@
 
 // Times of a planned stop.
 const (
+	// linger is longer than callers usually leave between two requests, and
+	// short beside the time that a planned stop may take.
+	linger            = time.Second
 	closeTimeout      = 5 * time.Second
 	readHeaderTimeout = 10 * time.Second
 	idleSweep         = 15 * time.Second
@@ -47,7 +51,7 @@
 	node      *node.Node
 	peers     *peerws.Client
 	forward   *peerforward.Client
-	callers   *http.Server
+	callers   *callerhttp.Server
 	peerSide  *http.Server
 	operators *http.Server
 }
@@ -136,6 +140,7 @@
 		Membership:   membership.Config{SuspectAfter: s.Peers.SuspectAfter.Std(), ForgetAfter: s.Peers.ForgetAfter.Std()},
 		QueuePerSlot: s.Requests.QueuePerSlot,
 		MaxAttempts:  s.Requests.MaxAttempts,
+		Linger:       linger,
 		Drain:        s.Requests.Drain.Std(),
 		Seed:         uint64(time.Now().UnixNano()),
 	}
@@ -160,7 +165,7 @@
 	e.HideBanner = true
 	e.GET(peerws.Path, echo.WrapHandler(peerws.NewServer(n)))
 	e.Any(peerforward.Prefix+"/*", echo.WrapHandler(peerforward.NewHandler(n, now)))
-	return &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout}
+	return &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout, ConnContext: callhttp.ConnContext}
 }
 
 func (d *daemon) listen(s settings.Settings, identity *peertls.Config, failed chan<- error) error {
@@ -176,7 +181,7 @@
 	if err != nil {
 		return errors.Wrap(err, "operators' listener")
 	}
-	go serve(d.callers, callers, failed)
+	go serve(d.callers.Server, d.callers.Listen(callers), failed)
 	go serve(d.peerSide, tls.NewListener(peers, identity.Server), failed)
 	go serve(d.operators, operators, failed)
 	return nil
@@ -206,9 +211,12 @@
 func (d *daemon) stop() {
 	d.log.Info().Msg("stopping")
 	d.node.Stop(context.Background())
+	if err := d.callers.CloseIdle(); err != nil {
+		d.log.Warn().Err(err).Msg("idle connections closed without an answer")
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	for _, server := range []*http.Server{d.callers, d.peerSide, d.operators} {
+	for _, server := range []*http.Server{d.callers.Server, d.peerSide, d.operators} {
 		if err := server.Shutdown(ctx); err != nil {
 			d.log.Warn().Err(err).Msg("listener closed late")
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"tamarackquay/internal/membership"
 	"tamarackquay/internal/port"
 	"tamarackquay/internal/routing"
+	"tamarackquay/internal/routing/p2c"
 	"tamarackquay/internal/snapshot"
 )
 
@@ -39,6 +40,11 @@
 	QueuePerSlot int
 	// MaxAttempts bounds how many targets one request is offered to.
 	MaxAttempts int
+	// Policy chooses among equally distant targets; nil means two choices.
+	Policy routing.Policy
+	// Linger is how long a stopping node still serves callers, closing their
+	// connections with each answer.
+	Linger time.Duration
 	// Drain bounds how long a planned stop waits for running requests.
 	Drain time.Duration
 	// Seed starts the node's random numbers.
@@ -61,7 +67,6 @@
 type Node struct {
 	config Config
 	ports  Ports
-	place  routing.Place
 
 	events   chan event
 	current  atomic.Pointer[snapshot.Snapshot]
@@ -72,9 +77,15 @@
 	// running counts requests that this node serves as entry or owner.
 	running atomic.Int64
 
+	// closed is set when a stopping node no longer serves callers.
+	closed atomic.Bool
+
 	gate     *gate
-	load     *loadCounter
 	observer *observer
+	targets  *directory
+	recent   *recent
+	// carried is the highest version that a forwarded call told of.
+	carried atomic.Pointer[snapshot.Version]
 
 	randomMu sync.Mutex
 	random   *rand.Rand
@@ -109,18 +120,21 @@
 // New returns a node that has not started.
 func New(config Config, ports Ports) *Node {
 	now := ports.Clock.Now()
+	if config.Policy == nil {
+		config.Policy = p2c.Policy{}
+	}
 	config.Membership.Heartbeat = config.Heartbeat
 	self := membership.Record{VM: config.Self, Incarnation: uint64(now.UnixNano()), State: membership.Live}
 	n := &Node{
-		config: config,
-		ports:  ports,
-		place:  routing.Place{FailureDomain: config.Self.FailureDomain, Region: config.Self.Region},
-		events: make(chan event, eventBacklog),
-		gate:   newGate(ports.Clock, config.Seed),
-		load:   newLoadCounter(),
-		random: rand.New(rand.NewPCG(config.Seed, self.Incarnation)),
-		state:  distribution.New(config.Distribution, now, rand.New(rand.NewPCG(config.Seed, self.Incarnation+1))),
-		table:  membership.NewTable(config.Membership, self, now, rand.New(rand.NewPCG(self.Incarnation, config.Seed))),
+		config:  config,
+		ports:   ports,
+		events:  make(chan event, eventBacklog),
+		gate:    newGate(ports.Clock, config.Seed),
+		targets: newDirectory(config.Self),
+		recent:  newRecent(),
+		random:  rand.New(rand.NewPCG(config.Seed, self.Incarnation)),
+		state:   distribution.New(config.Distribution, now, rand.New(rand.NewPCG(config.Seed, self.Incarnation+1))),
+		table:   membership.NewTable(config.Membership, self, now, rand.New(rand.NewPCG(self.Incarnation, config.Seed))),
 
 		listTried: make(chan struct{}),
 		served:    rate.NewLimiter(serveBytesPerSecond, serveBurst),
