--- a/internal/node/trail.go
+++ b/internal/node/trail.go
@@ -142,6 +142,9 @@
 	return events
 }
 
+// raisedDetail tells that this node found a higher incarnation of its own VM id.
+const raisedDetail = "raised its incarnation over another process or an earlier start with its VM id"
+
 // memberEvents turns changes of the membership into one event for each way in
 // which members changed, in the order in which the ways first came.
 func memberEvents(changes []membership.Change) []port.AuditEvent {
@@ -153,6 +156,9 @@
 			// The VM was known from the platform's list alone until now.
 			way = "listed as " + change.To.String() + ", heard now"
 		}
+		if change.Raised {
+			way = raisedDetail
+		}
 		if moved[way] == nil {
 			ways = append(ways, way)
 		}
