--- a/internal/node/list.go
+++ b/internal/node/list.go
@@ -21,7 +21,6 @@
 	failures := 0
 	for ctx.Err() == nil {
 		list, err := n.ports.Platform.VMs(ctx)
-		n.countRead("list", err)
 		if err != nil {
 			n.listWasTried()
 			failures++
@@ -35,10 +34,12 @@
 	}
 }
 
-// takeList takes a list that was read. The place among the readers depends on
-// who lives, so it is found anew before the first read of a manifest.
+// takeList takes a list that was read. The place among the readers, and whether
+// a fresh node may serve, depend on who is there: both are found anew, without
+// the pause between views, before the first read of a manifest.
 func (n *Node) takeList(now time.Time, list []membership.Record) {
 	n.table.Listed(now, list)
+	n.viewBuilt = time.Time{}
 	n.publish(now)
 	n.updateRank()
 	n.listWasTried()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,8 +85,6 @@
 	observer *observer
 	targets  *directory
 	recent   *recent
-	// carried is the highest version that a forwarded call told of.
-	carried atomic.Pointer[snapshot.Version]
 
 	randomMu sync.Mutex
 	random   *rand.Rand
@@ -106,6 +104,11 @@
 	// lastTurn is when the control loop last ran.
 	lastTurn atomic.Pointer[time.Time]
 
+	started time.Time
+	// rankedView is the view that rank was found for; the control loop's own.
+	rankedView *membership.View
+	// overheardAt is when a call last told of a newer version, in nanoseconds.
+	overheardAt atomic.Int64
 	// rank is the node's place in the order of readers.
 	rank atomic.Int64
 	// listTried is closed once the VM list was asked for, with or without
@@ -137,6 +140,7 @@
 		state:   distribution.New(config.Distribution, now, newRandom(config, self.Incarnation+1)),
 		table:   membership.NewTable(config.Membership, self, now, newRandom(config, self.Incarnation+2)),
 
+		started:   now,
 		listTried: make(chan struct{}),
 		served:    rate.NewLimiter(serveBytesPerSecond, serveBurst),
 		partReads: rate.NewLimiter(rate.Limit(config.Pace.PartsRate), partBurst),
@@ -220,6 +224,7 @@
 func (n *Node) publish(now time.Time) {
 	n.publishView(now)
 	view := n.view.Load()
+	n.state.SetPlace(len(view.Peers)+view.Unheard, int(n.rank.Load()))
 	n.ready.Store(n.state.Ready(now) && !n.distrusts(now))
 	n.status.Store(n.newStatus(now, view))
 	if n.gossip != nil {
@@ -240,7 +245,6 @@
 	n.viewBuilt = now
 	view := n.table.View(now)
 	n.tellDomains(n.view.Swap(view), view)
-	n.state.SetPlace(len(view.Peers), int(n.rank.Load()))
 }
 
 func (n *Node) audit(event port.AuditEvent) {
