--- a/internal/adapter/peerws/codec_test.go
+++ b/internal/adapter/peerws/codec_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"tamarackquay/internal/membership"
 	"tamarackquay/internal/port"
 	"tamarackquay/internal/snapshot"
 )
@@ -22,7 +23,9 @@
 // Whatever bytes a broken peer sends, decoding ends in a message or in a typed
 // error: a crash here would let one peer take a domain down.
 func FuzzDecode(f *testing.F) {
-	for _, message := range []port.Message{port.Heartbeat{}, port.PartsReply{Parts: [][]byte{{1}}}, port.Busy{RetryAfter: 1}} {
+	for _, message := range []port.Message{port.Heartbeat{}, port.PartsReply{Parts: [][]byte{{1}}}, port.Busy{RetryAfter: 1},
+		port.Gossip{Records: make([]membership.Record, 2), Marks: make([]membership.Mark, 1)}, port.ProbeRequest{}, port.ProbeReply{},
+		port.SyncRequest{Digest: make([]membership.DomainDigest, 2)}, port.SyncReply{Domains: []string{"a"}, Records: make([]membership.Record, 1)}} {
 		raw, err := encode(message, 1, 2)
 		assert.NilError(f, err)
 		f.Add(raw)
--- a/internal/membership/domain.go
+++ b/internal/membership/domain.go
@@ -110,6 +110,12 @@
 	return contacts
 }
 
+// hopAge is added to the age of each contact that a mate tells of, for the time
+// that the telling took. It lies above the time that a message takes within a
+// domain: with less, mates that tell each other of one contact in turn would
+// keep a lost domain reachable.
+const hopAge = 100 * time.Millisecond
+
 // ContactsHeard takes what a VM of the same failure domain knows of others.
 func (t *Table) ContactsHeard(now time.Time, from VM, contacts []DomainContact) {
 	if from.FailureDomain != t.self.record.VM.FailureDomain {
@@ -117,7 +123,7 @@
 	}
 	for _, c := range contacts {
 		d, ok := t.domains[c.FailureDomain]
-		at := now.Add(-time.Duration(c.AgeMillis) * time.Millisecond)
+		at := now.Add(-hopAge - time.Duration(c.AgeMillis)*time.Millisecond)
 		if ok && at.After(d.contact) && now.Sub(at) <= t.config.domainSilence() {
 			t.contacted(d, at)
 		}
