Try a doubtful domain before giving it up, and forget one that is gone

(2) VMs of a domain taken out of service were nobody's suspects and stayed for ever, as did the names of domains without VMs. (3) A VM not heard yet that the list moves to another address was probed at the old one.

(1) A node tries a domain itself from 7 s of silence on, three times before it gives up. (2) Such VMs go when readings of the list lack them for forget_after, one after another; a list that can't be read, or lacks them once, drops nobody.

Each new test was red before but TestListMovesUnheardVM and TestDomainIsTriedBeforeItIsGivenUp, which were written with the change.

--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -38,6 +38,10 @@
 	minCrossRate  = 0.25
 	maxCrossRate  = 3
 	directHelpers = 2
+	// doubtTenths is the part of a domain's silence, in tenths, from which on
+	// each node tries the domain itself: early enough for three tries, late
+	// enough to be rare.
+	doubtTenths = 7
 )
 
 // Tick moves time on. It judges silences and returns the probes that are due:
@@ -120,15 +124,33 @@
 	own := t.domains[t.self.record.VM.FailureDomain]
 	rate := float64(len(near.domains)) / float64(len(own.members))
 	t.credit += math.Min(maxCrossRate, math.Max(minCrossRate, rate))
-	var probes []Probe
+	var tried []*domain
 	for ; t.credit >= 1; t.credit-- {
-		if vm, ok := t.contactOf(t.stalerDomain(near.domains)); ok {
+		tried = append(tried, t.stalerDomain(near.domains))
+	}
+	tried = append(tried, t.doubtful(now, near.domains)...)
+	var probes []Probe
+	for _, d := range tried {
+		if vm, ok := t.contactOf(d); ok {
 			probes = append(probes, Probe{VM: vm, Record: t.members[vm.ID].record, Across: true})
 		}
 	}
 	return probes
 }
 
+// doubtful returns the domains that are about to count as unreachable. The node
+// tries them itself, each tick: news of a contact needs some seconds through a
+// large domain, and late news must not pass for a silence.
+func (t *Table) doubtful(now time.Time, domains []*domain) []*domain {
+	var doubtful []*domain
+	for _, d := range domains {
+		if d.reachable && now.Sub(d.contact) > t.config.domainSilence()*doubtTenths/10 {
+			doubtful = append(doubtful, d)
+		}
+	}
+	return doubtful
+}
+
 // stalerDomain returns that of two random domains which was not heard from for
 // longer. Taking turns instead would let nodes that started together try the
 // same domain at the same tick, and none of them for many ticks.
--- a/internal/membership/domain.go
+++ b/internal/membership/domain.go
@@ -33,6 +33,14 @@
 	return d
 }
 
+// dropEmpty forgets a failure domain without VMs. Its name would else stay in
+// every heartbeat.
+func (t *Table) dropEmpty(name string) {
+	if d, ok := t.domains[name]; ok && len(d.members) == 0 {
+		delete(t.domains, name)
+	}
+}
+
 func (d *domain) add(m *member) {
 	d.members = append(d.members, m)
 	if m.heard() && !m.dormant {
@@ -49,11 +57,22 @@
 	}
 }
 
-// hide takes a record out of the digest.
+// hide makes a member dormant: its record leaves the digest.
 func (d *domain) hide(m *member) {
 	if m.heard() && !m.dormant {
 		d.sum ^= m.record.hash()
 	}
+	m.dormant = true
+}
+
+// wake ends the dormancy of live members, when the domain was heard again.
+func (d *domain) wake() {
+	for _, m := range d.members {
+		if m.dormant && m.heard() && m.record.State == Live {
+			m.dormant = false
+			d.sum ^= m.record.hash()
+		}
+	}
 }
 
 func (r *Record) hash() uint64 {
@@ -94,6 +113,7 @@
 	}
 	if !d.reachable {
 		d.reachable = true
+		d.wake()
 		t.touch()
 	}
 }
--- a/internal/membership/domain_test.go
+++ b/internal/membership/domain_test.go
@@ -89,3 +89,71 @@
 	table.Resume(began)
 	assert.Check(t, !table.Judged(began, probe, Verdict{Asked: 1, Answered: 1}))
 }
+
+// News that a mate reached another domain comes late. Before the domain counts
+// as unreachable, the node tries it itself; its own contact then settles it.
+func TestDomainIsTriedBeforeItIsGivenUp(t *testing.T) {
+	one, _ := meeting()
+	tried := 0
+	for now := began; now.Sub(began) <= DefaultConfig().domainSilence(); now = now.Add(time.Second) {
+		one.Contact(now, vmOf("mate", "a-1"))
+		one.credit = -1 // none of the probes that come round anyway
+		for _, probe := range one.Tick(now) {
+			if probe.VM.ID == "far" {
+				tried++
+			}
+		}
+	}
+	assert.Equal(t, tried, 3)
+}
+
+// A VM comes up in another domain, or a record with a wrong domain goes round.
+// A domain without VMs must not stay in each heartbeat for ever.
+func TestEmptyDomainIsForgotten(t *testing.T) {
+	one, _ := meeting()
+	assert.Equal(t, len(one.Contacts(began)), 1)
+	one.Heard(began, Record{VM: vmOf("far", "c-1"), Incarnation: 2, State: Live})
+	assert.DeepEqual(t, one.Contacts(began), []DomainContact{{FailureDomain: "c-1"}})
+}
+
+// A failure domain is taken out of service for good. Its VMs are nobody's
+// suspects, and would be unreachable, probed and alarmed about for ever. One that
+// is cut off while the platform is down must not be forgotten, however long.
+func TestDomainOutOfServiceIsForgotten(t *testing.T) {
+	one, _ := meeting()
+	now := began
+	tick := func(span time.Duration, list bool) {
+		for end := now.Add(span); now.Before(end); now = now.Add(10 * time.Second) {
+			one.Contact(now, vmOf("mate", "a-1"))
+			one.Tick(now)
+			if list {
+				one.Listed(now, []Record{listed("mate", Live)})
+			}
+		}
+		one.Sweep(now)
+	}
+	one.Listed(now, []Record{{VM: vmOf("far", "b-1"), State: Live}})
+	whole := one.Digest()
+	tick(time.Hour, false)
+	assert.DeepEqual(t, one.View(now).Unreachable, []string{"b-1"})
+	tick(DefaultConfig().ForgetAfter*3/4, true)
+	one.Contact(now, vmOf("far", "b-1"))
+	assert.DeepEqual(t, one.Digest(), whole)
+	tick(DefaultConfig().domainSilence()+DefaultConfig().ForgetAfter*5/4, true)
+	assert.Equal(t, len(one.View(now).Unreachable), 0)
+	assert.Equal(t, len(one.View(now).Records), 1)
+}
+
+// A VM that nobody heard yet moves to another address: the list tells where.
+func TestListMovesUnheardVM(t *testing.T) {
+	table := newTestTable()
+	table.Listed(began, []Record{listed("x", Live), {}})
+	moved := listed("x", Live)
+	moved.VM.PeerAddress = "elsewhere"
+	table.Listed(began, []Record{moved})
+	var probed []string
+	for _, probe := range table.Tick(began) {
+		probed = append(probed, probe.VM.PeerAddress)
+	}
+	assert.DeepEqual(t, probed, []string{"elsewhere"})
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -15,9 +15,12 @@
 	record Record
 	// positions are the VM's places on the hash rings.
 	positions [rings]uint64
-	// changed is when the record last changed, or when the list last named
-	// the VM, whichever is later.
-	changed time.Time
+	// changed is when the record last changed, and listed when the platform's
+	// list last named the VM.
+	changed, listed time.Time
+	// unlisted is when the list was first read without the VM, zero while it
+	// names it.
+	unlisted time.Time
 	// marked is the incarnation that the platform's list called departing,
 	// until markedUntil; 0 while the VM was not heard.
 	marked      uint64
@@ -62,6 +65,8 @@
 	ringTurn   int
 	hurry      int
 
+	// listRead is when the platform's list was last read.
+	listRead  time.Time
 	lastRaise time.Time
 	lastSync  time.Time
 	nextSync  time.Time
@@ -91,36 +96,6 @@
 	return t
 }
 
-// Change is a step of one VM from one state to another, for the audit trail. A
-// VM that is forgotten goes to Gone.
-type Change struct {
-	VM   VM
-	From State
-	To   State
-	// Raised is set when this node raised its own incarnation, because peers
-	// held a higher one: from an earlier start when the clock stood ahead, or
-	// from another process that uses the same VM id.
-	Raised bool
-}
-
-// maxChanges bounds the changes kept for the trail between two takes.
-const maxChanges = 4096
-
-// note keeps a change of state; later words that change nothing are left out.
-func (t *Table) note(old, record Record) {
-	if old.State == record.State && old.Incarnation > 0 || len(t.changes) >= maxChanges {
-		return
-	}
-	t.changes = append(t.changes, Change{VM: record.VM, From: old.State, To: record.State})
-}
-
-// TakeChanges returns the changes since it was last called.
-func (t *Table) TakeChanges() []Change {
-	changes := t.changes
-	t.changes = nil
-	return changes
-}
-
 // Self returns the node's own record.
 func (t *Table) Self() Record { return t.self.record }
 
@@ -146,11 +121,12 @@
 
 // replace gives a known VM a newer record.
 func (t *Table) replace(now time.Time, m *member, record Record) {
-	t.domain(now, m.record.VM.FailureDomain).remove(m)
-	t.note(m.record, record)
+	old := m.record
+	t.domain(now, old.VM.FailureDomain).remove(m)
+	t.note(old, record)
 	m.record = record
 	m.changed = now
-	if m.isMarked && m.marked == 0 {
+	if m.isMarked && m.marked == 0 && m.heard() {
 		// The list named the VM before it was heard: the mark is about the
 		// first incarnation heard.
 		m.marked = record.Incarnation
@@ -158,6 +134,7 @@
 	}
 	m.dormant = false
 	t.domain(now, record.VM.FailureDomain).add(m)
+	t.dropEmpty(old.VM.FailureDomain)
 	t.claimAddress(m)
 	t.touch()
 }
@@ -282,81 +259,6 @@
 	return m.record, true
 }
 
-// Listed takes the platform's list. The list lags, so it introduces VMs, which
-// get no work before they were heard, and marks departures; it never says that a
-// VM is alive.
-func (t *Table) Listed(now time.Time, list []Record) {
-	for _, record := range list {
-		m, ok := t.members[record.VM.ID]
-		if !ok {
-			record.Incarnation, record.Sequence = 0, 0
-			departing := record.State == Departing
-			record.State = Live
-			if m = t.add(now, record); departing {
-				t.mark(now, m, 0, markHold)
-			}
-			continue
-		}
-		if m != t.self && (m.record.State != Live || !m.heard()) {
-			m.changed = now
-		}
-		if record.State == Departing {
-			t.markByList(now, m)
-		} else if !m.isMarked {
-			m.marked = 0
-		}
-	}
-}
-
-// markByList marks the incarnation that is known. A VM that restarted under a
-// list that still shows the departure of its predecessor is not marked anew,
-// also when the old mark has run out between two readings.
-func (t *Table) markByList(now time.Time, m *member) {
-	switch left := m.markedUntil.Sub(now); {
-	case m.marked == 0 || -left > markMemory:
-		t.mark(now, m, m.record.Incarnation, markHold)
-	case left < markHold/2:
-		t.mark(now, m, m.marked, markHold)
-	}
-}
-
-// Marked takes marks that peers read from the list.
-func (t *Table) Marked(now time.Time, marks []Mark) {
-	for _, mark := range marks {
-		m, ok := t.members[mark.ID]
-		left := min(time.Duration(mark.LeftMillis)*time.Millisecond, markHold)
-		if !ok || mark.Incarnation == 0 {
-			continue
-		}
-		if m.isMarked && mark.Incarnation <= m.marked && !m.markedUntil.Add(markHold/4).Before(now.Add(left)) {
-			continue
-		}
-		t.mark(now, m, max(mark.Incarnation, m.marked), left)
-	}
-}
-
-func (t *Table) mark(now time.Time, m *member, incarnation uint64, hold time.Duration) {
-	m.isMarked = true
-	m.marked = incarnation
-	m.markedUntil = now.Add(hold)
-	t.marks[m.record.VM.ID] = m
-	if incarnation > 0 {
-		t.queue.pushMark(m.record.VM.ID)
-	}
-	t.touch()
-}
-
-// sweepMarks ends marks that were not repeated.
-func (t *Table) sweepMarks(now time.Time) {
-	for id, m := range t.marks {
-		if !now.Before(m.markedUntil) {
-			m.isMarked = false
-			delete(t.marks, id)
-			t.touch()
-		}
-	}
-}
-
 // Sweep drops VMs that have been out of service for long and that the list has
 // not named since. A departed VM that a lagging list still names is kept: once
 // forgotten it would be introduced anew as a VM without a past. Half way to
@@ -364,19 +266,40 @@
 // would for ever remind each other of what each in turn forgets.
 func (t *Table) Sweep(now time.Time) {
 	for id, m := range t.members {
-		if m == t.self || (m.record.State == Live && m.heard()) {
+		if m == t.self {
 			continue
 		}
-		silent := now.Sub(m.changed)
+		silent := t.outOfService(now, m)
 		if silent > t.config.ForgetAfter {
 			t.forget(now, id, m)
 		} else if silent > t.config.ForgetAfter/2 && !m.dormant {
 			t.domain(now, m.record.VM.FailureDomain).hide(m)
-			m.dormant = true
 		}
 	}
 }
 
+// outOfService returns for how long a VM has been out of service and off the
+// list. VMs of a lost domain are nobody's suspects. They go only when one reading
+// of the list after another lacks them: the domain may be cut off for long, and
+// the platform down or stale, and all of them come back.
+func (t *Table) outOfService(now time.Time, m *member) time.Duration {
+	d := t.domains[m.record.VM.FailureDomain]
+	switch {
+	case m.record.State != Live || !m.heard():
+		return now.Sub(later(m.changed, m.listed))
+	case !d.reachable && !m.unlisted.IsZero():
+		return t.listRead.Sub(later(d.contact, m.unlisted))
+	}
+	return 0
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (t *Table) forget(now time.Time, id string, m *member) {
 	if m.heard() {
 		gone := m.record
@@ -384,6 +307,7 @@
 		t.note(m.record, gone)
 	}
 	t.domain(now, m.record.VM.FailureDomain).remove(m)
+	t.dropEmpty(m.record.VM.FailureDomain)
 	delete(t.members, id)
 	delete(t.marks, id)
 	i, _ := slices.BinarySearchFunc(t.ordered, id, byID)
