--- a/internal/adapter/callhttp/callhttp.go
+++ b/internal/adapter/callhttp/callhttp.go
@@ -10,8 +10,6 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"tamarackquay/internal/snapshot"
 )
 
 // Headers of the system. They are removed from what callers and targets send,
@@ -24,11 +22,10 @@
 	HeaderVersion   = "Tamarack-Version"
 	HeaderOwner     = "Tamarack-Owner"
 	HeaderEntry     = "Tamarack-Entry"
-	HeaderCustomer  = "Tamarack-Customer"
-	HeaderRoute     = "Tamarack-Route"
-	HeaderService   = "Tamarack-Service"
 	HeaderBudget    = "Tamarack-Budget-Ms"
-	HeaderStall     = "Tamarack-Stall-Ms"
+	// HeaderChain names the services of a call's chain, outermost first. A
+	// target passes it on with the calls that it makes for the request.
+	HeaderChain = "Tamarack-Chain"
 )
 
 // Values of HeaderOutcome.
@@ -83,15 +80,6 @@
 	}
 }
 
-// ParseVersion reads a peer's version header; zero when it is absent.
-func ParseVersion(header http.Header) snapshot.Version {
-	version, err := snapshot.ParseVersion(header.Get(HeaderVersion))
-	if err != nil {
-		return snapshot.Version{}
-	}
-	return version
-}
-
 // FormatMillis renders a duration for the headers that carry one; negative
 // durations are zero.
 func FormatMillis(d time.Duration) string { return strconv.FormatInt(max(0, d.Milliseconds()), 10) }
--- a/internal/command/status/print.go
+++ b/internal/command/status/print.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"tamarackquay/internal/node"
@@ -20,7 +21,7 @@
 		}
 		s := line.Value
 		fmt.Fprintf(w, row, s.VM.ID, s.VM.FailureDomain, s.Health.State, s.Applied, s.Root.Short(),
-			age(line.AgeSeconds), fmt.Sprint(s.Running), fmt.Sprint(s.Waiting), fmt.Sprint(len(s.Members)))
+			age(line.AgeSeconds), fmt.Sprint(s.Running), fmt.Sprint(s.Waiting), fmt.Sprint(s.MemberCount))
 		line.printDetails(w)
 	}
 	answering, lagging := 0, 0
@@ -49,9 +50,15 @@
 	for _, reason := range s.Health.Reasons {
 		fmt.Fprintf(w, "  %s\n", reason)
 	}
-	for _, refused := range s.RefusedVersions {
-		fmt.Fprintf(w, "  refused version %s from %s at %s\n", refused.Version, refused.From, refused.Time.UTC().Format(time.RFC3339))
-		for _, f := range refused.Findings {
+	if len(s.Unreachable) > 0 {
+		fmt.Fprintf(w, "  no contact with failure domains: %s\n", strings.Join(s.Unreachable, " "))
+	}
+	if s.Isolated {
+		fmt.Fprintln(w, "  hears no peer at all")
+	}
+	for _, trouble := range s.Troubles {
+		fmt.Fprintf(w, "  %s: %s from %s at %s\n", trouble.Kind, trouble.Subject(), trouble.From, trouble.Time.UTC().Format(time.RFC3339))
+		for _, f := range trouble.Findings {
 			fmt.Fprintf(w, "    %s\n", f)
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"tamarackquay/internal/membership"
 	"tamarackquay/internal/port"
 	"tamarackquay/internal/routing"
+	"tamarackquay/internal/routing/p2c"
 	"tamarackquay/internal/snapshot"
 )
 
@@ -40,6 +41,11 @@
 	QueuePerSlot int
 	// MaxAttempts bounds how many targets one request is offered to.
 	MaxAttempts int
+	// Policy chooses among equally distant targets; nil means two choices.
+	Policy routing.Policy
+	// Linger is how long a stopping node still serves callers, closing their
+	// connections with each answer.
+	Linger time.Duration
 	// Drain bounds how long a planned stop waits for running requests.
 	Drain time.Duration
 	// Seed starts the node's random numbers.
@@ -62,7 +68,6 @@
 type Node struct {
 	config Config
 	ports  Ports
-	place  routing.Place
 
 	events   chan event
 	current  atomic.Pointer[snapshot.Snapshot]
@@ -73,9 +78,13 @@
 	// running counts requests that this node serves as entry or owner.
 	running atomic.Int64
 
+	// closed is set when a stopping node no longer serves callers.
+	closed atomic.Bool
+
 	gate     *gate
-	load     *loadCounter
 	observer *observer
+	targets  *directory
+	recent   *recent
 
 	randomMu sync.Mutex
 	random   *rand.Rand
@@ -95,6 +104,11 @@
 	// lastTurn is when the control loop last ran.
 	lastTurn atomic.Pointer[time.Time]
 
+	started time.Time
+	// rankedView is the view that rank was found for; the control loop's own.
+	rankedView *membership.View
+	// overheardAt is when a call last told of a newer version, in nanoseconds.
+	overheardAt atomic.Int64
 	// rank is the node's place in the order of readers.
 	rank atomic.Int64
 	// listTried is closed once the VM list was asked for, with or without
@@ -110,19 +124,23 @@
 // New returns a node that has not started.
 func New(config Config, ports Ports) *Node {
 	now := ports.Clock.Now()
+	if config.Policy == nil {
+		config.Policy = p2c.Policy{}
+	}
 	config.Membership.Heartbeat = config.Heartbeat
 	self := membership.Record{VM: config.Self, Incarnation: uint64(now.UnixNano()), State: membership.Live}
 	n := &Node{
-		config: config,
-		ports:  ports,
-		place:  routing.Place{FailureDomain: config.Self.FailureDomain, Region: config.Self.Region},
-		events: make(chan event, eventBacklog),
-		gate:   newGate(ports.Clock, config.Seed),
-		load:   newLoadCounter(),
-		random: newRandom(config, self.Incarnation),
-		state:  distribution.New(config.Distribution, now, newRandom(config, self.Incarnation+1)),
-		table:  membership.NewTable(config.Membership, self, now, newRandom(config, self.Incarnation+2)),
+		config:  config,
+		ports:   ports,
+		events:  make(chan event, eventBacklog),
+		gate:    newGate(ports.Clock, config.Seed),
+		targets: newDirectory(config.Self),
+		recent:  newRecent(),
+		random:  newRandom(config, self.Incarnation),
+		state:   distribution.New(config.Distribution, now, newRandom(config, self.Incarnation+1)),
+		table:   membership.NewTable(config.Membership, self, now, newRandom(config, self.Incarnation+2)),
 
+		started:   now,
 		listTried: make(chan struct{}),
 		served:    rate.NewLimiter(serveBytesPerSecond, serveBurst),
 		partReads: rate.NewLimiter(rate.Limit(config.Pace.PartsRate), partBurst),
@@ -206,6 +224,7 @@
 func (n *Node) publish(now time.Time) {
 	n.publishView(now)
 	view := n.view.Load()
+	n.state.SetPlace(len(view.Peers)+view.Unheard, int(n.rank.Load()))
 	n.ready.Store(n.state.Ready(now) && !n.distrusts(now))
 	n.status.Store(n.newStatus(now, view))
 	if n.gossip != nil {
@@ -226,7 +245,6 @@
 	n.viewBuilt = now
 	view := n.table.View(now)
 	n.tellDomains(n.view.Swap(view), view)
-	n.state.SetPlace(len(view.Peers), int(n.rank.Load()))
 }
 
 func (n *Node) audit(event port.AuditEvent) {
--- a/internal/node/spread.go
+++ b/internal/node/spread.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"tamarackquay/internal/distribution"
@@ -90,11 +91,14 @@
 	}
 }
 
-// liveVMs lists the VMs that take new work, the node itself included.
+// liveVMs lists the VMs that are live and can be reached, the node itself
+// included.
 func liveVMs(view *membership.View) []membership.VM {
-	var live []membership.VM
-	for _, targets := range view.Targets {
-		live = append(live, targets...)
+	live := make([]membership.VM, 0, len(view.Records))
+	for _, record := range view.Records {
+		if record.State == membership.Live && !slices.Contains(view.Unreachable, record.VM.FailureDomain) {
+			live = append(live, record.VM)
+		}
 	}
 	return live
 }
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -29,9 +29,12 @@
 	// Running and Waiting are requests at the local target's slots and queue.
 	Running int                 `json:"running"`
 	Waiting int                 `json:"waiting"`
-	Members []membership.Record `json:"members"`
-	// RefusedVersions are the last ones, oldest first.
-	RefusedVersions []RefusedVersion `json:"refused_versions,omitempty"`
+	Members []membership.Record `json:"members,omitempty"`
+	// MemberCount is the length of Members, also where that is left out.
+	MemberCount int `json:"member_count"`
+	// Troubles are versions that were refused, can't be had whole or were
+	// published over each other; the last ones, oldest first.
+	Troubles []VersionTrouble `json:"troubles,omitempty"`
 	// RefusedRequests counts refusals to callers since the start, by reason.
 	RefusedRequests map[port.Reason]int `json:"refused_requests,omitempty"`
 
@@ -49,9 +52,11 @@
 // newStatus makes the part of the status that the control loop owns. It runs on
 // the control loop each time something happened.
 func (n *Node) newStatus(now time.Time, view *membership.View) *Status {
-	s := &Status{VM: n.config.Self, Started: n.observer.started, Members: view.Records,
-		Unheard: view.Unheard, Unreachable: view.Unreachable, Isolated: view.Isolated,
-		Applied: n.state.AppliedVersion(), Reported: n.state.Reported(), Platform: n.observer.platform.state()}
+	s := &Status{
+		VM: n.config.Self, Started: n.observer.started,
+		Applied: n.state.AppliedVersion(), Reported: n.state.Reported(), Platform: n.observer.platform.state(),
+		Members: view.Records, MemberCount: len(view.Records), Unheard: view.Unheard, Unreachable: view.Unreachable, Isolated: view.Isolated,
+	}
 	if applied := n.state.Applied(); applied != nil {
 		s.Root = applied.Root()
 		s.PublishedBy = applied.Manifest().PublishedBy
@@ -65,8 +70,10 @@
 	if s.Applied != previous.Applied {
 		s.AppliedAt = now
 	}
+	s.Troubles = n.observer.troubles.all()
 	state, reasons := judgeHealth(healthFacts{
-		stopping: n.stopping.Load(), ready: n.ready.Load(), applied: s.Applied, reported: s.Reported, platform: s.Platform,
+		stopping: n.stopping.Load(), ready: n.ready.Load(), applied: s.Applied, reported: s.Reported,
+		platform: s.Platform, troubles: s.Troubles, appliedAt: s.AppliedAt,
 	})
 	s.Health = previous.Health.next(now, state, reasons)
 	s.pulse = n.newPulse(now)
@@ -83,7 +90,6 @@
 		s.Health = Health{State: HealthStopping, Since: n.ports.Clock.Now(), Reasons: []string{"planned stop"}}
 	}
 	s.Running, s.Waiting = n.gate.counts()
-	s.RefusedVersions = n.observer.versions.versions()
 	s.RefusedRequests = n.observer.refusals.totals()
 	return s
 }
