--- a/internal/adapter/settings/settings_test.go
+++ b/internal/adapter/settings/settings_test.go
@@ -134,3 +134,15 @@
 		}
 	})
 }
+
+// A policy that can't work is found before the node starts: a negative patience
+// would never wait, and no path would leave all news to chance.
+func TestPolicyOfDistributionIsChecked(t *testing.T) {
+	source := strings.Replace(good, "[peers]", "patience = \"-1s\"\nredundancy = 0\nstart_spread = \"-1s\"\n[peers]", 1)
+	_, found := Parse("node.toml", []byte(source))
+	keys := []string{}
+	for _, f := range found {
+		keys = append(keys, f.Key)
+	}
+	assert.DeepEqual(t, keys, []string{"platform.patience", "platform.redundancy", "platform.start_spread"})
+}
--- a/internal/node/outage_test.go
+++ b/internal/node/outage_test.go
@@ -299,6 +299,28 @@
 	})
 }
 
+// The limit of what can be known: a whole domain restarts while it is cut from
+// all others and its platform is stale. Nobody it can ask knows of version 2, so
+// it serves version 1 until the cut is over; see the operators' page. It must
+// then catch up, and no process may ever have gone back.
+func TestDomainRestartUnderAStalePlatform(t *testing.T) {
+	inMesh(t, 16, func(t *testing.T, m *mesh) {
+		first := m.build(m.version, meshSet(time.Second))
+		m.publish()
+		m.converge(3 * time.Second)
+		m.isolate(inDomain("domain-1"))
+		assert.NilError(t, m.platform.Restore(first, 1))
+		for i := 1; i < len(m.nodes); i += 4 {
+			m.restart(i)
+		}
+		time.Sleep(time.Minute)
+		assert.Equal(t, m.behind(), 4)
+		assert.Equal(t, m.unready(), 0, "a stale version is served rather than none")
+		m.heal()
+		t.Logf("after the cut: %s", m.converge(15*time.Second))
+	})
+}
+
 // Announces and heartbeats to one node are lost for a while, so it does not hear
 // of a change; its callers would be served by old terms. A call forwarded by a
 // peer carries the peer's version, which is enough to start a pull.
