--- a/internal/adapter/targethttp/targethttp.go
+++ b/internal/adapter/targethttp/targethttp.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -55,10 +56,13 @@
 
 // Do implements port.Target.
 func (t *Target) Do(ctx context.Context, call *port.Call) (*port.Answer, error) {
+	// What is left of the deadline, and the chain of the calls that the target
+	// makes for this one: it passes both on to its own node.
 	extra := http.Header{
 		callhttp.HeaderRequestID: {call.ID},
 		callhttp.HeaderBudget:    {callhttp.FormatMillis(time.Until(call.Deadline))},
 	}
+	callhttp.SetChain(extra, append(slices.Clone(call.Chain), call.Service))
 	response, err := callhttp.RoundTrip(ctx, t.transport, "http://"+t.address, call, extra)
 	if err != nil {
 		return nil, err
--- a/internal/command/published/published.go
+++ b/internal/command/published/published.go
@@ -137,9 +137,9 @@
 // assemble reads all parts that the manifest names and checks the version as a
 // node would.
 func assemble(ctx context.Context, from store, manifest *snapshot.Manifest) (*snapshot.Snapshot, finding.List, error) {
-	held := snapshot.Parts{}
+	read := snapshot.Parts{}
 	for {
-		_, missing, err := snapshot.Select(manifest, held)
+		held, missing, err := snapshot.Select(manifest, read)
 		if err != nil {
 			return nil, nil, err
 		}
@@ -152,7 +152,7 @@
 			if err != nil {
 				return nil, nil, errors.Wrapf(err, "part %s", hash.Short())
 			}
-			held[hash] = raw
+			read[hash] = raw
 		}
 	}
 }
--- a/internal/node/measure_test.go
+++ b/internal/node/measure_test.go
@@ -224,10 +224,11 @@
 		for id, sent := range m.network.SentBy() {
 			most = max(most, sent-before[id])
 		}
-		mean := float64(m.traffic().Bytes) / span.Seconds() / float64(len(m.nodes))
+		traffic := m.traffic()
+		mean := float64(traffic.Bytes) / span.Seconds() / float64(len(m.nodes))
 		reads := m.platform.TakeReads()
-		t.Logf("all have the version after %s; %.0f bytes/s and node, %.0f at the busiest; %d reads, %d in one second",
-			took, mean, float64(most)/span.Seconds(), reads.Total, reads.Peak)
+		t.Logf("all have the version after %s; %.0f bytes/s and node, %.0f at the busiest; %d bytes across regions; %d reads, %d in one second",
+			took, mean, float64(most)/span.Seconds(), traffic.CrossControl, reads.Total, reads.Peak)
 		assert.Check(t, took < 8*time.Second, "%s", took)
 		assert.Check(t, mean < 10_000, "%.0f bytes/s", mean)
 		assert.Check(t, reads.Peak < 200, "%d reads/s", reads.Peak)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 	"golang.org/x/time/rate"
 
@@ -21,6 +22,7 @@
 	"tamarackquay/internal/membership"
 	"tamarackquay/internal/port"
 	"tamarackquay/internal/routing"
+	"tamarackquay/internal/routing/p2c"
 	"tamarackquay/internal/snapshot"
 )
 
@@ -39,6 +41,11 @@
 	QueuePerSlot int
 	// MaxAttempts bounds how many targets one request is offered to.
 	MaxAttempts int
+	// Policy chooses among equally distant targets; nil means two choices.
+	Policy routing.Policy
+	// Linger is how long a stopping node still serves callers, closing their
+	// connections with each answer.
+	Linger time.Duration
 	// Drain bounds how long a planned stop waits for running requests.
 	Drain time.Duration
 	// Seed starts the node's random numbers.
@@ -61,7 +68,6 @@
 type Node struct {
 	config Config
 	ports  Ports
-	place  routing.Place
 
 	events   chan event
 	current  atomic.Pointer[snapshot.Snapshot]
@@ -72,9 +78,15 @@
 	// running counts requests that this node serves as entry or owner.
 	running atomic.Int64
 
+	// closed is set when a stopping node no longer serves callers.
+	closed atomic.Bool
+
 	gate     *gate
-	load     *loadCounter
 	observer *observer
+	targets  *directory
+	recent   *recent
+	// carried is the highest version that a forwarded call told of.
+	carried atomic.Pointer[snapshot.Version]
 
 	randomMu sync.Mutex
 	random   *rand.Rand
@@ -114,18 +126,21 @@
 // New returns a node that has not started.
 func New(config Config, ports Ports) *Node {
 	now := ports.Clock.Now()
+	if config.Policy == nil {
+		config.Policy = p2c.Policy{}
+	}
 	config.Membership.Heartbeat = config.Heartbeat
 	self := membership.Record{VM: config.Self, Incarnation: uint64(now.UnixNano()), State: membership.Live}
 	n := &Node{
-		config: config,
-		ports:  ports,
-		place:  routing.Place{FailureDomain: config.Self.FailureDomain, Region: config.Self.Region},
-		events: make(chan event, eventBacklog),
-		gate:   newGate(ports.Clock, config.Seed),
-		load:   newLoadCounter(),
-		random: rand.New(rand.NewPCG(config.Seed, self.Incarnation)),
-		state:  distribution.New(config.Distribution, now, rand.New(rand.NewPCG(config.Seed, self.Incarnation+1))),
-		table:  membership.NewTable(config.Membership, self, now, rand.New(rand.NewPCG(self.Incarnation, config.Seed))),
+		config:  config,
+		ports:   ports,
+		events:  make(chan event, eventBacklog),
+		gate:    newGate(ports.Clock, config.Seed),
+		targets: newDirectory(config.Self),
+		recent:  newRecent(),
+		random:  newRandom(config, self.Incarnation),
+		state:   distribution.New(config.Distribution, now, newRandom(config, self.Incarnation+1)),
+		table:   membership.NewTable(config.Membership, self, now, newRandom(config, self.Incarnation+2)),
 
 		started:   now,
 		listTried: make(chan struct{}),
@@ -137,6 +152,13 @@
 	return n
 }
 
+// newRandom returns a source that differs between VMs also when they share a
+// seed and the instant of their start, as in a herd restart: nodes whose random
+// numbers agree do all things at the same time.
+func newRandom(config Config, stream uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(config.Seed^xxhash.Sum64String(config.Self.ID), stream))
+}
+
 // event is something that happened, to be handled by the control loop.
 type event func(ctx context.Context, now time.Time)
 
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -12,38 +12,28 @@
 const observePeriod = time.Second
 
 // observer notes what operators ask about later: how the platform answers,
-// which versions and requests were refused, and how members change. It decides
-// nothing.
+// and which versions and requests were refused. It decides nothing.
 type observer struct {
 	started  time.Time
 	platform *observedPlatform
-	versions *recentRefusals
+	troubles *troubleLog
 	refusals *refusalTally
 
-	// The control loop's own state.
+	// last is when gauges were set; the control loop's own.
 	last time.Time
 }
 
 // observe puts the node's observers around its ports.
 func (n *Node) observe(now time.Time) {
-	versions := &recentRefusals{inner: n.ports.Audit}
-	platform := observePlatform(n.ports, n.platformChanged)
-	n.ports.Audit = versions
+	troubles := &troubleLog{inner: n.ports.Audit}
+	platform := observePlatform(n.ports)
+	n.ports.Audit = troubles
 	n.ports.Platform = platform
 	n.observer = &observer{
-		started: now, platform: platform, versions: versions, refusals: newRefusalTally(now),
-		last: now,
+		started: now, platform: platform, troubles: troubles, refusals: newRefusalTally(now), last: now,
 	}
 }
 
-func (n *Node) platformChanged(contact PlatformContact) {
-	kind := port.AuditPlatformUp
-	if contact.State == PlatformUnreachable {
-		kind = port.AuditPlatformDown
-	}
-	n.audit(port.AuditEvent{Kind: kind, Subject: "platform", Detail: contact.Problem})
-}
-
 // observe sets gauges and records what changed since the last round.
 func (o *observer) observe(n *Node, now time.Time, s *Status, view *membership.View) {
 	if now.Sub(o.last) < observePeriod {
--- a/internal/node/platformcontact.go
+++ b/internal/node/platformcontact.go
@@ -36,31 +36,18 @@
 // counts as unreachable. One lost connection is no outage.
 const unreachableAfter = 3
 
-// The results by which reads of the platform are counted.
-const (
-	readAnswered  = "answered"
-	readUnchanged = "unchanged"
-	readNotFound  = "not-found"
-	readFailed    = "failed"
-)
-
 // observedPlatform is a port.Platform that notes how each read fares.
 type observedPlatform struct {
 	inner port.Platform
 	clock port.Clock
-	meter port.Meter
-	// changed is called without the lock when the platform becomes
-	// unreachable or reachable again.
-	changed func(contact PlatformContact)
 
 	mu       sync.Mutex
 	contact  PlatformContact
 	failures int
 }
 
-func observePlatform(ports Ports, changed func(PlatformContact)) *observedPlatform {
-	return &observedPlatform{inner: ports.Platform, clock: ports.Clock, meter: ports.Meter, changed: changed,
-		contact: PlatformContact{State: PlatformNotRead}}
+func observePlatform(ports Ports) *observedPlatform {
+	return &observedPlatform{inner: ports.Platform, clock: ports.Clock, contact: PlatformContact{State: PlatformNotRead}}
 }
 
 // Manifest implements port.Platform.
@@ -104,27 +91,22 @@
 	if ctx.Err() != nil {
 		return
 	}
-	p.meter.Count(port.MetricPlatformReads, readResult(err), 1)
-	if contact, moved := p.update(err); moved {
-		p.changed(contact)
-	}
-}
-
-func (p *observedPlatform) update(err error) (PlatformContact, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	before := p.contact.State
-	if readResult(err) != readFailed {
+	if answered(err) {
 		p.failures = 0
 		p.contact.LastAnswer = now
 		p.enter(PlatformReachable, now, "")
 	} else if p.failures++; p.failures >= unreachableAfter {
 		p.enter(PlatformUnreachable, now, err.Error())
 	}
-	// The first answer after the start is no news.
-	moved := before != p.contact.State && (before != PlatformNotRead || p.contact.State == PlatformUnreachable)
-	return p.contact, moved
+}
+
+// answered reports whether the platform gave an answer, be it that there is
+// nothing new or nothing at all.
+func answered(err error) bool {
+	return err == nil || errors.Is(err, port.ErrUnchanged) || errors.Is(err, port.ErrNotFound)
 }
 
 func (p *observedPlatform) enter(state PlatformState, now time.Time, problem string) {
@@ -134,15 +116,3 @@
 	}
 	p.contact.Problem = problem
 }
-
-func readResult(err error) string {
-	switch {
-	case err == nil:
-		return readAnswered
-	case errors.Is(err, port.ErrUnchanged):
-		return readUnchanged
-	case errors.Is(err, port.ErrNotFound):
-		return readNotFound
-	}
-	return readFailed
-}
