--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,8 +85,6 @@
 	observer *observer
 	targets  *directory
 	recent   *recent
-	// carried is the highest version that a forwarded call told of.
-	carried atomic.Pointer[snapshot.Version]
 
 	randomMu sync.Mutex
 	random   *rand.Rand
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -19,8 +19,10 @@
 	troubles *troubleLog
 	refusals *refusalTally
 
-	// last is when gauges were set; the control loop's own.
+	// last is when gauges were set, told the last state of the platform in the
+	// trail; both are the control loop's own.
 	last time.Time
+	told PlatformState
 }
 
 // observe puts the node's observers around its ports.
@@ -40,6 +42,10 @@
 		return
 	}
 	o.last = now
+	if event, ok := platformEvent(o.told, s.Platform); ok {
+		n.audit(event)
+	}
+	o.told = s.Platform.State
 	for _, event := range memberEvents(n.table.TakeChanges()) {
 		n.audit(event)
 	}
@@ -50,6 +56,18 @@
 	n.countMembers(view)
 }
 
+// platformEvent tells that the platform went away or came back. A node that
+// reads it for the first time tells nothing.
+func platformEvent(before PlatformState, now PlatformContact) (port.AuditEvent, bool) {
+	switch {
+	case now.State == PlatformUnreachable && before != PlatformUnreachable:
+		return port.AuditEvent{Kind: port.AuditPlatformDown, Detail: now.Problem}, true
+	case now.State == PlatformReachable && before == PlatformUnreachable:
+		return port.AuditEvent{Kind: port.AuditPlatformUp}, true
+	}
+	return port.AuditEvent{}, false
+}
+
 func (n *Node) setGauges(now time.Time, s *Status) {
 	meter := n.ports.Meter
 	running, waiting := n.gate.counts()
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -11,7 +11,6 @@
 	"tamarackquay/internal/adapter/callhttp"
 	"tamarackquay/internal/admission"
 	"tamarackquay/internal/contract"
-	"tamarackquay/internal/distribution"
 	"tamarackquay/internal/port"
 )
 
@@ -68,8 +67,8 @@
 	}, nil
 }
 
-// catchUp compares the call's version with the node's own. A call of a newer
-// version starts a pull. It is refused only if this node's older version does
+// catchUp compares the call's version with the node's own; overheard has started
+// a pull if the call's is newer. The call is refused only if this node's older version does
 // not know its contract, route and grant: the terms that it does know are still
 // terms that the customer had a moment ago, and refusing every call for as long
 // as a version spreads would refuse what can be served.
@@ -78,7 +77,6 @@
 	if !call.Version.NewerThan(current.Version()) {
 		return nil
 	}
-	n.reportVersion(call)
 	owner := current.Contract(call.Customer)
 	if owner != nil && owner.Grant(call.Service) != nil && hasRoute(owner, call.Route) {
 		return nil
@@ -93,26 +91,6 @@
 	return slices.ContainsFunc(owner.Routes, func(route contract.Route) bool { return route.Name == name })
 }
 
-// reportVersion exchanges heartbeats with the call's entry node once for each
-// newer version: the heartbeat is the claim that a pull starts from. It never
-// waits: a call must not be held up by a busy loop, and the next call tells it
-// again.
-func (n *Node) reportVersion(call *port.Call) {
-	if known := n.carried.Load(); known != nil && !call.Version.NewerThan(*known) {
-		return
-	}
-	version := call.Version
-	select {
-	case n.events <- func(ctx context.Context, _ time.Time) {
-		if vm, ok := n.peer(distribution.Source(call.Entry)); ok {
-			n.background.Go(func() { n.exchange(ctx, vm) })
-		}
-	}:
-		n.carried.Store(&version)
-	default:
-	}
-}
-
 func (n *Node) admissionRequest(call *port.Call) admission.Request {
 	request := admission.Request{
 		ID: call.ID, Customer: call.Customer, Deadline: call.Deadline, NoWait: call.NoWait,
