Try a version before it is put aside; forget what was reported falsely

Two peers had two versions, and a question to each had failed before; each version counted as stuck as soon as it was staged, so the node put it aside and pulled the other, without pause and without any version.

Change: a version is put aside when it has no source left, or was tried and all its sources failed (TestVersionIsTriedBeforeItIsPutAside, red first). What is reported is what sources claim now: a claim not repeated for a minute is forgotten, refused versions don't count. Before, one false number left the alert "reported above applied" on until the restart (TestFalseReportIsForgotten), and a bad version at the platform held each fresh process for 10 s (TestRefusedVersionHoldsNoFreshProcess). The stand-in network counts as control what carries versions and leaves membership out.

Tried and reverted: a fresh process that waits for a source of its region.

--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -80,10 +80,9 @@
 	refused  refusals
 	history  history
 
-	reported snapshot.Version
-	heard    map[Source]bool
-	peers    int
-	rank     int
+	heard map[Source]bool
+	peers int
+	rank  int
 }
 
 // New returns the state of a process that knows no version.
@@ -107,8 +106,17 @@
 	return contentOf(s.applied.Manifest())
 }
 
-// Reported returns the highest version that anyone reported.
-func (s *State) Reported() snapshot.Version { return s.reported }
+// Reported returns the highest version that a source claims now, and at least
+// the one in force. Refused versions don't count: nobody will have them.
+func (s *State) Reported() snapshot.Version {
+	highest := s.inForce()
+	for _, known := range s.sources {
+		if known.claim.newerThan(highest) && !s.refused.has(known.claim) {
+			highest = known.claim
+		}
+	}
+	return highest.version
+}
 
 // SetPlace tells the state how many peers are known and how many live VMs of
 // the region come before this one in the order of readers.
@@ -125,7 +133,7 @@
 	if now.Sub(s.started) >= s.config.ReadyHold {
 		return true
 	}
-	return len(s.heard) >= min(s.peers, s.config.ReadyReports) && !s.reported.NewerThan(s.AppliedVersion())
+	return len(s.heard) >= min(s.peers, s.config.ReadyReports) && !s.Reported().NewerThan(s.AppliedVersion())
 }
 
 // VersionReported takes what a peer claims to have. It starts a pull, now or
@@ -134,30 +142,23 @@
 	if len(s.heard) < s.config.ReadyReports {
 		s.heard[claim.From] = true
 	}
-	if claim.Version.NewerThan(s.reported) {
-		s.reported = claim.Version
-	}
 	claimed := content{claim.Version, claim.Root}
 	if !claimed.newerThan(s.inForce()) {
 		delete(s.sources, claim.From)
 		return nil
 	}
-	due := now
-	if s.applied != nil {
-		due = now.Add(s.patience(claim))
-	}
-	s.learn(claim.From, claimed, claim.Distance, due)
+	s.learn(now, claim.From, claimed, claim.Distance, now.Add(s.patience(claim)))
 	return s.proceed(now)
 }
 
-// patience is how long a claim waits for a cheaper source. A node without any
-// version does not wait: it serves nobody until it has one. An announce from
+// patience is how long a claim waits for a cheaper source. An announce from
 // another region waits a little, because the region's own reader is about to
-// have the version too: without that each change crosses twice.
+// have the version too: without that each change crosses twice. A node without
+// any version does not wait: it serves nobody until it has one.
 func (s *State) patience(claim Claim) time.Duration {
 	part := s.config.Patience
 	switch {
-	case claim.Distance == SameDomain, claim.Told && claim.Distance == SameRegion:
+	case s.applied == nil, claim.Distance == SameDomain, claim.Told && claim.Distance == SameRegion:
 		return 0
 	case claim.Distance == SameRegion, claim.Told:
 		part /= 4
@@ -168,15 +169,16 @@
 // learn remembers a claim. The first due time of a claim stands: each further
 // heartbeat would otherwise put it off again. Failures stand as well, so that
 // a peer that keeps claiming what it can't give is asked ever more rarely.
-func (s *State) learn(from Source, claimed content, distance Distance, due time.Time) {
+func (s *State) learn(now time.Time, from Source, claimed content, distance Distance, due time.Time) {
 	known := s.sources[from]
 	if known == nil {
 		if len(s.sources) >= maxSources && !s.evictFor(claimed) {
 			return
 		}
-		s.sources[from] = &source{claim: claimed, distance: distance, due: due}
+		s.sources[from] = &source{claim: claimed, distance: distance, due: due, claimedAt: now}
 		return
 	}
+	known.claimedAt = now
 	if due.Before(known.due) {
 		known.due = due
 	}
@@ -236,9 +238,6 @@
 }
 
 func (s *State) notePlatform(now time.Time, offered content) {
-	if offered.version.NewerThan(s.reported) {
-		s.reported = offered.version
-	}
 	if !offered.newerThan(s.inForce()) {
 		delete(s.sources, Platform)
 		return
@@ -251,7 +250,7 @@
 	if s.rank > 0 {
 		due = now.Add(around(s.random, s.config.BackupWait))
 	}
-	s.learn(Platform, offered, FromPlatform, due)
+	s.learn(now, Platform, offered, FromPlatform, due)
 }
 
 func (s *State) mayStage(offered content) bool {
@@ -268,8 +267,8 @@
 // one says when to come back.
 func (s *State) FetchFailed(now time.Time, from Source, retryAfter time.Duration) []Effect {
 	s.answered(from)
-	if s.staged != nil {
-		s.staged.answered(from)
+	if s.staged != nil && s.staged.answered(from) {
+		s.staged.failures++
 	}
 	s.failed(now, from, retryAfter)
 	return append(s.incomplete(from), s.proceed(now)...)
@@ -294,6 +293,7 @@
 // Tick does what has become due: retries, claims whose wait is over, and
 // questions that nobody answered.
 func (s *State) Tick(now time.Time) []Effect {
+	s.dropSilent(now)
 	if s.asked != nil && !now.Before(s.asked.deadline) {
 		from := s.asked.from
 		s.asked = nil
@@ -302,11 +302,27 @@
 	if s.staged != nil && s.staged.asked != nil && !now.Before(s.staged.asked.deadline) {
 		from := s.staged.asked.from
 		s.staged.asked = nil
+		s.staged.failures++
 		s.failed(now, from, 0)
 	}
 	return s.proceed(now)
 }
 
+// silentAfter is how long a claim counts that is not made again; peers make it
+// with each heartbeat.
+const silentAfter = time.Minute
+
+// dropSilent forgets peers that have not claimed anything for long: they are
+// gone, or their claim was false and they have another one now. The platform is
+// kept, since it is asked and does not tell.
+func (s *State) dropSilent(now time.Time) {
+	for from, known := range s.sources {
+		if from != Platform && now.Sub(known.claimedAt) > silentAfter {
+			delete(s.sources, from)
+		}
+	}
+}
+
 // Wake returns when Tick should be called next, or the zero time when nothing
 // is due. Times up to now are left out: what they allowed has been done, or
 // waits for an answer whose own deadline counts here.
--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -276,3 +276,49 @@
 	s.FetchFailed(now, Platform, 0)
 	assert.Equal(t, count[Apply](feed(s, now, build(t, 2, 2, snapshot.Hash{}, "tally"))), 1)
 }
+
+// A peer reported a version that does not exist, and is gone since. Operators
+// are alerted while a version is reported and can't be had; the alert must end,
+// or they learn to ignore it.
+func TestFalseReportIsForgotten(t *testing.T) {
+	s := newState()
+	feed(s, start, build(t, 1, 1, snapshot.Hash{}, "tally"))
+	s.VersionReported(start, claimFrom(1, snapshot.Version{Epoch: 7, Revision: 7}, SameDomain))
+	assert.Equal(t, s.Reported(), snapshot.Version{Epoch: 7, Revision: 7})
+	s.Tick(start.Add(2 * time.Minute))
+	assert.Equal(t, s.Reported(), s.AppliedVersion())
+}
+
+// The platform's newest version is a bad one. A fresh process that counted it
+// would wait for a version that nobody will ever have in force.
+func TestRefusedVersionHoldsNoFreshProcess(t *testing.T) {
+	s := newState()
+	feed(s, start, build(t, 2, 2, snapshot.Hash{}, "absent"))
+	good := build(t, 1, 1, snapshot.Hash{}, "tally")
+	claim := claimFrom(1, good.Manifest.Version, SameDomain)
+	claim.Root = good.Manifest.Root
+	s.VersionReported(start, claim)
+	feed(s, start, good)
+	assert.Assert(t, s.Ready(start))
+	assert.Equal(t, s.Reported(), good.Manifest.Version)
+}
+
+// Found by the property test (seed 22, 60 steps). Two peers have two versions,
+// and a question to each has failed before. Each version counted as stuck as
+// soon as it was staged, since its source had failed; the node put it aside,
+// pulled the other one, and so on without end and without any version. A version
+// must be tried before it is put aside.
+func TestVersionIsTriedBeforeItIsPutAside(t *testing.T) {
+	s := newState()
+	low, high := build(t, 1, 1, snapshot.Hash{}, "tally"), build(t, 2, 2, snapshot.Hash{}, "tally")
+	now := start
+	for i, publication := range []*snapshot.Publication{low, high} {
+		claim := claimFrom(i, publication.Manifest.Version, SameDomain)
+		claim.Root = publication.Manifest.Root
+		s.VersionReported(now, claim)
+		s.FetchFailed(now, claim.From, 0)
+	}
+	now = now.Add(time.Second)
+	s.Tick(now)
+	assert.Equal(t, count[FetchParts](s.ManifestReceived(now, "vm-1", high.Manifest)), 1)
+}
--- a/internal/distribution/source.go
+++ b/internal/distribution/source.go
@@ -71,6 +71,8 @@
 	due       time.Time
 	notBefore time.Time
 	failures  int
+	// claimedAt is when the source last made its claim.
+	claimedAt time.Time
 }
 
 func (s *source) readyAt() time.Time {
--- a/internal/distribution/staging.go
+++ b/internal/distribution/staging.go
@@ -24,14 +24,20 @@
 	// spare are the parts of the one version that this one superseded.
 	spare snapshot.Parts
 	asked *request
+	// failures counts the requests for parts that failed since the version was
+	// staged.
+	failures int
 	// retryAt is when a shelved version is tried again.
 	retryAt time.Time
 }
 
-func (st *staging) answered(from Source) {
-	if st.asked != nil && st.asked.from == from {
-		st.asked = nil
+// answered ends the request to a source, if there is one, and reports so.
+func (st *staging) answered(from Source) bool {
+	if st.asked == nil || st.asked.from != from {
+		return false
 	}
+	st.asked = nil
+	return true
 }
 
 // stage starts to collect a version; it takes over the parts that are already
@@ -46,7 +52,7 @@
 	}
 	s.staged = next
 	if s.sources[from] == nil {
-		s.learn(from, contentOf(manifest), SameDomain, now)
+		s.learn(now, from, contentOf(manifest), SameDomain, now)
 	}
 }
 
@@ -216,20 +222,15 @@
 	return []Effect{Incomplete{Version: staged.version, Root: staged.root, Findings: found}}
 }
 
-// shelveIfStuck puts the staged version aside when each source of it has failed
-// and another version above the one in force can be had. Without this, a
-// publication that lacks a part, or a peer's manifest that nobody can back,
-// would keep a node from the good version that all its peers serve.
+// shelveIfStuck puts the staged version aside when nobody gives it and another
+// version above the one in force can be had. Without this, a publication that
+// lacks a part, or a peer's manifest that nobody can back, would keep a node
+// from the good version that all its peers serve.
 func (s *State) shelveIfStuck(now time.Time) {
-	if s.staged == nil {
+	if s.staged == nil || !s.stuck() {
 		return
 	}
 	staged, inForce := contentOf(s.staged.manifest), s.inForce()
-	for _, known := range s.sources {
-		if known.claim == staged && known.failures == 0 {
-			return
-		}
-	}
 	_, ok := s.best(now, func(known *source) bool {
 		return known.claim.newerThan(inForce) && staged.newerThan(known.claim) && !s.refused.has(known.claim)
 	})
@@ -241,6 +242,25 @@
 	s.shelf, s.staged = s.staged, nil
 }
 
+// stuck reports whether the staged version has no source left, or was tried and
+// each source of it has failed. Failures from before it was staged don't count
+// by themselves: two versions whose sources once failed would take turns on the
+// shelf without end, and neither would be tried.
+func (s *State) stuck() bool {
+	staged := contentOf(s.staged.manifest)
+	sources := 0
+	for _, known := range s.sources {
+		if known.claim != staged {
+			continue
+		}
+		if known.failures == 0 {
+			return false
+		}
+		sources++
+	}
+	return sources == 0 || s.staged.failures > 0
+}
+
 // takeFromShelf tries a version again that lacked parts: when its time has
 // come and nothing else is staged, or at once when a source turns up that has
 // not failed yet.
@@ -257,4 +277,5 @@
 		s.shelf.spare = s.staged.held
 	}
 	s.staged, s.shelf = s.shelf, nil
+	s.staged.failures = 0
 }
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -137,7 +137,7 @@
 	if err != nil {
 		r.failures++
 		r.revision = 0
-		r.node.ports.Log.Debug().Err(err).Int("failures", r.failures).Msg("manifest can't be read")
+		r.node.ports.Log.Debug().Err(err).Msg("manifest can't be read")
 		sleep(ctx, r.node.retryAfter(r.failures))
 		return
 	}
--- a/standin/memnet/memnet.go
+++ b/standin/memnet/memnet.go
@@ -20,8 +20,8 @@
 	Messages    int
 	Bytes       int
 	CrossRegion int
-	// Control is the part of Bytes that carries versions: everything but
-	// heartbeats. CrossControl is its part between regions.
+	// Control is the part of Bytes that carries versions, without membership.
+	// CrossControl is its part between regions.
 	Control      int
 	CrossControl int
 }
@@ -167,7 +167,7 @@
 	if crosses {
 		n.traffic.CrossRegion += size
 	}
-	if message.MessageType() == port.TypeHeartbeat {
+	if !carriesVersions(message) {
 		return
 	}
 	n.traffic.Control += size
@@ -176,6 +176,15 @@
 	}
 }
 
+// carriesVersions tells the messages of distribution from those of membership.
+func carriesVersions(message port.Message) bool {
+	switch message.(type) {
+	case port.Announce, port.ManifestRequest, port.ManifestReply, port.PartsRequest, port.PartsReply, port.Busy:
+		return true
+	}
+	return false
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
 		return ctx.Err() == nil
