--- a/cmd/tamarackd/run.go
+++ b/cmd/tamarackd/run.go
@@ -57,6 +57,7 @@
 }
 
 func run(s settings.Settings) error {
+	tuneMemory()
 	logger := newLogger(s)
 	for _, warning := range s.Warnings {
 		logger.Warn().Str("setting", warning.Key).Msg(warning.String())
--- a/internal/adapter/peerforward/peerforward.go
+++ b/internal/adapter/peerforward/peerforward.go
@@ -36,7 +36,11 @@
 	// to design for a node has 1,599 peers, and TLS state costs memory.
 	maxIdle     = 512
 	idleTimeout = 30 * time.Second
-	dialTimeout = 2 * time.Second
+	// dialTimeout bounds connection and handshake. Between regions they take
+	// two round trips, some 80 ms. The kernel of a VM whose process is paused
+	// still accepts connections: a longer wait would use up the deadline of a
+	// request that another target could have served.
+	dialTimeout = 500 * time.Millisecond
 )
 
 // NewClient returns a forwarder that proves itself with the identity.
