--- a/internal/adapter/peerforward/peerforward_test.go
+++ b/internal/adapter/peerforward/peerforward_test.go
@@ -7,6 +7,10 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
+	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -96,3 +100,48 @@
 	assert.Assert(t, errors.As(err, &refusal), "%v", err)
 	assert.Equal(t, refusal.Reason, port.ReasonUnreachable)
 }
+
+// An idle connection between two nodes, both of its ends in this process. The
+// figure is for docs/CAPACITY.md and gates nothing.
+func TestMemoryOfIdleConnections(t *testing.T) {
+	const count = 100
+	peer := identity(t, authority(t))
+	all := make(chan struct{})
+	var arrived atomic.Int32
+	handler := NewHandler(ownerFunc(func(w http.ResponseWriter, _ *http.Request, _ *port.Call) {
+		if arrived.Add(1) == count {
+			close(all)
+		}
+		<-all
+	}), time.Now)
+	there := httptest.NewUnstartedServer(handler)
+	there.TLS = peer.Server
+	there.StartTLS()
+	defer there.Close()
+	client := NewClient(peer, time.Now)
+	client.transport.MaxIdleConnsPerHost = count
+	defer client.Close()
+	before := inUse()
+	var calls sync.WaitGroup
+	for i := range count {
+		calls.Go(func() {
+			call := &port.Call{ID: strconv.Itoa(i), Method: http.MethodGet, Target: "/", Header: http.Header{}, Deadline: time.Now().Add(20 * time.Second)}
+			answer, err := client.Forward(t.Context(), membership.VM{PeerAddress: there.Listener.Addr().String()}, call)
+			assert.Check(t, err)
+			if err == nil {
+				_, _ = io.Copy(io.Discard, answer.Body)
+				answer.Body.Close()
+			}
+		})
+	}
+	calls.Wait()
+	t.Logf("%d bytes a connection, both ends", (int64(inUse())-int64(before))/count)
+}
+
+func inUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc + stats.StackInuse
+}
--- a/test/process/request_cost_test.go
+++ b/test/process/request_cost_test.go
@@ -158,3 +158,25 @@
 	assert.Equal(t, got, size)
 	return time.Since(start)
 }
+
+// The memory of callers' connections that are kept open at one entry node.
+func TestMeasureCallerConnections(t *testing.T) {
+	f, _ := newRequestRig(t)
+	const count = 1000
+	entry := f.nodes["a-returns"]
+	before := usageOf(t, entry.process).resident
+	for range count {
+		transport := &http.Transport{}
+		t.Cleanup(transport.CloseIdleConnections)
+		request, err := http.NewRequest(http.MethodGet, "http://"+entry.callers+"/tallies/1", nil)
+		assert.NilError(t, err)
+		request.Header.Set("Authorization", "Bearer "+testToken)
+		response, err := transport.RoundTrip(request)
+		assert.NilError(t, err)
+		_, _ = io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+	}
+	time.Sleep(time.Second)
+	grown := usageOf(t, entry.process).resident - before
+	t.Logf("%d connections: %.1f MB more, %.1f KB each", count, float64(grown)/1e6, float64(grown)/1e3/count)
+}
