Tell every state of the platform that health has shown

Cause: the observer compared the platform's state once a second; an outage that was over sooner made the health old-configuration and left no event in the trail. TestOutageIsToldAndCallersAreServed was red for it in one of two whole runs. Ruled out: waiting longer in the test, which would hide the missing event. Change: the state is compared each time health is worked out; gauges and members stay at once a second. Conclusion: health and trail agree.

--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -38,14 +38,15 @@
 
 // observe sets gauges and records what changed since the last round.
 func (o *observer) observe(n *Node, now time.Time, s *Status, view *membership.View) {
-	if now.Sub(o.last) < observePeriod {
-		return
-	}
-	o.last = now
+	// Each state that health has shown is told, however short it was.
 	if event, ok := platformEvent(o.told, s.Platform); ok {
 		n.audit(event)
 	}
 	o.told = s.Platform.State
+	if now.Sub(o.last) < observePeriod {
+		return
+	}
+	o.last = now
 	for _, event := range memberEvents(n.table.TakeChanges()) {
 		n.audit(event)
 	}
