Leave callers' connections open a while when a node stops

Two ways lead there: a connection accepted while Shutdown looks is not known to the server yet, and the process ends with it open; and the farewell on an idle or just opened connection meets a request that is being written, which the caller's HTTP client takes for a fault of the connection.

Change: the callers' listener is closed first and its last connection is known before anything else happens; connections stay open until used once more (their answer closes them) or for 3 s; a connection on which nothing came yet is left to its first request. Tests start a node in another's place only when that has ended: its addresses were still taken now and then.

A planned stop takes up to 3 s longer when callers hold idle connections that they don't use.

--- a/cmd/tamarackd/run.go
+++ b/cmd/tamarackd/run.go
@@ -34,7 +34,9 @@
 const (
 	// linger is longer than callers usually leave between two requests, and
 	// short beside the time that a planned stop may take.
-	linger            = time.Second
+	linger = time.Second
+	// idleGrace is how long idle connections are then left open.
+	idleGrace         = 3 * time.Second
 	closeTimeout      = 5 * time.Second
 	readHeaderTimeout = 10 * time.Second
 	idleSweep         = 15 * time.Second
@@ -182,14 +184,14 @@
 	if err != nil {
 		return errors.Wrap(err, "operators' listener")
 	}
-	go serve(d.callers.Server, d.callers.Listen(callers), failed)
-	go serve(d.peerSide, tls.NewListener(peers, identity.Server), failed)
-	go serve(d.operators, operators, failed)
+	go serve(d.callers.Run, callers, failed)
+	go serve(d.peerSide.Serve, tls.NewListener(peers, identity.Server), failed)
+	go serve(d.operators.Serve, operators, failed)
 	return nil
 }
 
-func serve(server *http.Server, listener net.Listener, failed chan<- error) {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+func serve(run func(net.Listener) error, listener net.Listener, failed chan<- error) {
+	if err := run(listener); !errors.Is(err, http.ErrServerClosed) {
 		failed <- err
 	}
 }
@@ -212,6 +214,10 @@
 func (d *daemon) stop() {
 	d.log.Info().Msg("stopping")
 	d.node.Stop(context.Background())
+	if err := d.callers.StopAccepting(); err != nil {
+		d.log.Warn().Err(err).Msg("callers' listener")
+	}
+	d.awaitCallers()
 	if err := d.callers.CloseIdle(); err != nil {
 		d.log.Warn().Err(err).Msg("idle connections closed without an answer")
 	}
@@ -225,6 +231,14 @@
 	d.log.Info().Msg("stopped")
 }
 
+// awaitCallers leaves callers' open connections some time to be used once more
+// and closed with the answer.
+func (d *daemon) awaitCallers() {
+	ctx, cancel := context.WithTimeout(context.Background(), idleGrace)
+	defer cancel()
+	d.callers.AwaitIdle(ctx)
+}
+
 // sweepIdle closes idle connections and takes up changed certificate files, so
 // that an authority is rotated without restarts.
 func (d *daemon) sweepIdle(ctx context.Context, identity *peertls.Config) {
--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -38,7 +38,7 @@
 		serve(entry, limits, c.Response(), c.Request())
 		return nil
 	})
-	s := &Server{conns: map[*conn]struct{}{}}
+	s := &Server{served: make(chan struct{}), conns: map[*conn]struct{}{}}
 	s.Server = &http.Server{
 		Handler:           e,
 		MaxHeaderBytes:    hardHeaderFactor * limits.HeaderBytes,
--- a/internal/adapter/callerhttp/idle.go
+++ b/internal/adapter/callerhttp/idle.go
@@ -1,6 +1,7 @@
 package callerhttp
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -23,13 +24,39 @@
 type Server struct {
 	*http.Server
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	// served is closed when Run has accepted its last connection.
+	served chan struct{}
+
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[*conn]struct{}
+}
+
+// Run serves the listener's connections until StopAccepting or Shutdown. It is
+// called once.
+func (s *Server) Run(listener net.Listener) error {
+	defer close(s.served)
+	s.mu.Lock()
+	s.listener = listener
+	s.mu.Unlock()
+	return s.Serve(&tracked{Listener: listener, server: s})
 }
 
-// Listen wraps the listener that Serve is called with.
-func (s *Server) Listen(listener net.Listener) net.Listener {
-	return &tracked{Listener: listener, server: s}
+// StopAccepting closes the listener and waits until every connection that was
+// accepted is known to the server. Shutdown alone may overlook one that was
+// accepted at that moment: the process then ends with it open, and its caller
+// sees the end of a connection on which it has just sent a return. Callers that
+// connect from now on are refused by the kernel and know that nothing ran.
+func (s *Server) StopAccepting() error {
+	s.mu.Lock()
+	listener := s.listener
+	s.mu.Unlock()
+	if listener == nil {
+		return nil
+	}
+	err := listener.Close()
+	<-s.served
+	return err
 }
 
 type tracked struct {
@@ -43,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: accepted}
+	c := &conn{Conn: accepted, fresh: true}
 	l.server.mu.Lock()
 	defer l.server.mu.Unlock()
 	l.server.conns[c] = struct{}{}
@@ -64,6 +91,32 @@
 	}
 }
 
+// awaitPoll is how often AwaitIdle looks.
+const awaitPoll = 10 * time.Millisecond
+
+// AwaitIdle waits until no connection is open, or ctx ends. The node refuses
+// what still comes, and its answers close their connections. A caller that sends
+// on a connection at the very moment at which it is closed can't be helped by
+// any server (RFC 9112, section 9.5); leaving the idle ones open for a while
+// leaves only those that nobody uses.
+func (s *Server) AwaitIdle(ctx context.Context) {
+	ticker := time.NewTicker(awaitPoll)
+	defer ticker.Stop()
+	for s.open() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Server) open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // CloseIdle ends all connections on which no request has arrived. Requests that
 // have arrived go on.
 func (s *Server) CloseIdle() error {
@@ -97,6 +150,10 @@
 	net.Conn
 
 	mu sync.Mutex
+	// fresh says that nothing came yet. A caller that has just connected is
+	// about to send its request, and would take an answer that comes before
+	// it for a fault of the connection; the request itself is answered.
+	fresh bool
 	// active says that the server works on a request, unanswered that bytes
 	// came since the last answer. Bytes of a request may have been read before
 	// the server says that it is active.
@@ -124,6 +181,7 @@
 	}
 	if count > 0 {
 		c.unanswered = true
+		c.fresh = false
 	}
 	return count, err
 }
@@ -140,7 +198,7 @@
 // ended is set, the server gets nothing more to read from the connection.
 func (c *conn) end(farewell []byte) {
 	c.mu.Lock()
-	if c.active || c.unanswered {
+	if c.fresh || c.active || c.unanswered {
 		c.mu.Unlock()
 		return
 	}
--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -217,8 +217,13 @@
 	f.putJSON(f.platform, "/admin/vms", list)
 }
 
+// startNode starts a node, after the end of the one that was killed or stopped
+// in its place: while that lives on for a moment, its addresses are taken.
 func (f *fleet) startNode(id string) {
 	v := f.nodes[id]
+	if v.process != nil {
+		<-v.process.done
+	}
 	v.process = start(f.t, "node "+id, "tamarackd", "--config", v.settings)
 }
 
