First reads over 4 s, parts at 80 a second, probes at their pace from the start

Cause: all reads of a start were near the bound: 964 a second by counts at 1,600 nodes, and the fit over the measured sizes went above 1,000. Probes came one interval after the start only, so that measurements at rest saw none.

Change: the first reads spread over 4 s instead of 3, parts at 80 instead of 100 a second, the first probe anywhere in its interval. Measurements go to 480 nodes.

Ruled out: a second reader that helps with parts (the peak grows with it).

--- a/internal/adapter/settings/settings.go
+++ b/internal/adapter/settings/settings.go
@@ -101,7 +101,7 @@
 			WatchTimeout: tomlfile.Duration(40 * time.Second),
 			ListInterval: tomlfile.Duration(5 * time.Second),
 			Readers:      2,
-			StartSpread:  tomlfile.Duration(3 * time.Second),
+			StartSpread:  tomlfile.Duration(4 * time.Second),
 			Patience:     tomlfile.Duration(time.Second),
 			Redundancy:   2,
 		},
--- a/internal/distribution/place.go
+++ b/internal/distribution/place.go
@@ -193,7 +193,7 @@
 // DefaultPace keeps 1,600 nodes in 4 regions under 1,000 reads a second when
 // all start at once, and near 10 a second at rest.
 func DefaultPace() Pace {
-	return Pace{Readers: 2, FleetRate: 4, Least: 10 * time.Second, StartSpread: 3 * time.Second, PartsRate: 100}
+	return Pace{Readers: 2, FleetRate: 4, Least: 10 * time.Second, StartSpread: 4 * time.Second, PartsRate: 80}
 }
 
 // ProbeAfter returns how long a node that is no reader waits for its next read
--- a/internal/node/measure_test.go
+++ b/internal/node/measure_test.go
@@ -243,7 +243,7 @@
 	}
 }
 
-var sizes = []int{12, 48, 120, 240}
+var sizes = []int{12, 48, 120, 240, 480}
 
 // TestMeasureGrowth prints our figures and the baselines' for growing fleets,
 // and what the slopes give at 1,600 nodes.
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -94,7 +94,11 @@
 	case <-ctx.Done():
 		return
 	}
-	r := &manifestReader{node: n, probeAt: n.ports.Clock.Now().Add(n.probeAfter())}
+	// The first probe falls anywhere in the interval, so that a fleet that
+	// started together probes at its pace from the start.
+	first := n.probeAfter()
+	first = n.randomly(func(r *rand.Rand) time.Duration { return time.Duration(r.Int64N(int64(first))) })
+	r := &manifestReader{node: n, probeAt: n.ports.Clock.Now().Add(first)}
 	for ctx.Err() == nil {
 		switch {
 		case n.isReader():
