Refuse what wakes from a pause before the control loop does

Cause: a process that was frozen wakes with all goroutines at once. A request that ran before the control loop's first turn was served on the membership and the configuration from before the pause; only that turn takes readiness away.

Ruled out: a check in the loop alone (it is what comes too late); locks between requests and the loop.

Red before, green after: TestPausedNodeRefreshesBeforeItJudges.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -124,7 +124,13 @@
 	return n.mayKnow()
 }
 
+// mayKnow reports whether this node's picture of the world can be relied on. A
+// request may wake from a pause before the control loop does, which then clears
+// ready: it would act on the picture from before.
 func (n *Node) mayKnow() *port.Refusal {
+	if n.PausedFor(n.ports.Clock.Now()) > 0 {
+		return port.Refuse(port.ReasonNotReady, retryWhenNotReady, "this node was paused and asks its peers what it missed")
+	}
 	if !n.ready.Load() {
 		return port.Refuse(port.ReasonNotReady, retryWhenNotReady, "this node has no current configuration yet")
 	}
--- a/internal/node/member_test.go
+++ b/internal/node/member_test.go
@@ -255,6 +255,8 @@
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		m := settledMesh(t, 24, 4)
+		m.publish()
+		m.converge(15 * time.Second)
 		sleeper, leaving := m.nodes[3], m.nodes[8]
 		var gaps []time.Duration
 		sleeper.post(context.Background(), func(context.Context, time.Time) {
@@ -265,10 +267,12 @@
 		m.until(5*time.Second, "pause", func() bool { return m.excluded(sleeper.vm.ID, sleeper) })
 		time.Sleep(sleeper.pauseAfter())
 		assert.Check(t, sleeper.PausedFor(time.Now()) > 0, "requests can see the pause before the loop wakes")
+		assert.Check(t, sleeper.mayServe() != nil, "a request that wakes before the control loop is refused")
 		leaving.leave()
 		time.Sleep(time.Minute)
 		m.until(3*time.Second, "refresh", func() bool { return !slices.Contains(sleeper.targets(), leaving.vm.ID) })
 		took := m.until(10*time.Second, "return", func() bool { return m.complete(m.nodes, 23) })
+		assert.Check(t, sleeper.mayServe() == nil)
 		t.Logf("complete %s after the wake", took)
 		assert.Check(t, len(gaps) == 1 && gaps[0] > 50*time.Second, "%v", gaps)
 		leaving.running.Add(-1)
