--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -20,12 +20,12 @@
 	n.running.Add(1)
 	defer n.running.Add(-1)
 	n.closeWhenStopping(w)
+	n.overheard(call.Entry, call.Version)
 	if !n.recent.first(call.ID) {
 		// The first one may have run, so this is no refusal.
 		callhttp.WriteError(w, &port.Unknown{Stage: stageDuplicate, Cause: errors.Errorf("call %s came twice", call.ID)})
 		return
 	}
-	n.overheard(call.Entry, call.Version)
 	answer, done, err := n.own(r.Context(), call)
 	if err != nil {
 		callhttp.WriteError(w, err)
