--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -179,7 +179,7 @@
 		return f.body.again()
 	case port.ReasonUnreachable:
 		f.failed(now, t)
-	case port.ReasonQueueFull, port.ReasonShed, port.ReasonLimit:
+	case port.ReasonQueueFull, port.ReasonBusy, port.ReasonShed, port.ReasonLimit:
 		f.least = routing.NextDistance(t.distance, true)
 	case port.ReasonNoGrant, port.ReasonBadRequest:
 		return false
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -124,7 +124,12 @@
 	return n.mayKnow()
 }
 
+// mayKnow reports whether the node's picture of versions and members can be
+// trusted. After a pause a request may come before the control loop has noticed.
 func (n *Node) mayKnow() *port.Refusal {
+	if gap := n.PausedFor(n.ports.Clock.Now()); gap > 0 {
+		return port.Refuse(port.ReasonNotReady, retryWhenNotReady, "this process was paused for %s", gap.Round(time.Second))
+	}
 	if !n.ready.Load() {
 		return port.Refuse(port.ReasonNotReady, retryWhenNotReady, "this node has no current configuration yet")
 	}
--- a/internal/node/request_test.go
+++ b/internal/node/request_test.go
@@ -395,3 +395,17 @@
 		}
 	})
 }
+
+// A process wakes from a pause, and a request is handled before the control
+// loop has had its turn: what the node knows of members is old, so the request
+// is refused in place of being sent to a VM that may have departed.
+func TestRequestRightAfterPause(t *testing.T) {
+	owners := &fakeOwners{answer: func(context.Context, int, membership.VM, *port.Call) (*port.Answer, error) { return ok("whole"), nil }}
+	n := newEntry(t, owners)
+	slept := time.Now().Add(-time.Minute)
+	n.lastTurn.Store(&slept)
+	assert.Equal(t, serve(n, "GET", "/tallies", nil).Header().Get(callhttp.HeaderReason), string(port.ReasonNotReady))
+	woken := time.Now()
+	n.lastTurn.Store(&woken)
+	assert.Equal(t, serve(n, "GET", "/tallies", nil).Body.String(), "whole")
+}
