Never offer what is left of a body that was read in part

Cause: a probe that finds a target busy is followed by another offer without asking whether the body can still be sent. Of a body over 64 KB the busy target may have read a part; the next one got the rest, and with no length to tell it took the rest for the whole return.

Red first: TestHalfABodyIsNeverOffered, "130972 bytes passed for the whole return" of 131,072.

--- a/internal/node/body.go
+++ b/internal/node/body.go
@@ -46,8 +46,12 @@
 	return &requestBody{kept: head}, int64(len(head)), nil
 }
 
+// isKept reports whether any number of attempts can have the whole body.
+func (b *requestBody) isKept() bool { return b.stream == nil }
+
 // reader returns the body for the next attempt and takes it from the last one;
-// nil if there is none.
+// nil if there is none. Of a large body that was read in part the next attempt
+// gets an error and not the rest: its target would take the rest for all.
 func (b *requestBody) reader() io.Reader {
 	if b.stream == nil {
 		if len(b.kept) == 0 {
@@ -57,8 +61,11 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.current = &bodyReader{body: b}
-	return b.current
+	next := &bodyReader{body: b}
+	if !b.touched {
+		b.current = next
+	}
+	return next
 }
 
 // again reports whether another attempt can have the whole body. After it said
--- a/internal/node/request_test.go
+++ b/internal/node/request_test.go
@@ -409,3 +409,32 @@
 	n.lastTurn.Store(&woken)
 	assert.Equal(t, serve(n, "GET", "/tallies", nil).Body.String(), "whole")
 }
+
+// A large return is offered without waiting and found busy after a part of it
+// was read. The next target must never get what is left for a whole return: it
+// would file half of it. Large bodies are not sent on probes, and a body that
+// was read can't be read again.
+func TestHalfABodyIsNeverOffered(t *testing.T) {
+	large := strings.Repeat("x", 2*keptBodyBytes)
+	owners := &fakeOwners{}
+	owners.answer = func(_ context.Context, _ int, _ membership.VM, call *port.Call) (*port.Answer, error) {
+		if call.NoWait {
+			_, _ = call.Body.Read(make([]byte, 100))
+			return nil, port.Refuse(port.ReasonBusy, time.Second, "busy")
+		}
+		content, err := io.ReadAll(call.Body)
+		assert.Check(t, err != nil || len(content) == len(large), "%d bytes passed for the whole return", len(content))
+		return ok("filed"), nil
+	}
+	for _, body := range []io.Reader{strings.NewReader(large), io.MultiReader(strings.NewReader(large))} {
+		got := serve(newEntry(t, owners), "POST", "/returns", body)
+		assert.Equal(t, got.Body.String(), "filed")
+	}
+
+	read, _, err := readBody(strings.NewReader(large), int64(len(large)))
+	assert.NilError(t, err)
+	_, err = read.reader().Read(make([]byte, 1))
+	assert.NilError(t, err)
+	_, err = read.reader().Read(make([]byte, 1))
+	assert.ErrorIs(t, err, errRevoked)
+}
