Keep slots for a chain's inner calls from its own customer alone

Cause: slots for chains that come back to a service were kept from every customer's shallower calls, on the word of whoever sent the request. One call each ten seconds with a false Tamarack-Chain took up to half of a target from customers that were guaranteed it.

Change: the levels of chains are remembered for each customer, and only that customer's shallower calls leave slots free for them. The property test's model keeps them likewise.

--- a/internal/admission/customer.go
+++ b/internal/admission/customer.go
@@ -41,6 +41,9 @@
 	lentPass      float64
 	fractionSince float64
 
+	// levels are those of the customer's chains that come back to the service.
+	levels revisitLevels
+
 	shortHold meanHold
 	longHold  meanHold
 	// nextReturn is when the last refused caller was told to come back.
--- a/internal/admission/cycle.go
+++ b/internal/admission/cycle.go
@@ -5,10 +5,13 @@
 // Calls of one chain that come back to a service while an outer call of the
 // chain holds a slot of it can bring a target to a stop: all slots are held by
 // outer calls, all their inner calls wait for a slot, and nothing moves until
-// deadlines pass. So while such calls come, one slot for each deeper level is
-// kept for them. That is enough: the innermost call always finds a slot, its
-// end also ends the outer call that waits for it, and the two slots go to inner
-// calls first. Services without cycles keep nothing back.
+// deadlines pass. So while such calls of a customer come, its shallower calls
+// leave one slot free for each deeper level. That is enough: the innermost call
+// always finds a slot, its end also ends the outer call that waits for it, and
+// the two slots go to inner calls first. Other customers' calls may take these
+// slots: theirs end without an inner call, or leave slots free themselves. A
+// caller can claim any chain, and must not keep slots from anybody else by it.
+// Customers without cycles keep nothing back.
 
 const (
 	// revisitMemory is how long a level counts after its last call came.
@@ -39,26 +42,30 @@
 	return 0
 }
 
-// reserved is how many slots are kept back from requests of a level.
-func (q *Queue) reserved(now time.Time, level int) int {
-	deeper := q.levels.deepest(now) - level
+// reserved is how many slots a customer with these levels leaves free for
+// deeper calls than those of the level.
+func (q *Queue) reserved(now time.Time, levels *revisitLevels, level int) int {
+	deeper := levels.deepest(now) - level
 	return max(0, min(deeper, q.slots/reservedPart))
 }
 
-// nextInner returns the request that a reserved slot goes to, by the same order
-// of customers as other slots, or nil. It looks at every waiting request, but
-// only where a cycle has left no other slot.
-func (q *Queue) nextInner(now time.Time) (*entry, int) {
-	if q.revisiting == 0 {
-		return nil, 0
-	}
+// leavesFree reports whether the waiting request leaves the slots free that are
+// kept for its customer's deeper calls.
+func (q *Queue) leavesFree(now time.Time, e *entry) bool {
+	return q.reserved(now, &e.customer.levels, revisitsOf(&e.request)) < q.slots-q.running
+}
+
+// nextInCycle returns the request that a free slot goes to where some customer
+// must leave it free, by the same order of customers as other slots, or nil. It
+// looks at every customer and, of those with cycles, at every waiting request.
+func (q *Queue) nextInCycle(now time.Time) (*entry, int) {
 	var best *entry
 	var bestTier int
 	for _, c := range q.customers {
 		if c.held >= c.limit {
 			continue
 		}
-		e := q.firstInner(now, c)
+		e := q.firstAllowed(now, c)
 		if e == nil {
 			continue
 		}
@@ -71,11 +78,10 @@
 	return best, bestTier
 }
 
-// firstInner returns the customer's first waiting request whose level may use
-// the slots that are free.
-func (q *Queue) firstInner(now time.Time, c *customer) *entry {
-	free := q.slots - q.running
-	allowed := func(e *entry) bool { return q.reserved(now, revisitsOf(&e.request)) < free }
+// firstAllowed returns the customer's first waiting request that leaves enough
+// slots free.
+func (q *Queue) firstAllowed(now time.Time, c *customer) *entry {
+	allowed := func(e *entry) bool { return q.leavesFree(now, e) }
 	first := c.short.firstWhere(allowed)
 	if ok, lent := c.mayRunLong(); ok && (!lent || q.lentLong < q.lentLongBound) {
 		if long := c.long.firstWhere(allowed); first == nil || long != nil && before(long, first) {
@@ -85,12 +91,12 @@
 	return first
 }
 
-// Eligible is the number of waiting requests that a free slot may go to, for
-// measurements; it visits every customer, and every request in a cycle.
+// Eligible is the number of waiting requests that a slot would go to, were one
+// free, for measurements; it visits every customer and, in a cycle, every
+// waiting request.
 func (q *Queue) Eligible() int {
-	free := q.slots - q.running
-	if reserved := q.reserved(q.lastEvent, 0); reserved > 0 && free <= reserved {
-		return q.eligibleInner(free)
+	if q.levels.deepest(q.lastEvent) > 0 {
+		return q.eligibleInCycle()
 	}
 	total := 0
 	for _, c := range q.customers {
@@ -105,12 +111,22 @@
 	return total
 }
 
-func (q *Queue) eligibleInner(free int) int {
+func (q *Queue) eligibleInCycle() int {
 	total := 0
 	for _, e := range q.entries {
-		if !e.running && q.reserved(q.lastEvent, revisitsOf(&e.request)) < free {
+		if !e.running && q.eligible(e) {
 			total++
 		}
 	}
 	return total
 }
+
+func (q *Queue) eligible(e *entry) bool {
+	c := e.customer
+	reserved := q.reserved(q.lastEvent, &c.levels, revisitsOf(&e.request))
+	if c.held >= c.limit || reserved > 0 && reserved >= q.slots-q.running {
+		return false
+	}
+	ok, lent := c.mayRunLong()
+	return !e.request.Long || ok && (!lent || q.lentLong < q.lentLongBound)
+}
--- a/internal/admission/property_test.go
+++ b/internal/admission/property_test.go
@@ -31,13 +31,15 @@
 	ended   map[string]int
 	offered int
 	lacking map[string]time.Time
-	seen    [MaxDepth + 1]time.Time
+	// seen is when a call of each customer and level last came.
+	seen map[string]map[int]time.Time
 }
 
 func newModel(t *rapid.T) *model {
 	m := &model{
 		t: t, now: time.Unix(1_000_000, 0), ends: map[string]time.Time{}, running: map[string]Request{},
 		waiting: map[string]Request{}, ended: map[string]int{}, lacking: map[string]time.Time{},
+		seen: map[string]map[int]time.Time{},
 	}
 	for i := range rapid.IntRange(1, 6).Draw(t, "customers") {
 		m.names = append(m.names, fmt.Sprintf("customer-%d", i))
@@ -104,11 +106,13 @@
 	return FloorSlots(m.terms.LongLent, m.q.Slots()) + FloorSlots(1-claimed, m.q.Slots())
 }
 
-// reserved is how many slots are kept for deeper calls of cycles seen lately.
-func (m *model) reserved(level int) int {
+// reserved is how many slots a customer leaves free for deeper calls of its own
+// cycles that were seen lately.
+func (m *model) reserved(name string, level int) int {
 	deepest := level
 	for deeper := level + 1; deeper <= MaxDepth; deeper++ {
-		if !m.seen[deeper].IsZero() && m.now.Sub(m.seen[deeper]) <= revisitMemory {
+		seen, ok := m.seen[name][deeper]
+		if ok && m.now.Sub(seen) <= revisitMemory {
 			deepest = deeper
 		}
 	}
@@ -118,7 +122,7 @@
 // eligible reports whether a waiting request may run on a free slot.
 func (m *model) eligible(r Request) bool {
 	held, long := m.held(r.Customer)
-	if m.q.Slots()-len(m.running) <= m.reserved(r.Revisits) {
+	if m.q.Slots()-len(m.running) <= m.reserved(r.Customer, r.Revisits) {
 		return false
 	}
 	if held >= m.limit(r.Customer) || !r.Deadline.After(m.now) {
@@ -197,7 +201,10 @@
 	m.offered++
 	if rapid.IntRange(0, 19).Draw(m.t, "cycle") == 0 {
 		r.Revisits = 1 + r.Depth
-		m.seen[r.Revisits] = m.now
+		if m.seen[r.Customer] == nil {
+			m.seen[r.Customer] = map[int]time.Time{}
+		}
+		m.seen[r.Customer][r.Revisits] = m.now
 	}
 	decision, changes := m.q.Offer(m.now, r)
 	if decision.Verdict == Refused {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -27,10 +27,9 @@
 	lentLongBound int
 	arrivals      uint64
 
-	// levels and revisiting serve chains that come back to the service; see
-	// cycle.go. Revisiting counts those that wait.
-	levels     revisitLevels
-	revisiting int
+	// levels are those of all customers' chains that come back to the service;
+	// see cycle.go.
+	levels revisitLevels
 
 	// contested is for how many seconds some customer has waited for a part
 	// of a slot; fractional slots are charged in this time, so that using one
@@ -81,6 +80,7 @@
 		return Decision{Verdict: Refused, Reason: ReasonDuplicate}, q.changes
 	}
 	q.levels.see(now, &r)
+	c.levels.see(now, &r)
 	e := q.newEntry(c, r)
 	if q.running < q.slots {
 		// Enough slots may be free for those that wait as well: a target
@@ -236,8 +236,8 @@
 // next returns the request that the next free slot goes to, and the tier of its
 // customer, or nil.
 func (q *Queue) next(now time.Time) (*entry, int) {
-	if q.slots-q.running <= q.reserved(now, 0) {
-		return q.nextInner(now)
+	if q.slots-q.running <= q.reserved(now, &q.levels, 0) {
+		return q.nextInCycle(now)
 	}
 	lentLongLeft := q.lentLong < q.lentLongBound
 	c, from := q.tiers.next(lentLongLeft)
@@ -306,9 +306,6 @@
 	}
 	c.lane(e.request.Long).push(e)
 	q.waiting++
-	if e.request.Revisits > 0 {
-		q.revisiting++
-	}
 	q.tiers.place(c)
 }
 
@@ -320,9 +317,6 @@
 func (q *Queue) unlist(e *entry) {
 	e.customer.lane(e.request.Long).remove(e)
 	q.waiting--
-	if e.request.Revisits > 0 {
-		q.revisiting--
-	}
 }
 
 func (q *Queue) newEntry(c *customer, r Request) *entry {
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -354,3 +354,18 @@
 	assert.Equal(t, first.Verdict, Admitted)
 	assert.Equal(t, second.Reason, ReasonDuplicate)
 }
+
+// A customer's caller claims a chain that comes back to the service three times.
+// Slots kept for inner calls that never come would be taken from everybody; they
+// are kept from that customer's own shallower calls alone.
+func TestFalseChainCostsOnlyItsCustomer(t *testing.T) {
+	b := newBench(t, 4, map[string]Share{"honest": {Guaranteed: 0.5, Limit: 1}, "false": {Guaranteed: 0.5, Limit: 1}})
+	claim := b.admit(1, Request{Customer: "false", Depth: 3, Revisits: 3})
+	b.release(claim[0])
+	held := b.admit(4, Request{Customer: "honest"})
+	b.enqueue(1, Request{Customer: "false"})
+	for _, id := range held[:2] {
+		assert.Equal(t, len(b.release(id)), 0, "two slots are kept from the customer that claimed them")
+	}
+	assert.Equal(t, len(b.release(held[2])), 1)
+}
