--- a/internal/node/request_test.go
+++ b/internal/node/request_test.go
@@ -419,6 +419,7 @@
 	owners := &fakeOwners{}
 	owners.answer = func(_ context.Context, _ int, _ membership.VM, call *port.Call) (*port.Answer, error) {
 		if call.NoWait {
+			t.Error("a large body was sent on a probe")
 			_, _ = call.Body.Read(make([]byte, 100))
 			return nil, port.Refuse(port.ReasonBusy, time.Second, "busy")
 		}
