Read-through: one way to wait, one table of messages, fields by owner

Cause: read as a newcomer, the node's fields stood mixed whoever might touch them; waiting for a time stood three times; the decoder had two switches with one shape; a reason for refusing was documented and never given.

Ruled out: splitting Node into types of their own, which would move every method for the sake of names.

--- a/internal/adapter/peerws/codec.go
+++ b/internal/adapter/peerws/codec.go
@@ -72,40 +72,28 @@
 	return frame, message, err
 }
 
-func decodeBody(frame envelope) (port.Message, error) {
-	switch frame.Type {
-	case port.TypeHeartbeat:
-		return decodeAs[port.Heartbeat](frame.Body)
-	case port.TypeAnnounce:
-		return decodeAs[port.Announce](frame.Body)
-	case port.TypeManifestRequest:
-		return decodeAs[port.ManifestRequest](frame.Body)
-	case port.TypeManifestReply:
-		return decodeAs[port.ManifestReply](frame.Body)
-	case port.TypePartsRequest:
-		return decodeAs[port.PartsRequest](frame.Body)
-	case port.TypePartsReply:
-		return decodeAs[port.PartsReply](frame.Body)
-	case port.TypeBusy:
-		return decodeAs[port.Busy](frame.Body)
-	}
-	return decodeMembership(frame)
+// bodies decodes the body of each type of message.
+var bodies = map[port.MessageType]func(body []byte) (port.Message, error){
+	port.TypeHeartbeat:       decodeAs[port.Heartbeat],
+	port.TypeAnnounce:        decodeAs[port.Announce],
+	port.TypeManifestRequest: decodeAs[port.ManifestRequest],
+	port.TypeManifestReply:   decodeAs[port.ManifestReply],
+	port.TypePartsRequest:    decodeAs[port.PartsRequest],
+	port.TypePartsReply:      decodeAs[port.PartsReply],
+	port.TypeBusy:            decodeAs[port.Busy],
+	port.TypeGossip:          decodeAs[port.Gossip],
+	port.TypeProbeRequest:    decodeAs[port.ProbeRequest],
+	port.TypeProbeReply:      decodeAs[port.ProbeReply],
+	port.TypeSyncRequest:     decodeAs[port.SyncRequest],
+	port.TypeSyncReply:       decodeAs[port.SyncReply],
 }
 
-func decodeMembership(frame envelope) (port.Message, error) {
-	switch frame.Type {
-	case port.TypeGossip:
-		return decodeAs[port.Gossip](frame.Body)
-	case port.TypeProbeRequest:
-		return decodeAs[port.ProbeRequest](frame.Body)
-	case port.TypeProbeReply:
-		return decodeAs[port.ProbeReply](frame.Body)
-	case port.TypeSyncRequest:
-		return decodeAs[port.SyncRequest](frame.Body)
-	case port.TypeSyncReply:
-		return decodeAs[port.SyncReply](frame.Body)
+func decodeBody(frame envelope) (port.Message, error) {
+	decodeType, ok := bodies[frame.Type]
+	if !ok {
+		return nil, errors.Wrapf(ErrBadMessage, "unknown type %d", frame.Type)
 	}
-	return nil, errors.Wrapf(ErrBadMessage, "unknown type %d", frame.Type)
+	return decodeType(frame.Body)
 }
 
 func decodeAs[T port.Message](body []byte) (port.Message, error) {
--- a/internal/explain/reason.go
+++ b/internal/explain/reason.go
@@ -35,7 +35,6 @@
 	port.ReasonUnreachable:    {"no byte of the request reached the target", "come back after Retry-After; see the members of the node"},
 	port.ReasonBodyTooLarge:   {"the body is over requests.max_body_bytes", "send less, or raise the setting on the nodes"},
 	port.ReasonHeaderTooLarge: {"the headers are over requests.max_header_bytes", "send less, or raise the setting on the nodes"},
-	port.ReasonRetriesSpent:   {"the budget of retries is spent, which bounds the load of an outage", "come back after Retry-After"},
 	port.ReasonBadRequest:     {"the request can't be sent on as it is", "correct the request"},
 	port.ReasonDuplicateCall:  {"the target's node has already taken a call of this id", "nothing to do; the first call's answer counts"},
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tamarackquay/internal/report"
+	"tamarackquay/internal/wait"
 )
 
 // Call is one call to make.
@@ -62,7 +63,7 @@
 	interval := g.config.interval()
 	for number := range g.config.calls() {
 		intended := start.Add(time.Duration(number) * interval)
-		if !sleepUntil(ctx, intended) {
+		if !wait.Sleep(ctx, time.Until(intended)) {
 			return
 		}
 		call := Call{Number: number, Kind: g.config.Mix.pick(g.random.IntN(g.config.Mix.total())),
@@ -94,19 +95,3 @@
 		g.recorder.add(kind, outcome, took)
 	}
 }
-
-// sleepUntil reports false when ctx ends first.
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	wait := time.Until(at)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/load/signal.go
+++ b/internal/load/signal.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"tamarackquay/internal/wait"
 )
 
 // Signal is a failure to cause: a signal to a process at a time after the start
@@ -48,7 +50,7 @@
 // deliver sends the signal when its time has come. A process that is gone by
 // then needs none.
 func (s Signal) deliver(ctx context.Context, start time.Time) {
-	if sleepUntil(ctx, start.Add(s.At)) {
+	if wait.Sleep(ctx, time.Until(start.Add(s.At))) {
 		_ = syscall.Kill(s.PID, signals[s.Name])
 	}
 }
--- a/internal/node/baseline_test.go
+++ b/internal/node/baseline_test.go
@@ -13,6 +13,7 @@
 
 	"tamarackquay/internal/port"
 	"tamarackquay/internal/snapshot"
+	"tamarackquay/internal/wait"
 	"tamarackquay/standin/memnet"
 )
 
@@ -75,7 +76,7 @@
 // follow is one node of a baseline.
 func (f *baselineFleet) follow(ctx context.Context, i int, platform port.Platform, b baseline) {
 	random := rand.New(rand.NewPCG(uint64(i), 1))
-	sleep(ctx, time.Duration(random.Int64N(int64(3*time.Second))))
+	wait.Sleep(ctx, time.Duration(random.Int64N(int64(3*time.Second))))
 	var held snapshot.Parts
 	var value port.Value
 	var err error
@@ -91,7 +92,7 @@
 			held = f.take(ctx, i, platform, value, held, b.full)
 		}
 		if b.pollEvery > 0 || err != nil && !errors.Is(err, port.ErrUnchanged) {
-			sleep(ctx, max(b.pollEvery, time.Second))
+			wait.Sleep(ctx, max(b.pollEvery, time.Second))
 		}
 	}
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -59,12 +59,3 @@
 	}
 	return n.handleMember(ctx, message)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/node/list.go
+++ b/internal/node/list.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tamarackquay/internal/membership"
+	"tamarackquay/internal/wait"
 )
 
 // listPace is the mean time between two readings of the platform's list by
@@ -17,20 +18,20 @@
 // waits a random time, and later ones half to one and a half times the
 // interval: nodes that started together would else read together.
 func (n *Node) watchList(ctx context.Context) {
-	sleep(ctx, n.randomly(n.config.Pace.StartAfter))
+	wait.Sleep(ctx, n.randomly(n.config.Pace.StartAfter))
 	failures := 0
 	for ctx.Err() == nil {
 		list, err := n.ports.Platform.VMs(ctx)
 		if err != nil {
 			n.listWasTried()
 			failures++
-			sleep(ctx, n.retryAfter(failures))
+			wait.Sleep(ctx, n.retryAfter(failures))
 			continue
 		}
 		failures = 0
 		n.post(ctx, func(_ context.Context, now time.Time) { n.takeList(now, list) })
 		interval := n.listInterval()
-		sleep(ctx, interval/2+time.Duration(n.pick(int(interval))))
+		wait.Sleep(ctx, interval/2+time.Duration(n.pick(int(interval))))
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,51 +64,53 @@
 	Log      *log.Logger
 }
 
-// Node is one running process of the system.
+// Node is one running process of the system. Its fields stand in groups by who
+// may touch them.
 type Node struct {
 	config Config
 	ports  Ports
+	// events are handled by the control loop, one at a time.
+	events     chan event
+	background sync.WaitGroup
 
-	events   chan event
-	current  atomic.Pointer[snapshot.Snapshot]
-	view     atomic.Pointer[membership.View]
-	status   atomic.Pointer[Status]
-	ready    atomic.Bool
-	stopping atomic.Bool
-	// running counts requests that this node serves as entry or owner.
-	running atomic.Int64
-
-	// closed is set when a stopping node no longer serves callers.
-	closed atomic.Bool
-
-	gate     *gate
-	observer *observer
-	targets  *directory
-	recent   *recent
+	pictures
+	requests
+	reading
+	loop
 
 	randomMu sync.Mutex
 	random   *rand.Rand
+}
 
-	// The control loop's own state; no other goroutine touches it.
-	state      *distribution.State
-	table      *membership.Table
-	background sync.WaitGroup
-	// gossip fires the next gossip round while there is news.
-	gossip        *time.Timer
-	viewBuilt     time.Time
-	gossipArmed   bool
-	distrustUntil time.Time
-	refreshing    bool
-
-	pauseHooks []func(gap time.Duration)
+// pictures are what the control loop publishes. Any goroutine may read them.
+type pictures struct {
+	current atomic.Pointer[snapshot.Snapshot]
+	view    atomic.Pointer[membership.View]
+	status  atomic.Pointer[Status]
+	ready   atomic.Bool
 	// lastTurn is when the control loop last ran.
 	lastTurn atomic.Pointer[time.Time]
+}
 
-	started time.Time
-	// rankedView is the view that rank was found for; the control loop's own.
-	rankedView *membership.View
+// requests is the state of the path of requests, safe for concurrent use.
+type requests struct {
+	gate     *gate
+	observer *observer
+	targets  *directory
+	recent   *recent
+	// running counts requests that this node serves as entry or owner.
+	running atomic.Int64
+	// stopping is set when a planned stop begins, closed when callers are no
+	// longer served.
+	stopping atomic.Bool
+	closed   atomic.Bool
 	// overheardAt is when a call last told of a newer version, in nanoseconds.
 	overheardAt atomic.Int64
+}
+
+// reading is shared by the control loop and the goroutines that read the
+// platform and answer pulls.
+type reading struct {
 	// rank is the node's place in the order of readers.
 	rank atomic.Int64
 	// listTried is closed once the VM list was asked for, with or without
@@ -121,6 +123,23 @@
 	partReads *rate.Limiter
 }
 
+// loop is the control loop's own state; no other goroutine touches it.
+type loop struct {
+	started time.Time
+	state   *distribution.State
+	table   *membership.Table
+	// gossip fires the next gossip round while there is news.
+	gossip      *time.Timer
+	gossipArmed bool
+	viewBuilt   time.Time
+	// rankedView is the view that rank was found for.
+	rankedView *membership.View
+	// distrustUntil and refreshing follow a pause; see pause.go.
+	distrustUntil time.Time
+	refreshing    bool
+	pauseHooks    []func(gap time.Duration)
+}
+
 // New returns a node that has not started.
 func New(config Config, ports Ports) *Node {
 	now := ports.Clock.Now()
@@ -130,20 +149,25 @@
 	config.Membership.Heartbeat = config.Heartbeat
 	self := membership.Record{VM: config.Self, Incarnation: uint64(now.UnixNano()), State: membership.Live}
 	n := &Node{
-		config:  config,
-		ports:   ports,
-		events:  make(chan event, eventBacklog),
-		gate:    newGate(ports.Clock, config.Seed),
-		targets: newDirectory(config.Self),
-		recent:  newRecent(),
-		random:  newRandom(config, self.Incarnation),
-		state:   distribution.New(config.Distribution, now, newRandom(config, self.Incarnation+1)),
-		table:   membership.NewTable(config.Membership, self, now, newRandom(config, self.Incarnation+2)),
-
-		started:   now,
-		listTried: make(chan struct{}),
-		served:    rate.NewLimiter(serveBytesPerSecond, serveBurst),
-		partReads: rate.NewLimiter(rate.Limit(config.Pace.PartsRate), partBurst),
+		config: config,
+		ports:  ports,
+		events: make(chan event, eventBacklog),
+		random: newRandom(config, self.Incarnation),
+		requests: requests{
+			gate:    newGate(ports.Clock, config.Seed),
+			targets: newDirectory(config.Self),
+			recent:  newRecent(),
+		},
+		reading: reading{
+			listTried: make(chan struct{}),
+			served:    rate.NewLimiter(serveBytesPerSecond, serveBurst),
+			partReads: rate.NewLimiter(rate.Limit(config.Pace.PartsRate), partBurst),
+		},
+		loop: loop{
+			started: now,
+			state:   distribution.New(config.Distribution, now, newRandom(config, self.Incarnation+1)),
+			table:   membership.NewTable(config.Membership, self, now, newRandom(config, self.Incarnation+2)),
+		},
 	}
 	n.observe(now)
 	n.publish(now)
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -9,6 +9,7 @@
 
 	"tamarackquay/internal/distribution"
 	"tamarackquay/internal/port"
+	"tamarackquay/internal/wait"
 )
 
 const (
@@ -107,7 +108,7 @@
 			r.read(ctx)
 			r.probeAt = n.ports.Clock.Now().Add(n.probeAfter())
 		default:
-			sleep(ctx, readerStep)
+			wait.Sleep(ctx, readerStep)
 		}
 	}
 }
@@ -142,7 +143,7 @@
 		r.failures++
 		r.revision = 0
 		r.node.ports.Log.Debug().Err(err).Msg("manifest can't be read")
-		sleep(ctx, r.node.retryAfter(r.failures))
+		wait.Sleep(ctx, r.node.retryAfter(r.failures))
 		return
 	}
 	r.failures = 0
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -7,6 +7,7 @@
 
 	"tamarackquay/internal/membership"
 	"tamarackquay/internal/port"
+	"tamarackquay/internal/wait"
 )
 
 // drainPoll is how often a stopping node looks whether requests still run.
@@ -32,11 +33,11 @@
 		n.table.Depart(now, membership.Departing)
 		n.send(ctx, n.table.Farewell(now))
 	})
-	sleep(ctx, n.config.Linger)
+	wait.Sleep(ctx, n.config.Linger)
 	n.closed.Store(true)
 	deadline := n.ports.Clock.Now().Add(n.config.Drain)
 	for n.running.Load() > 0 && ctx.Err() == nil && n.ports.Clock.Now().Before(deadline) {
-		sleep(ctx, drainPoll)
+		wait.Sleep(ctx, drainPoll)
 	}
 	n.sayGone(ctx)
 	n.audit(port.AuditEvent{Kind: port.AuditStopped})
--- a/internal/port/refusal.go
+++ b/internal/port/refusal.go
@@ -27,7 +27,6 @@
 	ReasonShed          Reason = "shed"
 	ReasonUnreachable   Reason = "unreachable"
 	ReasonBodyTooLarge  Reason = "body-too-large"
-	ReasonRetriesSpent  Reason = "retries-spent"
 	ReasonBadRequest    Reason = "bad-request"
 	ReasonDuplicateCall Reason = "duplicate-call"
 
--- a/standin/memnet/memnet.go
+++ b/standin/memnet/memnet.go
@@ -13,6 +13,7 @@
 	"tamarackquay/internal/adapter/peerws"
 	"tamarackquay/internal/membership"
 	"tamarackquay/internal/port"
+	"tamarackquay/internal/wait"
 )
 
 // Traffic counts control messages and their encoded bytes.
@@ -143,9 +144,9 @@
 	}
 	n.mu.Lock()
 	to := n.vms[address]
-	wait := n.delay(from, to)
+	delay := n.delay(from, to)
 	n.mu.Unlock()
-	if !sleep(ctx, wait) {
+	if !wait.Sleep(ctx, delay) {
 		return nil, to, errors.Wrap(port.ErrUnreachable, "the asker gave up")
 	}
 	n.mu.Lock()
@@ -184,17 +185,3 @@
 	}
 	return false
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/standin/memnet/view.go
+++ b/standin/memnet/view.go
@@ -7,6 +7,7 @@
 	"tamarackquay/internal/membership"
 	"tamarackquay/internal/port"
 	"tamarackquay/internal/snapshot"
+	"tamarackquay/internal/wait"
 )
 
 // view is the platform as one VM sees it: with that VM's cuts and delays.
@@ -17,9 +18,9 @@
 
 func (v *view) travel(ctx context.Context) {
 	v.platform.mu.Lock()
-	wait := v.platform.delay(v.vm)
+	delay := v.platform.delay(v.vm)
 	v.platform.mu.Unlock()
-	sleep(ctx, wait)
+	wait.Sleep(ctx, delay)
 }
 
 // Manifest implements port.Platform.
