Leave a target alone that sheds all work

Cause: a target that drains by itself, before the VM list or its health say so, was offered every call: a shed lowers the slots, but the last slot stays, so one call after the other went there and each caller paid for the detour. The reason "draining" was documented and handled by entry nodes, and never given.

Change: two sheds in a row while nothing else of ours runs at the target count as a departure. The node then refuses with "draining" and when to come back, and lets a trial through after 1 s, doubling to 30 s. Entry nodes already leave such a node alone for two seconds. Fault found while writing it: a trial that was never sent must not count as taken (TestUnsentTrialProvesNothing).

Ruled out: polling health (lags and lies); announcing the departure (never taken back within one start).

--- /dev/null
+++ b/internal/node/drain_test.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"tamarackquay/internal/port"
+)
+
+// drainingTarget sheds every call while it drains, and counts what came.
+type drainingTarget struct {
+	draining bool
+	offered  int
+}
+
+func (d *drainingTarget) Do(context.Context, *port.Call) (*port.Answer, error) {
+	d.offered++
+	if d.draining {
+		return nil, port.Refuse(port.ReasonShed, time.Second, "draining")
+	}
+	return ok("ran"), nil
+}
+
+// A target drains by itself: its health and the VM list don't say so yet, and it
+// sheds each call. Its node offers it hardly anything from then on and tells
+// entry nodes to go elsewhere; when the target takes work again, so does its
+// node, within the pause between two trials.
+func TestDrainingTargetIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		target := &drainingTarget{draining: true}
+		n := newEntry(t, nil)
+		n.config.Self.Service = "tally"
+		n.ports.Target = target
+		n.gate.configure(admissionTerms(n.current.Load(), n.config))
+		call := 0
+		offer := func() error {
+			call++
+			time.Sleep(10 * time.Millisecond)
+			_, done, err := n.own(t.Context(), &port.Call{
+				ID: fmt.Sprint(call), Customer: "co-operative", Route: "tallies", Service: "tally",
+				Stall: time.Second, Deadline: time.Now().Add(time.Second),
+			})
+			if err == nil {
+				done()
+			}
+			return err
+		}
+		for range 1000 {
+			// The control loop does not run here.
+			now := time.Now()
+			n.lastTurn.Store(&now)
+			assert.Check(t, offer() != nil)
+		}
+		assert.Assert(t, target.offered <= 6, "%d calls were offered in 10 s", target.offered)
+		var refusal *port.Refusal
+		assert.Assert(t, errors.As(offer(), &refusal))
+		assert.Equal(t, refusal.Reason, port.ReasonDraining)
+		assert.Assert(t, refusal.RetryAfter > 0)
+
+		target.draining = false
+		time.Sleep(refusal.RetryAfter)
+		now := time.Now()
+		n.lastTurn.Store(&now)
+		assert.NilError(t, offer())
+		assert.NilError(t, offer())
+	})
+}
+
+// A trial's deadline passes before the target is asked. That proves nothing, and
+// must not open the way for all calls to a target that still drains.
+func TestUnsentTrialProvesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(virtualClock{}, 1)
+		g.configure(oneSlot())
+		for _, id := range []string{"one", "two"} {
+			assert.Check(t, g.enter(t.Context(), gateRequest(id, time.Minute)) == nil)
+			assert.Check(t, g.mayOffer() == nil)
+			g.observe(port.Refuse(port.ReasonShed, 0, "shed"))
+			g.leave(id)
+		}
+		assert.Check(t, g.mayOffer() != nil)
+		time.Sleep(time.Second)
+		assert.Check(t, g.mayOffer() == nil, "the trial")
+		g.observe(port.Refuse(port.ReasonDeadline, 0, "not sent"))
+		assert.Check(t, g.mayOffer() != nil)
+	})
+}
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -19,6 +19,7 @@
 
 	mu      sync.Mutex
 	queue   *admission.Queue
+	drain   admission.Drain
 	waiters map[string]*waiter
 }
 
@@ -163,16 +164,36 @@
 	g.wake(g.queue.Tick(g.clock.Now()))
 }
 
+// mayOffer reports whether the target takes work, for a call that has a slot. It
+// is asked after the wait for the slot, since the target may begin to drain
+// meanwhile.
+func (g *gate) mayOffer() *port.Refusal {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if wait, ok := g.drain.Offer(g.clock.Now()); !ok {
+		return port.Refuse(port.ReasonDraining, wait, "the target sheds all work and is left alone")
+	}
+	return nil
+}
+
 // observe learns from how a call at the target ended. It must be called before
-// leave.
+// leave. A refusal other than a shed was made before the target was asked, and
+// tells nothing of it.
 func (g *gate) observe(err error) {
 	var refusal *port.Refusal
-	if !errors.As(err, &refusal) || refusal.Reason != port.ReasonShed {
-		return
-	}
+	refused := errors.As(err, &refusal)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.wake(g.queue.Shed(g.clock.Now()))
+	if !refused {
+		g.drain.Took()
+		return
+	}
+	if refusal.Reason != port.ReasonShed {
+		return
+	}
+	now := g.clock.Now()
+	g.drain.Shed(now, g.queue.Running() == 1)
+	g.wake(g.queue.Shed(now))
 }
 
 func (g *gate) counts() (running, waiting int) {
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -53,6 +53,10 @@
 	if refusal := n.gate.enter(ctx, n.admissionRequest(call)); refusal != nil {
 		return nil, nil, refusal
 	}
+	if refusal := n.gate.mayOffer(); refusal != nil {
+		n.gate.leave(call.ID)
+		return nil, nil, refusal
+	}
 	answer, err := n.ports.Target.Do(ctx, call)
 	n.gate.observe(err)
 	if err != nil {
@@ -68,10 +72,10 @@
 }
 
 // catchUp compares the call's version with the node's own; overheard has started
-// a pull if the call's is newer. The call is refused only if this node's older version does
-// not know its contract, route and grant: the terms that it does know are still
-// terms that the customer had a moment ago, and refusing every call for as long
-// as a version spreads would refuse what can be served.
+// a pull if the call's is newer. The call is refused only if this node's older
+// version does not know its contract, route and grant: the terms that it does
+// know are still terms that the customer had a moment ago, and refusing every
+// call for as long as a version spreads would refuse what can be served.
 func (n *Node) catchUp(call *port.Call) *port.Refusal {
 	current := n.current.Load()
 	if !call.Version.NewerThan(current.Version()) {
