--- a/internal/command/build/build.go
+++ b/internal/command/build/build.go
@@ -64,9 +64,6 @@
 }
 
 func (o *options) run(c *cobra.Command, dir string) error {
-	if err := o.format.Check(); err != nil {
-		return err
-	}
 	set, found := command.ReadContracts(dir)
 	if len(found) > 0 {
 		return command.PrintFindings(c.OutOrStdout(), o.format, found)
--- a/internal/command/check/check.go
+++ b/internal/command/check/check.go
@@ -18,9 +18,6 @@
 		Example: "  tamarackctl check examples/co-operative",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			if err := format.Check(); err != nil {
-				return err
-			}
 			set, found := command.ReadContracts(args[0])
 			if err := command.PrintFindings(c.OutOrStdout(), format, found); err != nil {
 				return err
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
 
 	"tamarackquay/internal/contract"
 	"tamarackquay/internal/finding"
@@ -47,22 +48,34 @@
 	FormatJSON Format = "json"
 )
 
+var _ pflag.Value = (*Format)(nil)
+
+// String implements pflag.Value.
+func (f *Format) String() string { return string(*f) }
+
+// Type implements pflag.Value.
+func (f *Format) Type() string { return "string" }
+
+// Set implements pflag.Value. It refuses formats that don't exist while the
+// command line is read, so that no command has to.
+func (f *Format) Set(text string) error {
+	switch format := Format(text); format {
+	case FormatText, FormatJSON:
+		*f = format
+		return nil
+	}
+	return errors.New("write text or json")
+}
+
 // AddFormat declares the --output flag.
 func AddFormat(command *cobra.Command, format *Format) {
-	command.Flags().StringVar((*string)(format), "output", string(FormatText), "text or json")
+	*format = FormatText
+	command.Flags().Var(format, "output", "text or json")
 	complete := cobra.FixedCompletions([]cobra.Completion{string(FormatText), string(FormatJSON)}, cobra.ShellCompDirectiveNoFileComp)
 	// The flag exists: it was declared above.
 	_ = command.RegisterFlagCompletionFunc("output", complete)
 }
 
-// Check refuses formats that don't exist.
-func (f Format) Check() error {
-	if f != FormatText && f != FormatJSON {
-		return errors.Errorf("--output %q: write text or json", f)
-	}
-	return nil
-}
-
 // PrintJSON writes value indented.
 func PrintJSON(w io.Writer, value any) error {
 	encoder := json.NewEncoder(w)
--- a/internal/command/diff/diff.go
+++ b/internal/command/diff/diff.go
@@ -40,9 +40,6 @@
 }
 
 func run(c *cobra.Command, format command.Format, from, to string) error {
-	if err := format.Check(); err != nil {
-		return err
-	}
 	before, found, err := published.Load(c.Context(), from)
 	if err != nil {
 		return err
--- a/internal/command/explain/explain.go
+++ b/internal/command/explain/explain.go
@@ -58,9 +58,6 @@
 }
 
 func (o *options) run(c *cobra.Command, args []string) error {
-	if err := o.format.Check(); err != nil {
-		return err
-	}
 	if o.reason != "" {
 		return o.explainReason(c)
 	}
--- a/internal/command/status/status.go
+++ b/internal/command/status/status.go
@@ -47,9 +47,6 @@
 }
 
 func (o *options) run(c *cobra.Command, args []string) error {
-	if err := o.format.Check(); err != nil {
-		return err
-	}
 	addresses, err := nodes.Addresses(args, o.file)
 	if err != nil {
 		return err
