--- a/internal/command/status/print.go
+++ b/internal/command/status/print.go
@@ -49,9 +49,9 @@
 	for _, reason := range s.Health.Reasons {
 		fmt.Fprintf(w, "  %s\n", reason)
 	}
-	for _, refused := range s.RefusedVersions {
-		fmt.Fprintf(w, "  refused version %s from %s at %s\n", refused.Version, refused.From, refused.Time.UTC().Format(time.RFC3339))
-		for _, f := range refused.Findings {
+	for _, trouble := range s.Troubles {
+		fmt.Fprintf(w, "  %s %s from %s at %s\n", trouble.Kind, trouble.Version, trouble.From, trouble.Time.UTC().Format(time.RFC3339))
+		for _, f := range trouble.Findings {
 			fmt.Fprintf(w, "    %s\n", f)
 		}
 	}
--- a/internal/command/status/status.go
+++ b/internal/command/status/status.go
@@ -138,15 +138,5 @@
 	if status.Health.State != node.HealthReady {
 		line.Problems++
 	}
-	for _, refused := range status.RefusedVersions {
-		if newerThan(refused.Version, status.Applied) {
-			line.Problems++
-		}
-	}
 	return line
 }
-
-func newerThan(version string, applied snapshot.Version) bool {
-	parsed, err := snapshot.ParseVersion(version)
-	return err == nil && parsed.NewerThan(applied)
-}
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -44,6 +44,7 @@
 	applied  snapshot.Version
 	reported snapshot.Version
 	platform PlatformContact
+	troubles []VersionTrouble
 }
 
 // judgeHealth decides the state and names every reason for it.
@@ -55,6 +56,11 @@
 	if facts.reported.NewerThan(facts.applied) {
 		reasons = append(reasons, fmt.Sprintf("version %s was reported, %s is in force", facts.reported, facts.applied))
 	}
+	for _, trouble := range facts.troubles {
+		if trouble.Above(facts.applied) {
+			reasons = append(reasons, fmt.Sprintf("%s: %s is not in force here", trouble.Kind, trouble.Version))
+		}
+	}
 	if facts.platform.State == PlatformUnreachable {
 		reasons = append(reasons, "platform unreachable since "+facts.platform.Since.UTC().Format(time.RFC3339))
 	}
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -14,7 +14,7 @@
 type observer struct {
 	started  time.Time
 	platform *observedPlatform
-	versions *recentRefusals
+	troubles *troubleLog
 	refusals *refusalTally
 
 	// last is when gauges were set; the control loop's own.
@@ -23,12 +23,12 @@
 
 // observe puts the node's observers around its ports.
 func (n *Node) observe(now time.Time) {
-	versions := &recentRefusals{inner: n.ports.Audit}
+	troubles := &troubleLog{inner: n.ports.Audit}
 	platform := observePlatform(n.ports)
-	n.ports.Audit = versions
+	n.ports.Audit = troubles
 	n.ports.Platform = platform
 	n.observer = &observer{
-		started: now, platform: platform, versions: versions, refusals: newRefusalTally(now), last: now,
+		started: now, platform: platform, troubles: troubles, refusals: newRefusalTally(now), last: now,
 	}
 }
 
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -30,8 +30,9 @@
 	Running int                 `json:"running"`
 	Waiting int                 `json:"waiting"`
 	Members []membership.Record `json:"members"`
-	// RefusedVersions are the last ones, oldest first.
-	RefusedVersions []RefusedVersion `json:"refused_versions,omitempty"`
+	// Troubles are versions that were refused, can't be had whole or were
+	// published over each other; the last ones, oldest first.
+	Troubles []VersionTrouble `json:"troubles,omitempty"`
 	// RefusedRequests counts refusals to callers since the start, by reason.
 	RefusedRequests map[port.Reason]int `json:"refused_requests,omitempty"`
 
@@ -67,8 +68,10 @@
 	if s.Applied != previous.Applied {
 		s.AppliedAt = now
 	}
+	s.Troubles = n.observer.troubles.all()
 	state, reasons := judgeHealth(healthFacts{
-		stopping: n.stopping.Load(), ready: n.ready.Load(), applied: s.Applied, reported: s.Reported, platform: s.Platform,
+		stopping: n.stopping.Load(), ready: n.ready.Load(), applied: s.Applied, reported: s.Reported,
+		platform: s.Platform, troubles: s.Troubles,
 	})
 	s.Health = previous.Health.next(now, state, reasons)
 	s.pulse = n.newPulse(now)
@@ -85,7 +88,6 @@
 		s.Health = Health{State: HealthStopping, Since: n.ports.Clock.Now(), Reasons: []string{"planned stop"}}
 	}
 	s.Running, s.Waiting = n.gate.counts()
-	s.RefusedVersions = n.observer.versions.versions()
 	s.RefusedRequests = n.observer.refusals.totals()
 	return s
 }
--- a/internal/node/trail.go
+++ b/internal/node/trail.go
@@ -11,20 +11,31 @@
 	"tamarackquay/internal/finding"
 	"tamarackquay/internal/membership"
 	"tamarackquay/internal/port"
+	"tamarackquay/internal/snapshot"
 )
 
-// RefusedVersion is a version that failed its checks on this node.
-type RefusedVersion struct {
-	Version  string       `json:"version"`
-	Root     string       `json:"root"`
-	Time     time.Time    `json:"time"`
-	From     string       `json:"from"`
-	Findings finding.List `json:"findings"`
+// VersionTrouble is a version that this node refused, can't get whole, or found
+// to have been published over another.
+type VersionTrouble struct {
+	// Kind is port.AuditRefused, port.AuditIncomplete or port.AuditConflict.
+	Kind     port.AuditKind `json:"kind"`
+	Version  string         `json:"version"`
+	Root     string         `json:"root"`
+	Time     time.Time      `json:"time"`
+	From     string         `json:"from"`
+	Findings finding.List   `json:"findings"`
+}
+
+// Above reports whether the trouble's version is newer than the one in force:
+// then the node is without something that an operator meant it to have.
+func (t VersionTrouble) Above(applied snapshot.Version) bool {
+	version, err := snapshot.ParseVersion(t.Version)
+	return err == nil && version.NewerThan(applied)
 }
 
 const (
-	// keptRefusedVersions bounds how many refused versions the status shows.
-	keptRefusedVersions = 8
+	// keptTroubles bounds how many troubles with versions the status shows.
+	keptTroubles = 8
 	// maxNamedMembers bounds the VM ids of one event. A region that is lost
 	// changes hundreds of members at once; one event that names a few and
 	// counts the rest keeps the rest of the trail in memory.
@@ -33,35 +44,44 @@
 	refusalPeriod = time.Minute
 )
 
-// recentRefusals is a port.Audit that passes events on and remembers the last
-// versions that were refused.
-type recentRefusals struct {
+// troubleLog is a port.Audit that passes events on and remembers the last
+// troubles with versions. It is safe for concurrent use.
+type troubleLog struct {
 	inner port.Audit
 
-	mu      sync.Mutex
-	refused []RefusedVersion
+	mu       sync.Mutex
+	troubles []VersionTrouble
 }
 
 // Record implements port.Audit.
-func (r *recentRefusals) Record(event port.AuditEvent) {
-	r.inner.Record(event)
-	if event.Kind != port.AuditRefused {
-		return
+func (l *troubleLog) Record(event port.AuditEvent) {
+	l.inner.Record(event)
+	switch event.Kind {
+	case port.AuditRefused, port.AuditIncomplete, port.AuditConflict:
+		l.remember(VersionTrouble{
+			Kind: event.Kind, Version: event.Version, Root: event.Root,
+			Time: event.Time, From: event.From, Findings: event.Findings,
+		})
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.refused = append(r.refused, RefusedVersion{
-		Version: event.Version, Root: event.Root, Time: event.Time, From: event.From, Findings: event.Findings,
+}
+
+// remember keeps one entry per kind and content: a missing part is told again
+// each time it is tried.
+func (l *troubleLog) remember(trouble VersionTrouble) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	kept := slices.DeleteFunc(slices.Clone(l.troubles), func(t VersionTrouble) bool {
+		return t.Kind == trouble.Kind && t.Version == trouble.Version && t.Root == trouble.Root
 	})
-	if len(r.refused) > keptRefusedVersions {
-		r.refused = slices.Clone(r.refused[1:])
-	}
+	kept = append(kept, trouble)
+	l.troubles = kept[max(0, len(kept)-keptTroubles):]
 }
 
-func (r *recentRefusals) versions() []RefusedVersion {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return slices.Clone(r.refused)
+// all returns the troubles, oldest first; callers must not change them.
+func (l *troubleLog) all() []VersionTrouble {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.troubles
 }
 
 // refusalTally sums up refusals of requests, so that the audit trail gets one
--- a/test/docs/docs_test.go
+++ b/test/docs/docs_test.go
@@ -118,6 +118,24 @@
 	}
 }
 
+// logKey matches a field of a log line where it is written.
+var logKey = regexp.MustCompile(`\.(?:Str|Strs|Int|Int64|Uint64|Dur|Bool|Object|Float64)\("([a-z_]+)"`)
+
+// A collector's queries name fields of log lines; a field that no page names is
+// one that somebody made up beside the schema.
+func TestLogFieldsAreInTheSchema(t *testing.T) {
+	page := read(t, "docs/LOGS.md")
+	for _, dir := range []string{"internal", "cmd"} {
+		walk(t, dir, ".go", func(path string) {
+			source, err := os.ReadFile(path)
+			assert.NilError(t, err)
+			for _, match := range logKey.FindAllStringSubmatch(string(source), -1) {
+				assert.Check(t, strings.Contains(page, "`"+match[1]+"`"), "%s logs %s, which docs/LOGS.md lacks", path, match[1])
+			}
+		})
+	}
+}
+
 // keys lists the TOML keys of a struct with their values, as dotted paths.
 func keys(prefix string, value reflect.Value, visit func(key string, value any)) {
 	for i := range value.NumField() {
