--- a/internal/adapter/callerhttp/callerhttp_test.go
+++ b/internal/adapter/callerhttp/callerhttp_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -49,6 +50,13 @@
 	return response, outcome
 }
 
+// Each request is measured against the limit; that must cost no allocation.
+func TestMeasuringHeadersAllocatesNothing(t *testing.T) {
+	request := httptest.NewRequest(http.MethodGet, "/tallies/1", nil)
+	request.Header.Set("Authorization", "Bearer x")
+	assert.Equal(t, testing.AllocsPerRun(100, func() { headerBytes(request) }), 0.0)
+}
+
 // A caller that sends too much is told what was too large and, where that is
 // so, that nothing ran; the process goes on. Past twice the limit, headers are
 // not even read.
--- a/internal/command/explain/print.go
+++ b/internal/command/explain/print.go
@@ -73,10 +73,12 @@
 		name  string
 		value explain.Sourced
 	}{
-		{"share", route.Share}, {"limit", route.Limit}, {"class", route.Class}, {"deadline", route.Deadline},
+		{"share", route.Share}, {"limit", route.Limit}, {"long", route.LongLimit}, {"class", route.Class}, {"deadline", route.Deadline},
 		{"stall", route.Stall}, {"runs", route.Runs}, {"spill", route.Spill},
 	} {
-		fmt.Fprintf(w, "  %-9s %s%s\n", line.name, line.value.Value, at(line.value.Place))
+		if line.value.Value != "" {
+			fmt.Fprintf(w, "  %-9s %s%s\n", line.name, line.value.Value, at(line.value.Place))
+		}
 	}
 	fmt.Fprintln(w, "  targets, in the order in which they are tried:")
 	for _, domain := range route.Reach {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -9,6 +9,7 @@
 	"maps"
 	"slices"
 
+	"tamarackquay/internal/admission"
 	"tamarackquay/internal/contract"
 	"tamarackquay/internal/membership"
 	"tamarackquay/internal/port"
@@ -59,9 +60,11 @@
 	Stall    Sourced `json:"stall"`
 	Runs     Sourced `json:"runs"`
 	Spill    Sourced `json:"spill"`
-	// Share and Limit are in slots, of one target and of all committed ones.
-	Share Sourced `json:"share"`
-	Limit Sourced `json:"limit"`
+	// Share, Limit and LongLimit are in slots, of one target and of all
+	// committed ones. LongLimit is empty for routes that are not long.
+	Share     Sourced `json:"share"`
+	Limit     Sourced `json:"limit"`
+	LongLimit Sourced `json:"long_limit"`
 	// Reach lists the failure domains in the order in which they are tried.
 	Reach      []Domain    `json:"reach"`
 	Conditions []Condition `json:"conditions"`
@@ -226,7 +229,7 @@
 		Spill:    Sourced{string(cmp.Or(route.Spill, contract.SpillAnywhere)), key("spill")},
 		Reach:    e.reach(route),
 	}
-	answer.Share, answer.Limit = e.parts(route.Service)
+	answer.Share, answer.Limit, answer.LongLimit = e.parts(route)
 	answer.Conditions = conditions(answer)
 	return answer
 }
@@ -242,21 +245,36 @@
 	return text
 }
 
-// parts renders the customer's share and limit of a service in slots.
-func (e *explainer) parts(service string) (share, limit Sourced) {
-	grant, terms := e.terms.Grant(service), e.Set.Service(service)
-	if grant == nil || terms == nil {
+// parts renders the customer's share and limits of a service in slots.
+func (e *explainer) parts(route *contract.Route) (share, limit, longLimit Sourced) {
+	grant, service := e.terms.Grant(route.Service), e.Set.Service(route.Service)
+	if grant == nil || service == nil {
 		none := Sourced{Value: "nothing is granted", Place: e.place("customer")}
-		return none, none
+		return none, none, none
 	}
-	index := slices.IndexFunc(e.terms.Grants, func(g contract.Grant) bool { return g.Service == service })
+	index := slices.IndexFunc(e.terms.Grants, func(g contract.Grant) bool { return g.Service == route.Service })
 	key := func(field string) string { return e.place(fmt.Sprintf("grant[%d].%s", index, field)) }
-	render := func(part float64) string {
-		total := terms.CommittedUpstreams() * terms.Slots
-		return fmt.Sprintf("%g: %.4g of %d slots at each target, %.4g of %d committed",
-			part, part*float64(terms.Slots), terms.Slots, part*float64(total), total)
+	share = Sourced{guaranteed(grant.Share, service), key("share")}
+	limit = Sourced{atMost(grant.Limit, service), key("limit")}
+	if route.Long {
+		longLimit = Sourced{atMost(cmp.Or(grant.LongLimit, grant.Limit), service), key("long_limit")}
 	}
-	return Sourced{render(grant.Share), key("share")}, Sourced{render(grant.Limit), key("limit")}
+	return share, limit, longLimit
+}
+
+// guaranteed renders a share: fractions of a slot count, over time.
+func guaranteed(part float64, service *contract.Service) string {
+	upstreams := float64(service.CommittedUpstreams())
+	slots := part * float64(service.Slots)
+	return fmt.Sprintf("%g: %.4g of %d slots at each target, %.4g of %d committed",
+		part, slots, service.Slots, slots*upstreams, service.Slots*service.CommittedUpstreams())
+}
+
+// atMost renders a limit as targets keep it: in whole slots.
+func atMost(part float64, service *contract.Service) string {
+	slots := admission.FloorSlots(part, service.Slots)
+	return fmt.Sprintf("%g: at most %d of %d slots at each target, %d of %d committed",
+		part, slots, service.Slots, slots*service.CommittedUpstreams(), service.Slots*service.CommittedUpstreams())
 }
 
 // reach lists the failure domains of a route's service, nearest first.
--- a/internal/explain/reason.go
+++ b/internal/explain/reason.go
@@ -19,7 +19,7 @@
 	port.ReasonUnknownRoute:   {"the customer's contract has no route for the path", "add a [[contract.route]] or correct the path"},
 	port.ReasonMethod:         {"the route does not take the method", "add it to the route's methods"},
 	port.ReasonNoTarget:       {"no live target of the service is within the route's spill", "see the members of the node, and widen spill if it bars them"},
-	port.ReasonQueueFull:      {"all slots and places in the queue were taken", "come back after Retry-After; compare demand with the share"},
+	port.ReasonQueueFull:      {"all slots and the customer's places in the queue were taken", "come back after Retry-After; compare demand with the share"},
 	port.ReasonDeadline:       {"the route's deadline came before a slot was free", "come back after Retry-After; compare demand with the share"},
 	port.ReasonBusy:           {"the target would have made the request wait, and the entry node asked it not to", "nothing to do: the entry node tries the next target; as a final answer, come back after Retry-After"},
 	port.ReasonLimit:          {"the customer already holds all that its limit allows", "come back after Retry-After, or raise the grant's limit"},
@@ -46,7 +46,7 @@
 func conditions(route Route) []Condition {
 	return []Condition{
 		{port.ReasonLimit, "the customer holds its limit at the target: " + route.Limit.Value, route.Limit.Place},
-		{port.ReasonQueueFull, "all slots are in use and the queue (settings: requests.queue_per_slot) is full", ""},
+		{port.ReasonQueueFull, "all slots are in use and the customer's queue is full: requests.queue_per_slot (settings) for each slot that it is guaranteed", ""},
 		{port.ReasonDeadline, "no slot is free within " + route.Deadline.Value, route.Deadline.Place},
 		{port.ReasonNoTarget, "no target within spill \"" + route.Spill.Value + "\" is live", route.Spill.Place},
 	}
--- a/internal/node/health_test.go
+++ b/internal/node/health_test.go
@@ -106,6 +106,13 @@
 	assert.Equal(t, len(memberEvents(nil)), 0)
 }
 
+// In an overload every refusal is counted; counting must not add to it.
+func TestCountingRefusalsAllocatesNothing(t *testing.T) {
+	tally := newRefusalTally(time.Unix(100, 0))
+	tally.add(port.ReasonLimit)
+	assert.Equal(t, testing.AllocsPerRun(100, func() { tally.add(port.ReasonLimit) }), 0.0)
+}
+
 func TestRefusalsAreSummedUpByReason(t *testing.T) {
 	start := time.Unix(100, 0)
 	tally := newRefusalTally(start)
