--- a/internal/command/root/root_test.go
+++ b/internal/command/root/root_test.go
@@ -160,6 +160,11 @@
 	}
 	_, code = ctl(t, "status", fakeNode(t, statusOf("vm-1", 2)))
 	assert.Equal(t, code, command.ExitFine)
+	cut := statusOf("vm-3", 2)
+	cut.Unreachable = []string{"north-1"}
+	text, code = ctl(t, "status", fakeNode(t, cut))
+	assert.Equal(t, code, command.ExitFindings)
+	assert.Check(t, cmp.Contains(text, "no contact with failure domains: north-1"))
 }
 
 func TestStatusWaitsForAVersion(t *testing.T) {
--- a/internal/command/status/print.go
+++ b/internal/command/status/print.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"tamarackquay/internal/node"
@@ -49,6 +50,12 @@
 	for _, reason := range s.Health.Reasons {
 		fmt.Fprintf(w, "  %s\n", reason)
 	}
+	if len(s.Unreachable) > 0 {
+		fmt.Fprintf(w, "  no contact with failure domains: %s\n", strings.Join(s.Unreachable, " "))
+	}
+	if s.Isolated {
+		fmt.Fprintln(w, "  hears no peer at all")
+	}
 	for _, trouble := range s.Troubles {
 		fmt.Fprintf(w, "  %s %s from %s at %s\n", trouble.Kind, trouble.Version, trouble.From, trouble.Time.UTC().Format(time.RFC3339))
 		for _, f := range trouble.Findings {
--- a/internal/command/status/status.go
+++ b/internal/command/status/status.go
@@ -23,7 +23,7 @@
 		Short: "Show versions and their age across nodes, who lags, and what was refused and why",
 		Long: "Show the state, the version in force and its age of each named node, which nodes lag behind the " +
 			"newest version, and what was refused and why.\n\nA node that can't be reached is a line of the output. " +
-			"The exit code is 1 if a node can't be reached, lags, refuses requests or refused a version that is newer than the one it has.",
+			"The exit code is 1 if a node can't be reached, lags, is in another state than ready, or has lost contact with a failure domain.",
 		Example: "  tamarackctl status 127.0.0.1:8302 127.0.0.1:8312\n" +
 			"  tamarackctl status --nodes nodes.txt --wait 1.7 --timeout 15s",
 		Args: cobra.ArbitraryArgs,
@@ -138,5 +138,8 @@
 	if status.Health.State != node.HealthReady {
 		line.Problems++
 	}
+	if status.Isolated || len(status.Unreachable) > 0 {
+		line.Problems++
+	}
 	return line
 }
