--- a/internal/adapter/operatorhttp/operatorhttp.go
+++ b/internal/adapter/operatorhttp/operatorhttp.go
@@ -9,6 +9,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"tamarackquay/internal/adapter/auditlog"
 	"tamarackquay/internal/node"
 	"tamarackquay/internal/port"
 )
@@ -25,6 +26,14 @@
 	PathMetrics = "/metrics"
 )
 
+// withoutMembers as the query parameter "members" leaves the list of members out
+// of a status.
+const withoutMembers = "none"
+
+// PathBriefStatus is the status without the list of members: of 1,600 nodes,
+// each with 1,600 members, the lists alone would be most of a gigabyte.
+const PathBriefStatus = PathStatus + "?members=" + withoutMembers
+
 // Node is what the pages show.
 type Node interface {
 	Status() node.Status
@@ -48,8 +57,8 @@
 	e.HideBanner = true
 	e.GET(PathAlive, func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	e.GET(PathReady, func(c echo.Context) error { return ready(c, n.Status().Health) })
-	e.GET(PathStatus, func(c echo.Context) error { return c.JSON(http.StatusOK, n.Status()) })
-	e.GET(PathAudit, func(c echo.Context) error { return c.JSON(http.StatusOK, trail.Events()) })
+	e.GET(PathStatus, func(c echo.Context) error { return status(c, n.Status()) })
+	e.GET(PathAudit, func(c echo.Context) error { return audit(c, trail) })
 	e.GET(PathMetrics, func(c echo.Context) error {
 		meter.Write(c.Response())
 		return nil
@@ -57,6 +66,21 @@
 	return &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout}
 }
 
+func status(c echo.Context, s node.Status) error {
+	if c.QueryParam("members") == withoutMembers {
+		s.Members = nil
+	}
+	return c.JSON(http.StatusOK, s)
+}
+
+func audit(c echo.Context, trail Trail) error {
+	filter, err := auditlog.ParseFilter(c.QueryParams())
+	if err != nil {
+		return c.String(http.StatusBadRequest, err.Error()+"\n")
+	}
+	return c.JSON(http.StatusOK, filter.Apply(trail.Events()))
+}
+
 func ready(c echo.Context, health node.Health) error {
 	code := http.StatusServiceUnavailable
 	if health.Serving() {
--- a/internal/command/status/print.go
+++ b/internal/command/status/print.go
@@ -21,7 +21,7 @@
 		}
 		s := line.Value
 		fmt.Fprintf(w, row, s.VM.ID, s.VM.FailureDomain, s.Health.State, s.Applied, s.Root.Short(),
-			age(line.AgeSeconds), fmt.Sprint(s.Running), fmt.Sprint(s.Waiting), fmt.Sprint(len(s.Members)))
+			age(line.AgeSeconds), fmt.Sprint(s.Running), fmt.Sprint(s.Waiting), fmt.Sprint(s.MemberCount))
 		line.printDetails(w)
 	}
 	answering, lagging := 0, 0
--- a/internal/command/status/status.go
+++ b/internal/command/status/status.go
@@ -71,7 +71,7 @@
 
 func (o *options) report(ctx context.Context, addresses []string) (report, error) {
 	ask := func() []nodes.Answer[node.Status] {
-		return nodes.Ask[node.Status](ctx, addresses, operatorhttp.PathStatus)
+		return nodes.Ask[node.Status](ctx, addresses, operatorhttp.PathBriefStatus)
 	}
 	if o.wait == "" {
 		return newReport(ask(), time.Now()), nil
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -29,7 +29,9 @@
 	// Running and Waiting are requests at the local target's slots and queue.
 	Running int                 `json:"running"`
 	Waiting int                 `json:"waiting"`
-	Members []membership.Record `json:"members"`
+	Members []membership.Record `json:"members,omitempty"`
+	// MemberCount is the length of Members, also where that is left out.
+	MemberCount int `json:"member_count"`
 	// Troubles are versions that were refused, can't be had whole or were
 	// published over each other; the last ones, oldest first.
 	Troubles []VersionTrouble `json:"troubles,omitempty"`
@@ -53,7 +55,7 @@
 	s := &Status{
 		VM: n.config.Self, Started: n.observer.started,
 		Applied: n.state.AppliedVersion(), Reported: n.state.Reported(), Platform: n.observer.platform.state(),
-		Members: view.Records, Unheard: view.Unheard, Unreachable: view.Unreachable, Isolated: view.Isolated,
+		Members: view.Records, MemberCount: len(view.Records), Unheard: view.Unheard, Unreachable: view.Unreachable, Isolated: view.Isolated,
 	}
 	if applied := n.state.Applied(); applied != nil {
 		s.Root = applied.Root()
