--- a/internal/command/audit/version.go
+++ b/internal/command/audit/version.go
@@ -16,13 +16,17 @@
 	Root        string    `json:"root"`
 	PublishedBy string    `json:"published_by"`
 	PublishedAt time.Time `json:"published_at"`
-	Applied     int       `json:"applied"`
-	Refused     int       `json:"refused"`
+	// Applied and Refused count nodes; a node that restarted, or that refused
+	// the version twice, counts once.
+	Applied int `json:"applied"`
+	Refused int `json:"refused"`
 	// First and Last are when the first and the last node put it in force.
 	First time.Time `json:"first"`
 	Last  time.Time `json:"last"`
 	// SlowestVM is the node that was last.
 	SlowestVM string `json:"slowest_vm,omitempty"`
+
+	applied, refused map[string]bool
 }
 
 // summarize makes a line per version from events in order of time.
@@ -35,7 +39,8 @@
 		}
 		of := key{event.Version, event.Root}
 		if lines[of] == nil {
-			lines[of] = &versionLine{Version: event.Version, Root: event.Root}
+			lines[of] = &versionLine{Version: event.Version, Root: event.Root,
+				applied: map[string]bool{}, refused: map[string]bool{}}
 		}
 		lines[of].add(event)
 	}
@@ -51,10 +56,15 @@
 
 func (l *versionLine) add(event port.AuditEvent) {
 	if event.Kind == port.AuditRefused {
-		l.Refused++
+		l.refused[event.VM] = true
+		l.Refused = len(l.refused)
+		return
+	}
+	if l.applied[event.VM] {
 		return
 	}
-	l.Applied++
+	l.applied[event.VM] = true
+	l.Applied = len(l.applied)
 	l.PublishedBy = event.PublishedBy
 	if event.PublishedAt != nil {
 		l.PublishedAt = *event.PublishedAt
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -45,6 +45,8 @@
 	reported snapshot.Version
 	platform PlatformContact
 	troubles []VersionTrouble
+	// appliedAt is when the version in force was applied.
+	appliedAt time.Time
 }
 
 // judgeHealth decides the state and names every reason for it.
@@ -57,8 +59,8 @@
 		reasons = append(reasons, fmt.Sprintf("version %s was reported, %s is in force", facts.reported, facts.applied))
 	}
 	for _, trouble := range facts.troubles {
-		if trouble.Above(facts.applied) {
-			reasons = append(reasons, fmt.Sprintf("%s: %s is not in force here", trouble.Kind, trouble.Version))
+		if trouble.Stands(facts.applied, facts.appliedAt) {
+			reasons = append(reasons, fmt.Sprintf("%s: %s is not in force here", trouble.Kind, trouble.Subject()))
 		}
 	}
 	if facts.platform.State == PlatformUnreachable {
--- a/internal/node/health_test.go
+++ b/internal/node/health_test.go
@@ -28,6 +28,10 @@
 		{"serves while a newer one was reported", healthFacts{ready: true, applied: one, reported: two}, HealthOldConfiguration, 1},
 		{"serves while a newer one lacks a part", healthFacts{ready: true, applied: one, reported: one,
 			troubles: []VersionTrouble{{Kind: port.AuditIncomplete, Version: "1.2"}}}, HealthOldConfiguration, 1},
+		{"the manifest published since can't be read", healthFacts{ready: true, applied: one, reported: one,
+			troubles: []VersionTrouble{{Kind: port.AuditRefused, Version: "0.0", Time: time.Unix(2, 0)}}, appliedAt: time.Unix(1, 0)}, HealthOldConfiguration, 1},
+		{"a manifest that could not be read was mended", healthFacts{ready: true, applied: two, reported: two,
+			troubles: []VersionTrouble{{Kind: port.AuditRefused, Version: "0.0", Time: time.Unix(2, 0)}}, appliedAt: time.Unix(3, 0)}, HealthReady, 0},
 		{"a trouble of long ago is over", healthFacts{ready: true, applied: two, reported: two,
 			troubles: []VersionTrouble{{Kind: port.AuditRefused, Version: "1.2"}}}, HealthReady, 0},
 		{"serves while the platform is down", healthFacts{ready: true, applied: one, platform: down}, HealthOldConfiguration, 1},
@@ -104,6 +108,9 @@
 	assert.Equal(t, events[0].Detail, "live to departing")
 	assert.Equal(t, events[0].Subject, "vm-000 vm-001 vm-002 vm-003 vm-004 vm-005 vm-006 vm-007 and 392 more")
 	assert.Equal(t, len(memberEvents(nil)), 0)
+	events = memberEvents([]membership.Change{
+		{From: membership.Live, To: membership.Departing}, {From: membership.Departing, To: membership.Gone}})
+	assert.Equal(t, events[0].Detail+", "+events[1].Detail, "live to departing, departing to gone")
 }
 
 // In an overload every refusal is counted; counting must not add to it.
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -73,7 +73,7 @@
 	s.Troubles = n.observer.troubles.all()
 	state, reasons := judgeHealth(healthFacts{
 		stopping: n.stopping.Load(), ready: n.ready.Load(), applied: s.Applied, reported: s.Reported,
-		platform: s.Platform, troubles: s.Troubles,
+		platform: s.Platform, troubles: s.Troubles, appliedAt: s.AppliedAt,
 	})
 	s.Health = previous.Health.next(now, state, reasons)
 	s.pulse = n.newPulse(now)
--- a/internal/node/trail.go
+++ b/internal/node/trail.go
@@ -26,11 +26,23 @@
 	Findings finding.List   `json:"findings"`
 }
 
-// Above reports whether the trouble's version is newer than the one in force:
-// then the node is without something that an operator meant it to have.
-func (t VersionTrouble) Above(applied snapshot.Version) bool {
+// Stands reports whether the node is still without something that an operator
+// meant it to have: the trouble's version is newer than the one in force, or it
+// was a manifest that can't be read, and no version came into force since.
+func (t VersionTrouble) Stands(applied snapshot.Version, appliedAt time.Time) bool {
 	version, err := snapshot.ParseVersion(t.Version)
-	return err == nil && version.NewerThan(applied)
+	if err != nil || version.IsZero() {
+		return t.Time.After(appliedAt)
+	}
+	return version.NewerThan(applied)
+}
+
+// Subject names what the trouble is with.
+func (t VersionTrouble) Subject() string {
+	if version, err := snapshot.ParseVersion(t.Version); err != nil || version.IsZero() {
+		return "a manifest that can't be read"
+	}
+	return "version " + t.Version
 }
 
 const (
@@ -131,19 +143,23 @@
 }
 
 // memberEvents turns changes of the membership into one event for each way in
-// which members changed.
+// which members changed, in the order in which the ways first came.
 func memberEvents(changes []membership.Change) []port.AuditEvent {
 	moved := map[string][]string{}
+	var ways []string
 	for _, change := range changes {
 		way := change.From.String() + " to " + change.To.String()
 		if change.From == change.To {
 			// The VM was known from the platform's list alone until now.
 			way = "listed as " + change.To.String() + ", heard now"
 		}
+		if moved[way] == nil {
+			ways = append(ways, way)
+		}
 		moved[way] = append(moved[way], change.VM.ID)
 	}
 	var events []port.AuditEvent
-	for _, way := range slices.Sorted(maps.Keys(moved)) {
+	for _, way := range ways {
 		events = append(events, port.AuditEvent{Kind: port.AuditMemberChanged, Subject: nameSome(moved[way]), Detail: way})
 	}
 	return events
--- a/scripts/publish.sh
+++ b/scripts/publish.sh
@@ -4,6 +4,9 @@
 # platform, use its own tool in the same order.
 set -euo pipefail
 [ $# = 2 ] || { echo "usage: scripts/publish.sh DIRECTORY http://PLATFORM" >&2; exit 2; }
+# Without this check curl would put an empty value where a file is missing, and
+# every node would refuse an empty manifest.
+[ -s "$1/manifest" ] && [ -d "$1/part" ] || { echo "$1 is not what 'tamarackctl build' wrote" >&2; exit 1; }
 put() { curl -sSf -X PUT --data-binary @"$1" "$2"; }
 for part in "$1"/part/*; do
   put "$part" "${2%/}/admin/config/part/$(basename "$part")"
