--- a/internal/adapter/callhttp/callhttp.go
+++ b/internal/adapter/callhttp/callhttp.go
@@ -23,8 +23,9 @@
 	HeaderOwner     = "Tamarack-Owner"
 	HeaderEntry     = "Tamarack-Entry"
 	HeaderBudget    = "Tamarack-Budget-Ms"
-	// HeaderDepth is how many calls of the same chain are open above this one.
-	HeaderDepth = "Tamarack-Depth"
+	// HeaderChain names the services of a call's chain, outermost first. A
+	// target passes it on with the calls that it makes for the request.
+	HeaderChain = "Tamarack-Chain"
 )
 
 // Values of HeaderOutcome.
--- /dev/null
+++ b/internal/adapter/callhttp/chain_test.go
@@ -0,0 +1,27 @@
+package callhttp
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"tamarackquay/internal/admission"
+)
+
+func TestChainSurvivesTheHeader(t *testing.T) {
+	header := http.Header{}
+	SetChain(header, nil)
+	assert.Equal(t, len(header), 0)
+	assert.Equal(t, len(ParseChain(header)), 0)
+	SetChain(header, []string{"tally", "returns"})
+	assert.DeepEqual(t, ParseChain(header), []string{"tally", "returns"})
+}
+
+// A caller sends a chain of a thousand services. What goes on to the next hop
+// is no longer than the longest chain there is.
+func TestChainOfACallerIsBounded(t *testing.T) {
+	header := http.Header{HeaderChain: {strings.Repeat("tally,", 1000)}}
+	assert.Equal(t, len(ParseChain(header)), admission.MaxDepth)
+}
--- a/internal/adapter/peerforward/terms.go
+++ b/internal/adapter/peerforward/terms.go
@@ -21,6 +21,9 @@
 // termSeparator can stand in no escaped term, and HTTP does not trim it.
 const termSeparator = ";"
 
+// chainSeparator stands between the services of a chain.
+const chainSeparator = ","
+
 // The terms, in their order in the header. Names are escaped as in a query.
 const (
 	termCustomer = iota
@@ -28,7 +31,8 @@
 	termService
 	termEntry
 	termVersion
-	termDepth
+	termChain
+	termNoWait
 	termBudget
 	termStall
 	termCount
@@ -43,8 +47,9 @@
 		termService:  url.QueryEscape(call.Service),
 		termEntry:    url.QueryEscape(call.Entry),
 		termVersion:  call.Version.String(),
-		termDepth:    strconv.Itoa(call.Depth),
-		termBudget:   callhttp.FormatMillis(call.Deadline.Sub(now)),
+		termChain:    url.QueryEscape(strings.Join(call.Chain, chainSeparator)),
+		termNoWait:   strconv.FormatBool(call.NoWait),
+		termBudget:   callhttp.FormatMillis(ownerBudget(call.Deadline.Sub(now))),
 		termStall:    callhttp.FormatMillis(call.Stall),
 	}
 	return strings.Join(terms[:], termSeparator)
@@ -65,16 +70,30 @@
 		}
 		*into = value
 	}
+	if err := decodeChain(terms[termChain], call); err != nil {
+		return err
+	}
 	return decodeNumbers(terms, now, call)
 }
 
+func decodeChain(text string, call *port.Call) error {
+	chain, err := url.QueryUnescape(text)
+	if err != nil {
+		return errors.Wrap(err, "chain")
+	}
+	if chain != "" {
+		call.Chain = strings.Split(chain, chainSeparator)
+	}
+	return nil
+}
+
 func decodeNumbers(terms []string, now time.Time, call *port.Call) error {
 	var err error
 	if call.Version, err = snapshot.ParseVersion(terms[termVersion]); err != nil {
 		return errors.Wrap(err, "version")
 	}
-	if call.Depth, err = strconv.Atoi(terms[termDepth]); err != nil {
-		return errors.Wrap(err, "depth")
+	if call.NoWait, err = strconv.ParseBool(terms[termNoWait]); err != nil {
+		return errors.Wrap(err, "no-wait")
 	}
 	budget, err := callhttp.ParseMillis(terms[termBudget])
 	if err != nil {
@@ -84,3 +103,18 @@
 	call.Stall, err = callhttp.ParseMillis(terms[termStall])
 	return errors.Wrap(err, "stall")
 }
+
+const (
+	// replyShare is the part of what is left of a deadline that is kept for the
+	// owner's answer to come back, and replyMax its bound: a round trip between
+	// regions and the delays of a busy VM.
+	replyShare = 10
+	replyMax   = 100 * time.Millisecond
+)
+
+// ownerBudget is how long the owner may take for the first byte. An owner that
+// gave up at the very deadline would be heard only after the entry's own timer
+// had run out: a request that never left the queue would end as unknown.
+func ownerBudget(left time.Duration) time.Duration {
+	return left - min(left/replyShare, replyMax)
+}
--- a/internal/changes/fields.go
+++ b/internal/changes/fields.go
@@ -40,21 +40,21 @@
 	}
 }
 
-// absent stands for a key that a file leaves out.
+// absent stands for a key that the file leaves out.
 const absent = "(default)"
 
 func render(value reflect.Value) string {
+	if text, ok := value.Interface().(encoding.TextMarshaler); ok {
+		if raw, err := text.MarshalText(); err == nil {
+			return string(raw)
+		}
+	}
 	if value.Kind() == reflect.Pointer {
 		if value.IsNil() {
 			return absent
 		}
 		return render(value.Elem())
 	}
-	if text, ok := value.Interface().(encoding.TextMarshaler); ok {
-		if raw, err := text.MarshalText(); err == nil {
-			return string(raw)
-		}
-	}
 	if value.Kind() == reflect.Slice {
 		parts := make([]string, value.Len())
 		for i := range parts {
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -44,6 +44,9 @@
 	applied  snapshot.Version
 	reported snapshot.Version
 	platform PlatformContact
+	troubles []VersionTrouble
+	// appliedAt is when the version in force was applied.
+	appliedAt time.Time
 }
 
 // judgeHealth decides the state and names every reason for it.
@@ -55,6 +58,11 @@
 	if facts.reported.NewerThan(facts.applied) {
 		reasons = append(reasons, fmt.Sprintf("version %s was reported, %s is in force", facts.reported, facts.applied))
 	}
+	for _, trouble := range facts.troubles {
+		if trouble.Stands(facts.applied, facts.appliedAt) {
+			reasons = append(reasons, fmt.Sprintf("%s: %s is not in force here", trouble.Kind, trouble.Subject()))
+		}
+	}
 	if facts.platform.State == PlatformUnreachable {
 		reasons = append(reasons, "platform unreachable since "+facts.platform.Since.UTC().Format(time.RFC3339))
 	}
@@ -62,13 +70,21 @@
 	case facts.stopping:
 		return HealthStopping, append([]string{"planned stop"}, reasons...)
 	case !facts.ready:
-		return HealthNotReady, reasons
+		return HealthNotReady, append(reasons, facts.unready()...)
 	case len(reasons) > 0:
 		return HealthOldConfiguration, reasons
 	}
 	return HealthReady, nil
 }
 
+// unready names what keeps a node that has a version from serving.
+func (f healthFacts) unready() []string {
+	if f.applied.IsZero() || f.reported.NewerThan(f.applied) {
+		return nil
+	}
+	return []string{"asks its peers what it missed after a pause"}
+}
+
 // next carries the time of the last change over while the state lasts.
 func (h Health) next(now time.Time, state HealthState, reasons []string) Health {
 	if h.State == state {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 	"golang.org/x/time/rate"
 
@@ -84,8 +85,6 @@
 	observer *observer
 	targets  *directory
 	recent   *recent
-	// carried is the highest version that a forwarded call told of.
-	carried atomic.Pointer[snapshot.Version]
 
 	randomMu sync.Mutex
 	random   *rand.Rand
@@ -105,6 +104,11 @@
 	// lastTurn is when the control loop last ran.
 	lastTurn atomic.Pointer[time.Time]
 
+	started time.Time
+	// rankedView is the view that rank was found for; the control loop's own.
+	rankedView *membership.View
+	// overheardAt is when a call last told of a newer version, in nanoseconds.
+	overheardAt atomic.Int64
 	// rank is the node's place in the order of readers.
 	rank atomic.Int64
 	// listTried is closed once the VM list was asked for, with or without
@@ -132,10 +136,11 @@
 		gate:    newGate(ports.Clock, config.Seed),
 		targets: newDirectory(config.Self),
 		recent:  newRecent(),
-		random:  rand.New(rand.NewPCG(config.Seed, self.Incarnation)),
-		state:   distribution.New(config.Distribution, now, rand.New(rand.NewPCG(config.Seed, self.Incarnation+1))),
-		table:   membership.NewTable(config.Membership, self, now, rand.New(rand.NewPCG(self.Incarnation, config.Seed))),
+		random:  newRandom(config, self.Incarnation),
+		state:   distribution.New(config.Distribution, now, newRandom(config, self.Incarnation+1)),
+		table:   membership.NewTable(config.Membership, self, now, newRandom(config, self.Incarnation+2)),
 
+		started:   now,
 		listTried: make(chan struct{}),
 		served:    rate.NewLimiter(serveBytesPerSecond, serveBurst),
 		partReads: rate.NewLimiter(rate.Limit(config.Pace.PartsRate), partBurst),
@@ -145,6 +150,13 @@
 	return n
 }
 
+// newRandom returns a source that differs between VMs also when they share a
+// seed and the instant of their start, as in a herd restart: nodes whose random
+// numbers agree do all things at the same time.
+func newRandom(config Config, stream uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(config.Seed^xxhash.Sum64String(config.Self.ID), stream))
+}
+
 // event is something that happened, to be handled by the control loop.
 type event func(ctx context.Context, now time.Time)
 
@@ -212,6 +224,7 @@
 func (n *Node) publish(now time.Time) {
 	n.publishView(now)
 	view := n.view.Load()
+	n.state.SetPlace(len(view.Peers)+view.Unheard, int(n.rank.Load()))
 	n.ready.Store(n.state.Ready(now) && !n.distrusts(now))
 	n.status.Store(n.newStatus(now, view))
 	if n.gossip != nil {
@@ -232,7 +245,6 @@
 	n.viewBuilt = now
 	view := n.table.View(now)
 	n.tellDomains(n.view.Swap(view), view)
-	n.state.SetPlace(len(view.Peers), int(n.rank.Load()))
 }
 
 func (n *Node) audit(event port.AuditEvent) {
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -12,44 +12,40 @@
 const observePeriod = time.Second
 
 // observer notes what operators ask about later: how the platform answers,
-// which versions and requests were refused, and how members change. It decides
-// nothing.
+// and which versions and requests were refused. It decides nothing.
 type observer struct {
 	started  time.Time
 	platform *observedPlatform
-	versions *recentRefusals
+	troubles *troubleLog
 	refusals *refusalTally
 
-	// The control loop's own state.
+	// last is when gauges were set, told the last state of the platform in the
+	// trail; both are the control loop's own.
 	last time.Time
+	told PlatformState
 }
 
 // observe puts the node's observers around its ports.
 func (n *Node) observe(now time.Time) {
-	versions := &recentRefusals{inner: n.ports.Audit}
-	platform := observePlatform(n.ports, n.platformChanged)
-	n.ports.Audit = versions
+	troubles := &troubleLog{inner: n.ports.Audit}
+	platform := observePlatform(n.ports)
+	n.ports.Audit = troubles
 	n.ports.Platform = platform
 	n.observer = &observer{
-		started: now, platform: platform, versions: versions, refusals: newRefusalTally(now),
-		last: now,
+		started: now, platform: platform, troubles: troubles, refusals: newRefusalTally(now), last: now,
 	}
 }
 
-func (n *Node) platformChanged(contact PlatformContact) {
-	kind := port.AuditPlatformUp
-	if contact.State == PlatformUnreachable {
-		kind = port.AuditPlatformDown
-	}
-	n.audit(port.AuditEvent{Kind: kind, Subject: "platform", Detail: contact.Problem})
-}
-
 // observe sets gauges and records what changed since the last round.
 func (o *observer) observe(n *Node, now time.Time, s *Status, view *membership.View) {
 	if now.Sub(o.last) < observePeriod {
 		return
 	}
 	o.last = now
+	if event, ok := platformEvent(o.told, s.Platform); ok {
+		n.audit(event)
+	}
+	o.told = s.Platform.State
 	for _, event := range memberEvents(n.table.TakeChanges()) {
 		n.audit(event)
 	}
@@ -60,6 +56,18 @@
 	n.countMembers(view)
 }
 
+// platformEvent tells that the platform went away or came back. A node that
+// reads it for the first time tells nothing.
+func platformEvent(before PlatformState, now PlatformContact) (port.AuditEvent, bool) {
+	switch {
+	case now.State == PlatformUnreachable && before != PlatformUnreachable:
+		return port.AuditEvent{Kind: port.AuditPlatformDown, Detail: now.Problem}, true
+	case now.State == PlatformReachable && before == PlatformUnreachable:
+		return port.AuditEvent{Kind: port.AuditPlatformUp}, true
+	}
+	return port.AuditEvent{}, false
+}
+
 func (n *Node) setGauges(now time.Time, s *Status) {
 	meter := n.ports.Meter
 	running, waiting := n.gate.counts()
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -21,15 +21,41 @@
 	readerStep = time.Second
 )
 
-// updateRank finds the node's place in the order of readers. The control loop
-// calls it once a tick: it sorts the region's VMs.
+// updateRank finds the node's place in the order of readers. It sorts the
+// region's VMs, which at 1,600 is too dear to do when nothing changed.
 func (n *Node) updateRank() {
-	n.rank.Store(int64(distribution.ReaderRank(n.config.Self, liveVMs(n.view.Load()))))
+	view := n.view.Load()
+	if view == n.rankedView {
+		return
+	}
+	n.rankedView = view
+	n.rank.Store(int64(distribution.ReaderRank(n.config.Self, liveVMs(view))))
 }
 
 // isReader reports whether this node is among its region's readers. Nodes that
 // see different VMs may disagree, which costs a read and never correctness.
-func (n *Node) isReader() bool { return int(n.rank.Load()) < n.config.Pace.Readers }
+func (n *Node) isReader() bool {
+	return int(n.rank.Load()) < n.config.Pace.Readers && n.settled()
+}
+
+// settleHold bounds how long a fresh process waits to hear the VMs that the
+// list names: many of them may be gone.
+const settleHold = 5 * time.Second
+
+// settledShare is how many VMs a settled node has heard for each that the list
+// names and it has not heard.
+const settledShare = 8
+
+// settled reports whether the node has heard almost all VMs of the list. When a
+// whole fleet restarts, each node hears nobody at first and would take itself
+// for the only reader: 1,600 of them would read every part.
+func (n *Node) settled() bool {
+	view := n.view.Load()
+	if settledShare*view.Unheard <= len(view.Peers)+1 {
+		return true
+	}
+	return n.ports.Clock.Now().Sub(n.started) > settleHold+n.config.Pace.StartSpread
+}
 
 // randomly draws a time from the node's random numbers.
 func (n *Node) randomly(draw func(*rand.Rand) time.Duration) time.Duration {
@@ -52,17 +78,6 @@
 	})
 }
 
-func (n *Node) countRead(what string, err error) {
-	result := "ok"
-	switch {
-	case errors.Is(err, port.ErrUnchanged):
-		result = "unchanged"
-	case err != nil:
-		result = "failed"
-	}
-	n.ports.Meter.Count(port.MetricPlatformReads, what+" "+result, 1)
-}
-
 // manifestReader reads the manifest for one node. One goroutine owns it.
 type manifestReader struct {
 	node     *Node
@@ -103,31 +118,29 @@
 	}
 	value, err := r.node.ports.Platform.WatchManifest(ctx, r.revision)
 	if errors.Is(err, port.ErrUnchanged) {
-		r.node.countRead("watch", err)
 		r.read(ctx)
 		return
 	}
-	r.took(ctx, "watch", value, err)
+	r.took(ctx, value, err)
 }
 
 func (r *manifestReader) read(ctx context.Context) {
 	value, err := r.node.ports.Platform.Manifest(ctx)
-	r.took(ctx, "manifest", value, err)
+	r.took(ctx, value, err)
 }
 
 // took hands on what was read; after a failure it waits.
-func (r *manifestReader) took(ctx context.Context, what string, value port.Value, err error) {
+func (r *manifestReader) took(ctx context.Context, value port.Value, err error) {
 	if ctx.Err() != nil {
 		return
 	}
-	r.node.countRead(what, err)
 	if err != nil {
-		r.failed(ctx, err)
+		r.failures++
+		r.revision = 0
+		r.node.ports.Log.Debug().Err(err).Int("failures", r.failures).Msg("manifest can't be read")
+		sleep(ctx, r.node.retryAfter(r.failures))
 		return
 	}
-	if r.failures > 0 {
-		r.node.audit(port.AuditEvent{Kind: port.AuditPlatformUp})
-	}
 	r.failures = 0
 	changed := r.revision != value.Revision
 	r.revision = value.Revision
@@ -135,13 +148,3 @@
 		r.node.manifestArrived(ctx, distribution.Platform, value.Content)
 	}
 }
-
-func (r *manifestReader) failed(ctx context.Context, err error) {
-	r.failures++
-	if r.failures == 1 {
-		r.node.ports.Log.Warn().Err(err).Msg("platform can't be read")
-		r.node.audit(port.AuditEvent{Kind: port.AuditPlatformDown, Detail: err.Error()})
-	}
-	r.revision = 0
-	sleep(ctx, r.node.retryAfter(r.failures))
-}
