--- a/cmd/tamarackd/main.go
+++ b/cmd/tamarackd/main.go
@@ -51,6 +51,7 @@
 	}
 	command.Flags().StringVar(&file, "config", "", "settings file (TOML)")
 	command.Flags().BoolVar(&checkOnly, "check-config", false, "report every finding in the settings and exit")
+	command.AddCommand(newSidecarCommand())
 	// The flag exists: it was declared above.
 	_ = command.MarkFlagRequired("config")
 	return command
--- a/internal/adapter/callhttp/outcome.go
+++ b/internal/adapter/callhttp/outcome.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -50,6 +51,17 @@
 	writeOutcome(w, http.StatusBadGateway, Outcome{Outcome: OutcomeUnknown, Detail: err.Error()})
 }
 
+// WriteExactRefusal answers with a refusal whose Retry-After header holds
+// fractions of a second, for callers that understand them: a slot that falls
+// free in 120 ms would else be waited for a whole second.
+func WriteExactRefusal(w http.ResponseWriter, refusal *port.Refusal) {
+	status, outcome := describe(w.Header(), refusal)
+	if refusal.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	writeOutcome(w, status, outcome)
+}
+
 func writeRefusal(w http.ResponseWriter, refusal *port.Refusal) {
 	status, outcome := describe(w.Header(), refusal)
 	writeOutcome(w, status, outcome)
--- /dev/null
+++ b/internal/adapter/feedws/feedws.go
@@ -0,0 +1,134 @@
+// Package feedws carries the news of one node to another as CBOR over a
+// WebSocket. The one who follows opens the connection; news flow one way.
+package feedws
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"tamarackquay/internal/follow"
+	"tamarackquay/internal/mesh"
+)
+
+// Path is where nodes open a feed.
+const Path = "/peer/feed"
+
+// paramVersion names the version of the configuration that the follower holds.
+const paramVersion = "version"
+
+const (
+	// maxNews bounds one piece of news: a whole configuration of some ten
+	// thousand routes.
+	maxNews = 8 << 20
+	// silence ends a feed that carries nothing; its beats come several times
+	// as often.
+	silence = 1200 * time.Millisecond
+	// writeTimeout ends a feed whose follower doesn't read.
+	writeTimeout = 3 * time.Second
+	// openTimeout bounds the opening of a feed.
+	openTimeout = time.Second
+)
+
+// Source hands out news.
+type Source interface {
+	Serve(ctx context.Context, version uint64, send func(*mesh.News) error) error
+}
+
+// NewHandler serves feeds of the source.
+func NewHandler(source Source) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		version, err := strconv.ParseUint(r.URL.Query().Get(paramVersion), 10, 64)
+		if err != nil {
+			http.Error(w, "version: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		conn, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return
+		}
+		defer conn.CloseNow()
+		// Nothing is read; this notices that the follower has gone.
+		ctx := conn.CloseRead(r.Context())
+		err = source.Serve(ctx, version, func(news *mesh.News) error { return write(ctx, conn, news) })
+		if err != nil && ctx.Err() == nil {
+			// The follower sees the end and opens another feed.
+			_ = conn.Close(websocket.StatusGoingAway, "")
+		}
+	})
+}
+
+func write(ctx context.Context, conn *websocket.Conn, news *mesh.News) error {
+	raw, err := cbor.Marshal(news)
+	if err != nil {
+		return errors.Wrap(err, "encode news")
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	return conn.Write(ctx, websocket.MessageBinary, raw)
+}
+
+// Client implements follow.Feed.
+type Client struct{ http *http.Client }
+
+var _ follow.Feed = (*Client)(nil)
+
+// NewClient returns a client that opens its connections with the dialer.
+func NewClient(transport *http.Transport) *Client {
+	return &Client{http: &http.Client{Transport: transport}}
+}
+
+// Follow implements follow.Feed.
+func (c *Client) Follow(ctx context.Context, address string, version uint64, take func(*mesh.News) error) error {
+	conn, err := c.open(ctx, address, version)
+	if err != nil {
+		return err
+	}
+	defer conn.CloseNow()
+	conn.SetReadLimit(maxNews)
+	for {
+		news, err := read(ctx, conn)
+		if err != nil {
+			return err
+		}
+		if err := take(news); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Client) open(ctx context.Context, address string, version uint64) (*websocket.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	url := "ws://" + address + Path + "?" + paramVersion + "=" + strconv.FormatUint(version, 10)
+	conn, _, err := websocket.Dial(ctx, url, &websocket.DialOptions{HTTPClient: c.http})
+	return conn, errors.Wrap(err, "open feed")
+}
+
+func read(ctx context.Context, conn *websocket.Conn) (*mesh.News, error) {
+	ctx, cancel := context.WithTimeout(ctx, silence)
+	defer cancel()
+	_, raw, err := conn.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	news := &mesh.News{}
+	if err := decoder.Unmarshal(raw, news); err != nil {
+		return nil, errors.Wrap(err, "decode news")
+	}
+	return news, nil
+}
+
+// decoder bounds what a broken neighbour can make this node hold.
+var decoder = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 16, MaxMapPairs: 64, MaxNestedLevels: 12}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
--- a/internal/distribution/place.go
+++ b/internal/distribution/place.go
@@ -61,31 +61,28 @@
 
 // ReaderRank returns how many live VMs of the region come before self in the
 // order of readers; a node reads the platform while its rank is below the
-// wanted number of readers. The order takes each failure domain's first VM
-// before any domain's second, so that a lost domain does not take all readers
-// with it. Nodes that see different VMs may both read, or for a moment neither:
-// that costs a read or a probe's time, never correctness.
+// wanted number of readers.
 func ReaderRank(self membership.VM, live []membership.VM) int {
+	return slices.IndexFunc(ReaderOrder(self, live), func(vm membership.VM) bool { return vm.ID == self.ID })
+}
+
+// ReaderOrder sorts the VMs of self's region, self among them, in the order in
+// which they are to read the platform. The order takes each failure domain's
+// first VM before any domain's second, so that a lost domain does not take all
+// readers with it. Nodes that see different VMs may both read, or for a moment
+// neither: that costs a read or a probe's time, never correctness.
+func ReaderOrder(self membership.VM, live []membership.VM) []membership.VM {
 	inDomain := map[string]int{}
-	var before [][]membership.VM
+	var rounds [][]membership.VM
 	for _, vm := range ordered(readerSalt, ofRegion(self, live)) {
 		round := inDomain[vm.FailureDomain]
 		inDomain[vm.FailureDomain]++
-		if round == len(before) {
-			before = append(before, nil)
-		}
-		before[round] = append(before[round], vm)
-	}
-	rank := 0
-	for _, round := range before {
-		for _, vm := range round {
-			if vm.ID == self.ID {
-				return rank
-			}
-			rank++
+		if round == len(rounds) {
+			rounds = append(rounds, nil)
 		}
+		rounds[round] = append(rounds[round], vm)
 	}
-	return rank
+	return slices.Concat(rounds...)
 }
 
 // ofRegion returns the VMs of self's region, self among them once.
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,212 @@
+// Package follow keeps a node's view of the mesh current. A few nodes of each
+// region read the platform; the others follow them, and readers of different
+// regions follow each other. When the word of its neighbours gets old, a node
+// reads the platform itself, so that no loss of readers leaves anybody behind.
+package follow
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"tamarackquay/internal/mesh"
+	"tamarackquay/internal/port"
+	"tamarackquay/internal/wait"
+)
+
+// ErrHistoryGone says that the platform no longer has the changes after the
+// revision that was asked for.
+var ErrHistoryGone = errors.New("the platform has dropped this history")
+
+// Listing is everything that the platform holds, as of a revision or later.
+type Listing struct {
+	Config   *mesh.Config
+	Targets  []mesh.Target
+	Revision uint64
+}
+
+// Changes are what the platform reports after a revision.
+type Changes struct {
+	Config   *mesh.Config
+	Targets  []mesh.Target
+	Removed  []mesh.Removal
+	Revision uint64
+}
+
+// Platform reads what operators and targets publish. Each call is paid for.
+type Platform interface {
+	List(ctx context.Context) (*Listing, error)
+	// Watch returns the changes after a revision as soon as there is one, and
+	// none when the wait is over. It returns ErrHistoryGone if the platform
+	// can't tell.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (*Changes, error)
+}
+
+// Feed receives the news of another node.
+type Feed interface {
+	// Follow hands every piece of news to take until the feed breaks or ctx
+	// ends. The version is that of the configuration which is held already.
+	Follow(ctx context.Context, address string, version uint64, take func(*mesh.News) error) error
+}
+
+// Config is what a follower is told about its node.
+type Config struct {
+	// Self is the address of this node for other nodes.
+	Self          string
+	FailureDomain string
+	Region        string
+	Regions       map[string]string
+	// PeerAddress turns a target's address into its node's.
+	PeerAddress func(target string) string
+}
+
+// Times of following.
+const (
+	// watchWait is how long one watch waits. It is the longest time in which a
+	// reader that is silently cut off still seems current, and one call a
+	// second for each reader.
+	watchWait = time.Second
+	// beatInterval is how often a feed tells its age without news.
+	beatInterval = 300 * time.Millisecond
+	// staleAfter is the age from which a node doesn't trust its neighbours'
+	// word: a watch, two beats and a little. What was published just before
+	// is then in force within 2 s, under the 2.5 s that the users allow.
+	staleAfter = 1600 * time.Millisecond
+	// stepInGap keeps the nodes of a region from stepping in all at once.
+	stepInGap = 60 * time.Millisecond
+	// coalesce is the pause of a reader after a change. A storm of changes is
+	// read in a few calls a second instead of one for each change.
+	coalesce = 150 * time.Millisecond
+	// retryFirst and retryMost bound the pause after a failed read. Readers
+	// keep to retryMostReader, so that the platform's return is noticed soon.
+	retryFirst      = 200 * time.Millisecond
+	retryMostReader = 500 * time.Millisecond
+	retryMost       = 4 * time.Second
+	// tickInterval is how often roles and neighbours are looked at again.
+	tickInterval = 100 * time.Millisecond
+	// outage is the time without an answer of the platform after which removals
+	// may be leases that ran out, and settle for how long after its return.
+	outage = 2500 * time.Millisecond
+	settle = 2500 * time.Millisecond
+)
+
+// Follower keeps one view. It is safe for concurrent use.
+type Follower struct {
+	config   Config
+	platform Platform
+	feed     Feed
+	clock    port.Clock
+	log      *log.Logger
+	onChange func(*mesh.View)
+
+	mu      sync.Mutex
+	view    *mesh.View
+	changed chan struct{}
+	hints   []string
+
+	revision uint64
+	// answered is when the platform last answered this node, returned when it
+	// did so after an outage.
+	answered, returned time.Time
+	lost               bool
+	reading            atomic.Bool
+	calls              atomic.Int64
+}
+
+// New returns a follower that knows nothing. OnChange is called with the view
+// under its lock after each change; it must not keep the view.
+func New(config Config, platform Platform, feed Feed, clock port.Clock, logger *log.Logger, onChange func(*mesh.View)) *Follower {
+	return &Follower{
+		config: config, platform: platform, feed: feed, clock: clock, log: logger, onChange: onChange,
+		view: mesh.NewView(), changed: make(chan struct{}),
+	}
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	running.Go(func() { f.read(ctx) })
+	running.Go(func() { f.followNeighbours(ctx) })
+	running.Wait()
+}
+
+// apply takes news and tells everyone who waits for a change.
+func (f *Follower) apply(news *mesh.News) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before, version := f.view.Change(), f.view.Version()
+	err := f.view.Apply(f.clock.Now(), news)
+	if f.view.Change() != before {
+		if f.view.Version() != version {
+			f.log.Info().Uint64("version", f.view.Version()).Uint64("before", version).
+				Int("routes", len(f.view.Table().Config.Routes)).Msg("configuration in force")
+		}
+		f.onChange(f.view)
+		close(f.changed)
+		f.changed = make(chan struct{})
+	}
+	return err
+}
+
+// Hint names a node that reached this one. A node that restarts while the
+// platform is away knows nobody; who sends it a request has a view.
+func (f *Follower) Hint(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.view.Table() == nil && len(f.hints) < maxHints {
+		f.hints = append(f.hints, address)
+	}
+}
+
+const maxHints = 2
+
+// Age is how old the view is; negative when it never was current.
+func (f *Follower) Age() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.Age(f.clock.Now())
+}
+
+// Calls is how many calls this node made to the platform.
+func (f *Follower) Calls() int64 { return f.calls.Load() }
+
+// Serve hands a neighbour the news that it lacks until ctx ends or send fails.
+func (f *Follower) Serve(ctx context.Context, version uint64, send func(*mesh.News) error) error {
+	position := mesh.Position{}
+	first := true
+	for {
+		f.mu.Lock()
+		if first && f.view.Table() != nil && f.view.Version() == version {
+			position.Config = f.view.Table().Config
+		}
+		first = false
+		news, next := f.view.Since(f.clock.Now(), position)
+		changed := f.changed
+		f.mu.Unlock()
+		if err := send(news); err != nil {
+			return err
+		}
+		position = next
+		if err := f.awaitNews(ctx, changed); err != nil {
+			return err
+		}
+	}
+}
+
+func (f *Follower) awaitNews(ctx context.Context, changed <-chan struct{}) error {
+	timer := time.NewTimer(beatInterval)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return ctx.Err()
+}
+
+// pause waits between two reads of the platform.
+func (f *Follower) pause(ctx context.Context, d time.Duration) bool { return wait.Sleep(ctx, d) }
--- /dev/null
+++ b/internal/follow/neighbours.go
@@ -0,0 +1,153 @@
+package follow
+
+import (
+	"context"
+	"net"
+	"slices"
+	"time"
+
+	"tamarackquay/internal/distribution"
+	"tamarackquay/internal/membership"
+	"tamarackquay/internal/mesh"
+)
+
+// parents is how many readers of its region each node follows: the one that
+// reads and the one that steps in first.
+const parents = 2
+
+// vms are the VMs on which targets run that take work, one for each address.
+func (f *Follower) vms() []membership.VM {
+	seen := map[string]bool{}
+	var vms []membership.VM
+	for _, member := range f.view.Members() {
+		address := f.config.PeerAddress(member.Address)
+		if member.State != mesh.Ready || seen[address] {
+			continue
+		}
+		seen[address] = true
+		vms = append(vms, membership.VM{
+			ID: address, PeerAddress: address, FailureDomain: member.FailureDomain,
+			Region: f.config.Regions[member.FailureDomain],
+		})
+	}
+	return vms
+}
+
+func (f *Follower) self() membership.VM {
+	return membership.VM{ID: f.config.Self, PeerAddress: f.config.Self, FailureDomain: f.config.FailureDomain, Region: f.config.Region}
+}
+
+// rank is how many VMs of the region read before this one.
+func (f *Follower) rank() int { return distribution.ReaderRank(f.self(), f.vms()) }
+
+// neighbours are the addresses of the nodes to follow.
+func (f *Follower) neighbours() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	vms := f.vms()
+	order := distribution.ReaderOrder(f.self(), vms)
+	var chosen []string
+	add := func(vm membership.VM) {
+		if vm.ID != f.config.Self && !slices.Contains(chosen, vm.PeerAddress) {
+			chosen = append(chosen, vm.PeerAddress)
+		}
+	}
+	reader := false
+	for _, vm := range order[:min(parents, len(order))] {
+		reader = reader || vm.ID == f.config.Self
+		add(vm)
+	}
+	if reader {
+		for _, region := range f.otherRegions() {
+			stranger := membership.VM{Region: region}
+			for _, vm := range distribution.ReaderOrder(stranger, vms) {
+				if vm.ID != "" {
+					add(vm)
+					break
+				}
+			}
+		}
+	}
+	if f.view.Table() == nil {
+		for _, hint := range f.hints {
+			if !slices.Contains(chosen, hint) {
+				chosen = append(chosen, hint)
+			}
+		}
+	}
+	return chosen
+}
+
+func (f *Follower) otherRegions() []string {
+	var regions []string
+	for _, region := range f.config.Regions {
+		if region != f.config.Region && !slices.Contains(regions, region) {
+			regions = append(regions, region)
+		}
+	}
+	slices.Sort(regions)
+	return regions
+}
+
+// followNeighbours keeps one feed open to each neighbour.
+func (f *Follower) followNeighbours(ctx context.Context) {
+	feeds := map[string]context.CancelFunc{}
+	defer func() {
+		for _, stop := range feeds {
+			stop()
+		}
+	}()
+	for ctx.Err() == nil {
+		wanted := f.neighbours()
+		for address, stop := range feeds {
+			if !slices.Contains(wanted, address) {
+				stop()
+				delete(feeds, address)
+			}
+		}
+		for _, address := range wanted {
+			if feeds[address] == nil {
+				feedCtx, stop := context.WithCancel(ctx)
+				feeds[address] = stop
+				go f.followOne(feedCtx, address)
+			}
+		}
+		f.pause(ctx, tickInterval)
+	}
+}
+
+// refollow is the pause before a broken feed is opened again.
+const refollow = 300 * time.Millisecond
+
+func (f *Follower) followOne(ctx context.Context, address string) {
+	lost := false
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		version := f.view.Version()
+		f.mu.Unlock()
+		err := f.feed.Follow(ctx, address, version, func(news *mesh.News) error {
+			if lost {
+				lost = false
+				f.log.Info().Str("neighbour", address).Msg("neighbour regained")
+			}
+			return f.apply(news)
+		})
+		if ctx.Err() != nil {
+			return
+		}
+		if !lost {
+			lost = true
+			f.log.Info().Str("neighbour", address).Err(err).Msg("neighbour lost")
+		}
+		f.pause(ctx, refollow)
+	}
+}
+
+// HostOf returns the host of an address, or the address without one.
+func HostOf(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return host
+}
--- /dev/null
+++ b/internal/follow/read.go
@@ -0,0 +1,136 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tamarackquay/internal/mesh"
+)
+
+// read is the loop that reads the platform while this node is a reader or its
+// neighbours' word is old.
+func (f *Follower) read(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		if !f.mayRead() {
+			f.reading.Store(false)
+			failures = 0
+			f.pause(ctx, tickInterval)
+			continue
+		}
+		f.reading.Store(true)
+		changed, err := f.readOnce(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, ErrHistoryGone) {
+			f.log.Warn().Uint64("revision", f.revision).Msg("platform dropped its history; listing anew")
+			f.revision = 0
+			continue
+		}
+		f.noteContact(err)
+		if err != nil {
+			failures++
+			f.pause(ctx, f.backoff(failures))
+			continue
+		}
+		failures = 0
+		if changed {
+			f.pause(ctx, coalesce)
+		}
+	}
+}
+
+// mayRead decides whether this node reads the platform now: the first reader of
+// its region always, others when the view is old, one rank after another.
+func (f *Follower) mayRead() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	age := f.view.Age(f.clock.Now())
+	if age < 0 {
+		return true
+	}
+	rank := f.rank()
+	return rank == 0 || age > staleAfter+time.Duration(rank)*stepInGap
+}
+
+func (f *Follower) backoff(failures int) time.Duration {
+	most := retryMost
+	f.mu.Lock()
+	if f.rank() <= 1 || f.view.Table() == nil {
+		most = retryMostReader
+	}
+	f.mu.Unlock()
+	return min(retryFirst<<min(failures-1, 8), most)
+}
+
+// readOnce lists the platform the first time and watches it then.
+func (f *Follower) readOnce(ctx context.Context) (changed bool, err error) {
+	f.calls.Add(1)
+	if f.revision == 0 {
+		return true, f.list(ctx)
+	}
+	changes, err := f.platform.Watch(ctx, f.revision, watchWait)
+	if err != nil {
+		return false, err
+	}
+	f.revision = max(f.revision, changes.Revision)
+	news := &mesh.News{Targets: changes.Targets, Removed: changes.Removed}
+	suspect := f.settling()
+	for i := range news.Removed {
+		news.Removed[i].Suspect = suspect
+	}
+	f.addConfig(news, changes.Config)
+	return !news.Empty(), f.apply(news)
+}
+
+func (f *Follower) list(ctx context.Context) error {
+	listing, err := f.platform.List(ctx)
+	if err != nil {
+		return err
+	}
+	news := &mesh.News{Targets: listing.Targets}
+	suspect := f.settling()
+	f.mu.Lock()
+	news.Removed = f.view.Listed(listing.Targets, listing.Revision, suspect)
+	f.mu.Unlock()
+	f.addConfig(news, listing.Config)
+	f.revision = listing.Revision
+	return f.apply(news)
+}
+
+// addConfig adds a configuration as a step from what is in force.
+func (f *Follower) addConfig(news *mesh.News, config *mesh.Config) {
+	if config != nil {
+		news.Config = mesh.Diff(nil, config)
+	}
+}
+
+// settling reports whether the platform is back so lately that live targets may
+// not have renewed their entries.
+func (f *Follower) settling() bool {
+	now := f.clock.Now()
+	return !f.answered.IsZero() && now.Sub(f.answered) > outage || !f.returned.IsZero() && now.Sub(f.returned) < settle
+}
+
+// noteContact keeps when the platform answered, and tells of its loss and return.
+func (f *Follower) noteContact(err error) {
+	now := f.clock.Now()
+	if err != nil {
+		if !f.lost {
+			f.lost = true
+			f.log.Warn().Err(err).Uint64("revision", f.revision).Msg("platform lost")
+		}
+		return
+	}
+	if f.lost {
+		f.lost = false
+		f.log.Info().Dur("away", now.Sub(f.answered)).Uint64("revision", f.revision).Msg("platform regained")
+	}
+	if !f.answered.IsZero() && now.Sub(f.answered) > outage {
+		f.returned = now
+	}
+	f.answered = now
+}
--- /dev/null
+++ b/internal/mesh/mesh_test.go
@@ -0,0 +1,135 @@
+package mesh
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func route(name, host, prefix string, shares ...Share) Route {
+	return Route{Name: name, Host: host, Prefix: prefix, Kind: Idempotent, Timeout: time.Second, MaxAttempts: 2, Shares: shares}
+}
+
+func config(version uint64, routes ...Route) *Config {
+	return &Config{Version: version, Routes: routes}
+}
+
+func TestRouteOfTheLongestPrefix(t *testing.T) {
+	table := NewTable(config(1, route("all", "A.example", "/"), route("deep", "a.example", "/x/y/"), route("x", "a.example", "/x/")))
+	for _, test := range []struct{ desc, host, path, want string }{
+		{"longest", "a.example", "/x/y/z", "deep"},
+		{"host in another case and with a port", "A.EXAMPLE:80", "/x/1", "x"},
+		{"a prefix ends with a slash", "a.example", "/xy", "all"},
+		{"another host", "b.example", "/x/y/z", ""},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			got := ""
+			if found := table.Route(test.host, test.path); found != nil {
+				got = found.Name
+			}
+			assert.Equal(t, got, test.want)
+		})
+	}
+}
+
+func TestSplitKeepsWeightsAfterFewRequests(t *testing.T) {
+	r := route("r", "h", "/", Share{"a", 90}, Share{"b", 10}, Share{"c", 0})
+	current := config(1, r)
+	var s Splitter
+	count := map[string]int{}
+	for range 30 {
+		count[s.Pick(current, &r)]++
+	}
+	assert.DeepEqual(t, count, map[string]int{"a": 27, "b": 3})
+}
+
+// Two neighbours tell a node of the same changes in different steps and at
+// different times. Whatever the order, the node ends with the newest whole
+// version, never goes back, and never makes one up out of two.
+func TestDeltasOfTwoNeighboursInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		versions := []*Config{nil}
+		for v := uint64(1); v <= 5; v++ {
+			var routes []Route
+			for i := range rapid.IntRange(1, 6).Draw(t, "routes") {
+				routes = append(routes, route(fmt.Sprint("r", i), "h", fmt.Sprintf("/%d/", i), Share{"s", rapid.IntRange(1, 2).Draw(t, "weight")}))
+			}
+			versions = append(versions, config(v, routes...))
+		}
+		view := NewView()
+		last := [2]int{}
+		for range 12 {
+			from := rapid.IntRange(0, 1).Draw(t, "neighbour")
+			if last[from] == 5 {
+				continue
+			}
+			next := rapid.IntRange(last[from]+1, 5).Draw(t, "to")
+			before := view.Version()
+			err := view.Apply(start, &News{Config: Diff(versions[last[from]], versions[next])})
+			last[from] = next
+			if err != nil {
+				t.Fatal("every base was held", err)
+			}
+			if view.Version() < before || view.Version() < uint64(next) {
+				t.Fatal("went back", before, view.Version())
+			}
+			want := NewTable(versions[view.Version()])
+			for i := range 6 {
+				got, wanted := view.Table().Route("h", fmt.Sprintf("/%d/", i)), want.Route("h", fmt.Sprintf("/%d/", i))
+				if (got == nil) != (wanted == nil) || got != nil && !got.Equal(wanted) {
+					t.Fatal("mixed versions", got, wanted)
+				}
+			}
+		}
+	})
+}
+
+// The platform was away and leases ran out. When it is back, its list lacks
+// targets that live. They stay in use for the time in which they renew, and are
+// dropped after it if they don't.
+func TestLapsedTargetsStayAWhile(t *testing.T) {
+	view := NewView()
+	target := Target{ID: "i", Service: "s", State: Ready, Revision: 5}
+	assert.NilError(t, view.Apply(start, &News{Targets: []Target{target}}))
+	gone := view.Listed(nil, 9, true)
+	assert.Equal(t, len(gone), 1)
+	assert.NilError(t, view.Apply(start, &News{Removed: gone}))
+	assert.Assert(t, view.Members()["i"].Usable(start.Add(time.Second)))
+	assert.Assert(t, !view.Members()["i"].Usable(start.Add(suspectGrace)))
+	target.Revision = 12
+	assert.NilError(t, view.Apply(start.Add(time.Second), &News{Targets: []Target{target}}))
+	assert.Assert(t, view.Members()["i"].Usable(start.Add(time.Hour)))
+}
+
+// News of a target that left cross on two paths: its old entry comes after its
+// removal. The target stays gone.
+func TestCrossedNewsReviveNobody(t *testing.T) {
+	view := NewView()
+	target := Target{ID: "i", State: Ready, Revision: 5}
+	assert.NilError(t, view.Apply(start, &News{Targets: []Target{target}}))
+	assert.NilError(t, view.Apply(start, &News{Removed: []Removal{{ID: "i", Revision: 7}}}))
+	assert.NilError(t, view.Apply(start, &News{Targets: []Target{target}}))
+	assert.Equal(t, len(view.Members()), 0)
+}
+
+// A neighbour is told each change once and nothing that it holds already.
+func TestNeighbourGetsOnlyWhatItLacks(t *testing.T) {
+	view := NewView()
+	assert.NilError(t, view.Apply(start, &News{Config: Diff(nil, config(1, route("a", "h", "/a/"))), Targets: []Target{{ID: "i", State: Ready, Revision: 1}}}))
+	news, position := view.Since(start, Position{})
+	assert.Equal(t, len(news.Config.Changed), 1)
+	assert.Equal(t, len(news.Targets), 1)
+	news, position = view.Since(start, position)
+	assert.Assert(t, news.Empty())
+	next := config(2, route("a", "h", "/a/"), route("b", "h", "/b/"))
+	assert.NilError(t, view.Apply(start, &News{Config: Diff(position.Config, next)}))
+	news, _ = view.Since(start, position)
+	assert.Equal(t, news.Config.Base, uint64(1))
+	assert.Equal(t, len(news.Config.Changed), 1)
+	assert.Equal(t, len(news.Targets), 0)
+}
--- /dev/null
+++ b/internal/mesh/view.go
@@ -0,0 +1,277 @@
+package mesh
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Times of entries that were removed.
+const (
+	// suspectGrace is how long a target stays in use whose entry was gone when
+	// the platform came back. Its lease may have run out while nobody could
+	// renew it; a live target renews it within some two seconds. Dropping all
+	// at once would leave a service without targets for that time.
+	suspectGrace = 2 * time.Second
+	// removalMemory is how long a removal is remembered, so that an older
+	// entry that comes late on another path doesn't revive the target.
+	removalMemory = time.Minute
+)
+
+// Member is a target as a node knows it.
+type Member struct {
+	Target
+	// WarmAt is when it has its full speed.
+	WarmAt time.Time
+	// UsableUntil is set for a suspect removal; zero for entries that stand.
+	UsableUntil time.Time
+	// DrainingSince is when this node learned that it drains.
+	DrainingSince time.Time
+	change        uint64
+}
+
+// Usable reports whether new work may go to the target.
+func (m *Member) Usable(now time.Time) bool {
+	return m.State == Ready && (m.UsableUntil.IsZero() || now.Before(m.UsableUntil))
+}
+
+// keptConfigs is how many configurations are kept as bases of deltas. During a
+// storm of changes two neighbours send different steps (6 to 8, or 6 to 7 to 8),
+// and a step whose base had been dropped would cost the whole configuration.
+const keptConfigs = 6
+
+type removed struct {
+	Removal
+	at     time.Time
+	change uint64
+}
+
+// View is what a node knows of the mesh. News come on several paths, in any
+// order and more than once; the highest version or revision wins, so a view
+// never goes back. It is not safe for concurrent use.
+type View struct {
+	table *Table
+	// recent holds the last configurations, the one in force included.
+	recent  []*Config
+	members map[string]*Member
+	removed map[string]removed
+	// change counts the view's own changes, and tells what a neighbour lacks.
+	change       uint64
+	configChange uint64
+	// verified is the latest time at which the platform is known to have held
+	// nothing newer.
+	verified time.Time
+}
+
+// NewView returns the view of a process that knows nothing.
+func NewView() *View {
+	return &View{members: map[string]*Member{}, removed: map[string]removed{}}
+}
+
+// News is what one message or one read of the platform tells.
+type News struct {
+	Config  *ConfigDelta `cbor:"c,omitempty"`
+	Targets []Target     `cbor:"t,omitempty"`
+	Removed []Removal    `cbor:"r,omitempty"`
+	// Age is how long ago the sender's view was known to be current; negative
+	// when it never was.
+	Age time.Duration `cbor:"a"`
+}
+
+// Empty reports whether the news tell nothing but their age.
+func (n *News) Empty() bool { return n.Config == nil && len(n.Targets) == 0 && len(n.Removed) == 0 }
+
+// Table returns the routes in force, nil before the first configuration.
+func (v *View) Table() *Table { return v.table }
+
+// Change is a number that grows with each change of the view.
+func (v *View) Change() uint64 { return v.change }
+
+// Version is the configuration's version in force, 0 when there is none.
+func (v *View) Version() uint64 {
+	if v.table == nil {
+		return 0
+	}
+	return v.table.Config.Version
+}
+
+// Age is how long ago the view was known to be current, or negative when it
+// never was.
+func (v *View) Age(now time.Time) time.Duration {
+	if v.verified.IsZero() {
+		return -1
+	}
+	return max(0, now.Sub(v.verified))
+}
+
+// Verify notes that the view was current at a time.
+func (v *View) Verify(at time.Time) {
+	if at.After(v.verified) {
+		v.verified = at
+	}
+}
+
+// Members returns all known targets by id. The map belongs to the view.
+func (v *View) Members() map[string]*Member { return v.members }
+
+// Apply takes news. It returns ErrBase if the configuration builds on a version
+// that the view doesn't hold; the rest is taken all the same.
+func (v *View) Apply(now time.Time, news *News) error {
+	var err error
+	if news.Config != nil {
+		err = v.applyConfig(news.Config)
+	}
+	for i := range news.Targets {
+		v.applyTarget(now, &news.Targets[i])
+	}
+	for _, removal := range news.Removed {
+		v.remove(now, removal)
+	}
+	v.forget(now)
+	if err == nil && news.Age >= 0 {
+		v.Verify(now.Add(-news.Age))
+	}
+	return err
+}
+
+func (v *View) applyConfig(delta *ConfigDelta) error {
+	if v.held(delta.Version) != nil {
+		return nil
+	}
+	config, err := delta.Apply(v.held(delta.Base))
+	older := delta.Version <= v.Version()
+	if err != nil && older {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	v.recent = append(v.recent, config)
+	if len(v.recent) > keptConfigs {
+		v.recent = slices.Delete(v.recent, 0, 1)
+	}
+	if older {
+		// Never in force, but the base of this neighbour's next step.
+		return nil
+	}
+	v.change++
+	v.configChange = v.change
+	v.table = NewTable(config)
+	return nil
+}
+
+// held returns the configuration of a version if it is still held.
+func (v *View) held(version uint64) *Config {
+	for _, config := range v.recent {
+		if config.Version == version {
+			return config
+		}
+	}
+	return nil
+}
+
+func (v *View) applyTarget(now time.Time, target *Target) {
+	if gone, ok := v.removed[target.ID]; ok && gone.Revision >= target.Revision {
+		return
+	}
+	known := v.members[target.ID]
+	if known != nil && known.Revision >= target.Revision {
+		return
+	}
+	v.change++
+	next := &Member{Target: *target, change: v.change}
+	if target.Cold > 0 {
+		next.WarmAt = now.Add(target.Cold)
+	}
+	if target.State == Draining {
+		next.DrainingSince = now
+		if known != nil && known.State == Draining {
+			next.DrainingSince = known.DrainingSince
+		}
+	}
+	delete(v.removed, target.ID)
+	v.members[target.ID] = next
+}
+
+func (v *View) remove(now time.Time, removal Removal) {
+	known := v.members[removal.ID]
+	if known != nil && known.Revision > removal.Revision {
+		return
+	}
+	if gone, ok := v.removed[removal.ID]; ok && gone.Revision >= removal.Revision {
+		return
+	}
+	v.change++
+	v.removed[removal.ID] = removed{Removal: removal, at: now, change: v.change}
+	if known == nil {
+		return
+	}
+	if !removal.Suspect || known.State == Draining {
+		delete(v.members, removal.ID)
+		return
+	}
+	// Members are handed out and read elsewhere, so they are replaced.
+	lapsed := *known
+	lapsed.UsableUntil = now.Add(suspectGrace)
+	v.members[removal.ID] = &lapsed
+}
+
+func (v *View) forget(now time.Time) {
+	for id, member := range v.members {
+		if !member.UsableUntil.IsZero() && !now.Before(member.UsableUntil) {
+			delete(v.members, id)
+		}
+	}
+	for id, gone := range v.removed {
+		if now.Sub(gone.at) > removalMemory {
+			delete(v.removed, id)
+		}
+	}
+}
+
+// Listed returns the removals that a whole listing of the platform at a revision
+// implies: known targets that it doesn't hold.
+func (v *View) Listed(listed []Target, revision uint64, suspect bool) []Removal {
+	held := make(map[string]bool, len(listed))
+	for i := range listed {
+		held[listed[i].ID] = true
+	}
+	var gone []Removal
+	for _, id := range slices.Sorted(maps.Keys(v.members)) {
+		member := v.members[id]
+		if !held[id] && member.Revision <= revision && member.UsableUntil.IsZero() {
+			gone = append(gone, Removal{ID: id, Revision: revision, Suspect: suspect})
+		}
+	}
+	return gone
+}
+
+// Position is how far a neighbour has been told: what it holds of the
+// configuration, and up to which change of this view.
+type Position struct {
+	Config *Config
+	Change uint64
+}
+
+// Since returns what the neighbour lacks, and its position after that.
+func (v *View) Since(now time.Time, position Position) (*News, Position) {
+	news := &News{Age: v.Age(now)}
+	if v.table != nil && v.configChange > position.Change && v.table.Config != position.Config {
+		news.Config = Diff(position.Config, v.table.Config)
+		position.Config = v.table.Config
+	}
+	for _, id := range slices.Sorted(maps.Keys(v.members)) {
+		if member := v.members[id]; member.change > position.Change && member.UsableUntil.IsZero() {
+			target := member.Target
+			target.Cold = max(0, member.WarmAt.Sub(now))
+			news.Targets = append(news.Targets, target)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(v.removed)) {
+		if gone := v.removed[id]; gone.change > position.Change {
+			news.Removed = append(news.Removed, gone.Removal)
+		}
+	}
+	position.Change = v.change
+	return news, position
+}
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -11,6 +11,7 @@
 
 	"tamarackquay/internal/contract"
 	"tamarackquay/internal/port"
+	"tamarackquay/internal/requestbody"
 	"tamarackquay/internal/routing"
 )
 
@@ -31,7 +32,7 @@
 	route     *contract.Route
 	upstreams *upstreams
 	slowStart time.Duration
-	body      *requestBody
+	body      *requestbody.Body
 	tried     []*target
 	// offers counts what was offered to targets; probed are those that had no
 	// free slot, waited says that a target to wait at was chosen since.
@@ -50,7 +51,7 @@
 	unknown error
 }
 
-func (n *Node) newFlight(call *port.Call, route *contract.Route, service *contract.Service, body *requestBody) *flight {
+func (n *Node) newFlight(call *port.Call, route *contract.Route, service *contract.Service, body *requestbody.Body) *flight {
 	return &flight{
 		node: n, call: call, route: route, body: body,
 		upstreams: n.targets.service(call.Service),
@@ -146,7 +147,7 @@
 		call.ID += "." + strconv.Itoa(f.offers)
 	}
 	f.offers++
-	call.Body = f.body.reader()
+	call.Body = f.body.Reader()
 	call.Deadline = f.attemptDeadline(now, number)
 	return &call
 }
@@ -156,7 +157,7 @@
 // would get no answer though other targets have one. The last attempt, and each
 // attempt that can't be made again, may take all that is left.
 func (f *flight) attemptDeadline(now time.Time, number int) time.Time {
-	if !f.route.Idempotent || number+1 >= f.node.config.MaxAttempts || !f.body.again() {
+	if !f.route.Idempotent || number+1 >= f.node.config.MaxAttempts || !f.body.Again() {
 		return f.call.Deadline
 	}
 	return now.Add(f.call.Deadline.Sub(now) / 2)
@@ -187,7 +188,7 @@
 		// now on. So few requests meet this refusal that it needs no budget,
 		// and a planned stop costs no caller its answer.
 		t.avoid(now)
-		return f.body.again()
+		return f.body.Again()
 	case port.ReasonUnreachable:
 		f.failed(now, t)
 	case port.ReasonQueueFull, port.ReasonBusy, port.ReasonShed, port.ReasonLimit:
@@ -200,7 +201,7 @@
 
 // again takes a retry out of the service's budget.
 func (f *flight) again() bool {
-	if !f.body.again() || !f.upstreams.withdraw() {
+	if !f.body.Again() || !f.upstreams.withdraw() {
 		return false
 	}
 	f.node.ports.Meter.Count(port.MetricRetries, f.route.Name, 1)
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -13,6 +13,7 @@
 	"tamarackquay/internal/adapter/callhttp"
 	"tamarackquay/internal/contract"
 	"tamarackquay/internal/port"
+	"tamarackquay/internal/requestbody"
 	"tamarackquay/internal/snapshot"
 )
 
@@ -63,14 +64,14 @@
 
 // takeBody keeps a small body before any target is asked: a caller that sends
 // slowly then holds no slot. The deadline bounds it.
-func (n *Node) takeBody(w http.ResponseWriter, r *http.Request, call *port.Call) (*requestBody, *port.Refusal) {
+func (n *Node) takeBody(w http.ResponseWriter, r *http.Request, call *port.Call) (*requestbody.Body, *port.Refusal) {
 	if r.ContentLength == 0 {
-		return &requestBody{}, nil
+		return &requestbody.Body{}, nil
 	}
 	control := http.NewResponseController(w)
 	// Recorders of tests have no deadlines; a connection always has.
 	_ = control.SetReadDeadline(call.Deadline)
-	body, length, err := readBody(r.Body, r.ContentLength)
+	body, length, err := requestbody.Read(r.Body, r.ContentLength)
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/internal/node/path_bench_test.go
+++ b/internal/node/path_bench_test.go
@@ -21,6 +21,7 @@
 	"tamarackquay/internal/adapter/targethttp"
 	"tamarackquay/internal/membership"
 	"tamarackquay/internal/port"
+	"tamarackquay/internal/requestbody"
 )
 
 // identityOf is a peer's identity of an authority made for the test.
@@ -104,7 +105,7 @@
 		n.view.Store(viewOf(each))
 		current := n.current.Load()
 		route := current.Contract("co-operative").Route("/tallies")
-		f := n.newFlight(&port.Call{Service: "tally"}, route, nil, &requestBody{})
+		f := n.newFlight(&port.Call{Service: "tally"}, route, nil, &requestbody.Body{})
 		f.choose(time.Now(), 0)
 		got := testing.AllocsPerRun(200, func() { f.choose(time.Now(), 0) })
 		t.Logf("%d targets: %.0f allocations", 2*each, got)
--- a/internal/node/request_test.go
+++ b/internal/node/request_test.go
@@ -22,6 +22,7 @@
 	"tamarackquay/internal/distribution"
 	"tamarackquay/internal/membership"
 	"tamarackquay/internal/port"
+	"tamarackquay/internal/requestbody"
 	"tamarackquay/internal/snapshot"
 	"tamarackquay/internal/tomlfile"
 )
@@ -267,14 +268,14 @@
 // A large body is offered elsewhere only while not a byte of it was read, and
 // an attempt that is over can read nothing of it any more.
 func TestLargeBodyIsHandedOnUnread(t *testing.T) {
-	large := bytes.Repeat([]byte("x"), 2*keptBodyBytes)
+	large := bytes.Repeat([]byte("x"), 2*requestbody.KeptBytes)
 	for _, read := range []bool{false, true} {
 		owners := &fakeOwners{}
 		var first io.Reader
 		owners.answer = func(_ context.Context, number int, _ membership.VM, call *port.Call) (*port.Answer, error) {
 			if number > 0 {
 				_, err := first.Read(make([]byte, 1))
-				assert.ErrorIs(t, err, errRevoked)
+				assert.ErrorIs(t, err, requestbody.ErrRevoked)
 				content, err := io.ReadAll(call.Body)
 				assert.Equal(t, len(content), len(large))
 				return ok("whole"), err
@@ -415,7 +416,7 @@
 // would file half of it. Large bodies are not sent on probes, and a body that
 // was read can't be read again.
 func TestHalfABodyIsNeverOffered(t *testing.T) {
-	large := strings.Repeat("x", 2*keptBodyBytes)
+	large := strings.Repeat("x", 2*requestbody.KeptBytes)
 	owners := &fakeOwners{}
 	owners.answer = func(_ context.Context, _ int, _ membership.VM, call *port.Call) (*port.Answer, error) {
 		if call.NoWait {
@@ -432,10 +433,10 @@
 		assert.Equal(t, got.Body.String(), "filed")
 	}
 
-	read, _, err := readBody(strings.NewReader(large), int64(len(large)))
+	read, _, err := requestbody.Read(strings.NewReader(large), int64(len(large)))
 	assert.NilError(t, err)
-	_, err = read.reader().Read(make([]byte, 1))
+	_, err = read.Reader().Read(make([]byte, 1))
 	assert.NilError(t, err)
-	_, err = read.reader().Read(make([]byte, 1))
-	assert.ErrorIs(t, err, errRevoked)
+	_, err = read.Reader().Read(make([]byte, 1))
+	assert.ErrorIs(t, err, requestbody.ErrRevoked)
 }
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,276 @@
+// Package placement decides which target of a service an entry node sends a
+// request to. It answers the load of a service whose targets differ in speed and
+// distance, and of which some are full, cold or ill: near targets first as long
+// as the answer is likely to come in time, further ones when that is worth the
+// bytes. The package is pure: time and random numbers are handed in.
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+// Distance orders targets by the price of their bytes.
+type Distance uint8
+
+// The distances, nearest first.
+const (
+	SameVM Distance = iota
+	SameDomain
+	SameRegion
+	OtherRegion
+	distances
+)
+
+// pricePerByte is what a byte of an answer costs, as a part of what one answer
+// in time is worth. Links between regions are paid by volume: there 10 KB cost a
+// quarter of an answer and an archive of 90 KB costs two, so an archive leaves
+// its region only when nothing nearer can take it. The ratio of the two is that
+// of the users' price lists (3.6 and 3.8), the size that of their lower one.
+var pricePerByte = [distances]float64{0, 0, 5e-6, 18e-6}
+
+// firstRTT is the round trip that is assumed until one was measured.
+var firstRTT = [distances]time.Duration{0, 500 * time.Microsecond, 2 * time.Millisecond, 40 * time.Millisecond}
+
+// Weights of what was observed.
+const (
+	// factorGain is the weight of a new observation of a target's speed.
+	factorGain = 0.1
+	// leastFactor and mostFactor bound how much faster or slower than the mean
+	// of its service a target is taken for.
+	leastFactor, mostFactor = 0.2, 20
+	// workGain is the weight of a new observation of a route's work.
+	workGain = 0.05
+	// rttGain is the weight of a new observation of a round trip.
+	rttGain = 0.2
+	// reportAge is how long a target's own word on its load counts.
+	reportAge = 2 * time.Second
+	// coldFactor is how much slower a target is taken for that has just
+	// started, until its own answers say otherwise.
+	coldFactor = 2
+	// failGain is the weight of one outcome in the part of failures, and
+	// failHalfLife the time in which a remembered part halves without news.
+	failGain     = 0.15
+	failHalfLife = 3 * time.Second
+	// spreadOfWork is the spread of the logarithm of the time that requests of
+	// one route take, as the users' sheets give it (0.3 to 0.5).
+	spreadOfWork = 0.5
+)
+
+// Times for which a target is left alone.
+const (
+	// avoidFirst is the pause after a first refusal to take any work; it
+	// doubles with each further one up to avoidMost.
+	avoidFirst = 250 * time.Millisecond
+	avoidMost  = 4 * time.Second
+)
+
+// Load is a target's own word on its load, as its node counts it.
+type Load struct {
+	Running, Waiting, Slots int
+	// Hold is how long a request holds a slot on average.
+	Hold time.Duration
+	// Failing is the part of its answers that were failures, 0 to 1.
+	Failing float64
+}
+
+// Stats is what an entry node knows of one target. It is not safe for concurrent
+// use.
+type Stats struct {
+	Distance Distance
+	// Slots is what the platform says; the target's own word goes first.
+	Slots int
+	// WarmAt is when a target that has just started has its full speed.
+	WarmAt time.Time
+
+	open       int
+	openThen   int
+	load       Load
+	loadAt     time.Time
+	rtt        time.Duration
+	factor     float64
+	failing    float64
+	failedAt   time.Time
+	avoidUntil time.Time
+	avoidFor   time.Duration
+}
+
+// Begin counts an attempt that is sent.
+func (s *Stats) Begin() { s.open++ }
+
+// End counts an attempt that is over.
+func (s *Stats) End() { s.open-- }
+
+// Heard takes a target's word on its load.
+func (s *Stats) Heard(now time.Time, load Load) {
+	s.load = load
+	s.loadAt = now
+	s.openThen = s.open
+	s.fade(now)
+	s.failing = max(s.failing, load.Failing)
+}
+
+// Answered takes an answer: how long the target held the request beside the
+// mean of its route, and how long the way there and back took.
+func (s *Stats) Answered(now time.Time, relative float64, rtt time.Duration) {
+	if s.factor == 0 {
+		s.factor = 1
+	}
+	s.factor += factorGain * (min(max(relative, leastFactor), mostFactor) - s.factor)
+	if s.rtt == 0 {
+		s.rtt = rtt
+	}
+	s.rtt += time.Duration(rttGain * float64(rtt-s.rtt))
+	s.outcome(now, 0)
+	s.avoidFor = 0
+}
+
+// Failed takes an attempt that got a failure or no answer.
+func (s *Stats) Failed(now time.Time) { s.outcome(now, 1) }
+
+func (s *Stats) outcome(now time.Time, failed float64) {
+	s.fade(now)
+	s.failing += failGain * (failed - s.failing)
+}
+
+func (s *Stats) fade(now time.Time) {
+	if !s.failedAt.IsZero() {
+		s.failing *= math.Exp2(-now.Sub(s.failedAt).Seconds() / failHalfLife.Seconds())
+	}
+	s.failedAt = now
+}
+
+// Avoid leaves a target alone that takes no work, for a time that doubles while
+// that goes on.
+func (s *Stats) Avoid(now time.Time) {
+	if now.Before(s.avoidUntil) {
+		return
+	}
+	s.avoidFor = min(max(2*s.avoidFor, avoidFirst), avoidMost)
+	s.avoidUntil = now.Add(s.avoidFor)
+}
+
+// Available reports whether the target isn't left alone.
+func (s *Stats) Available(now time.Time) bool { return !now.Before(s.avoidUntil) }
+
+// Work is the running mean of how long a route's requests hold a slot and how
+// large their answers are, over all targets.
+type Work struct {
+	Hold  time.Duration
+	Bytes float64
+}
+
+// Observe takes one answer and returns its hold as a multiple of the mean.
+func (w *Work) Observe(hold time.Duration, factor float64, bytes int) float64 {
+	w.Bytes += workGain * (float64(bytes) - w.Bytes)
+	if w.Hold <= 0 {
+		w.Hold = hold
+	}
+	relative := float64(hold) / float64(max(w.Hold, time.Microsecond))
+	w.Hold += time.Duration(workGain * (float64(hold)/max(factor, leastFactor) - float64(w.Hold)))
+	return relative
+}
+
+// Factor is how much longer the target takes than the mean.
+func (s *Stats) Factor() float64 {
+	if s.factor == 0 {
+		return 1
+	}
+	return s.factor
+}
+
+// Request is what a choice needs to know of a request.
+type Request struct {
+	Work Work
+	// Left is the time in which the answer is still wanted.
+	Left time.Duration
+}
+
+// expected are the parts of the time until an answer.
+func (s *Stats) expected(now time.Time, r *Request) (way, wait, hold time.Duration) {
+	way = s.rtt
+	if way == 0 {
+		way = firstRTT[s.Distance]
+	}
+	factor := s.Factor()
+	if s.factor == 0 && now.Before(s.WarmAt) {
+		factor = coldFactor
+	}
+	hold = time.Duration(float64(r.Work.Hold) * factor)
+	return way, s.wait(now, hold), hold
+}
+
+// wait is how long until a slot falls free: what runs and waits there beyond the
+// slots, at the pace at which slots fall free.
+func (s *Stats) wait(now time.Time, hold time.Duration) time.Duration {
+	slots := s.Slots
+	ahead := s.open
+	if now.Sub(s.loadAt) < reportAge {
+		slots = s.load.Slots
+		ahead = max(s.open, s.load.Running+s.load.Waiting+s.open-s.openThen)
+		if s.load.Hold > 0 {
+			hold = s.load.Hold
+		}
+	}
+	if slots <= 0 || ahead < slots {
+		return 0
+	}
+	return time.Duration(float64(ahead+1-slots) / float64(slots) * float64(hold))
+}
+
+// Weights of the cost beside the chance of a late answer, as parts of the worth
+// of an answer in time.
+const (
+	// slotWeight is the weight of the time for which a slot is held: among
+	// targets that are all in time, the faster one keeps room for others.
+	slotWeight = 0.05
+	// lateWeight orders targets that would all be late by how late.
+	lateWeight = 0.3
+	// fullWeight keeps some room at each target: one that is nearly full is
+	// slower, and a burst meets a queue there.
+	fullWeight = 0.05
+)
+
+// Cost is what sending the request to the target costs, as a part of what an
+// answer in time is worth: the chance that it is late or fails, the bytes that
+// cross paid links, and the time for which it holds a slot.
+func (s *Stats) Cost(now time.Time, r *Request) float64 {
+	way, wait, hold := s.expected(now, r)
+	left := r.Left - way - wait
+	cost := lateChance(left, hold)
+	if left < hold {
+		cost += lateWeight * float64(hold-left) / float64(max(r.Left, hold, time.Millisecond))
+	}
+	failing := s.failing * math.Exp2(-now.Sub(s.failedAt).Seconds()/failHalfLife.Seconds())
+	cost += failing
+	cost += r.Work.Bytes * pricePerByte[s.Distance]
+	cost += slotWeight * float64(hold) / float64(max(r.Left, time.Millisecond))
+	return cost + fullWeight*s.fullness(now)
+}
+
+func (s *Stats) fullness(now time.Time) float64 {
+	slots, running := s.Slots, s.open
+	if now.Sub(s.loadAt) < reportAge {
+		slots, running = s.load.Slots, max(s.open, s.load.Running+s.open-s.openThen)
+	}
+	if slots <= 0 {
+		return 0
+	}
+	return min(1, float64(running)/float64(slots))
+}
+
+// lateChance is the chance that work of a mean takes longer than what is left,
+// by the logistic curve that is close to a log-normal one.
+func lateChance(left, mean time.Duration) float64 {
+	if left <= 0 {
+		return 1
+	}
+	if mean <= 0 {
+		return 0
+	}
+	sigmas := math.Log(float64(left)/float64(mean)) / spreadOfWork
+	return 1 / (1 + math.Exp(logisticScale*sigmas))
+}
+
+// logisticScale makes the logistic curve closest to the normal one.
+const logisticScale = 1.702
--- a/internal/port/refusal.go
+++ b/internal/port/refusal.go
@@ -31,6 +31,9 @@
 	ReasonDuplicateCall Reason = "duplicate-call"
 
 	ReasonHeaderTooLarge Reason = "header-too-large"
+	// ReasonMisdirected: the target that has the address now is another one
+	// than the request was meant for, and said so.
+	ReasonMisdirected Reason = "misdirected"
 )
 
 // Refusal is the error of a request that is proven not to have run.
--- /dev/null
+++ b/internal/proxy/entry.go
@@ -0,0 +1,204 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tamarackquay/internal/adapter/callhttp"
+	"tamarackquay/internal/mesh"
+	"tamarackquay/internal/port"
+	"tamarackquay/internal/requestbody"
+)
+
+// Times of the entry node.
+const (
+	// retryNotReady is when to come back to a node that knows no configuration
+	// yet; reading one takes it a fraction of that.
+	retryNotReady = 500 * time.Millisecond
+	// answerMargin is how long before a caller stops waiting it is answered,
+	// so that the answer is there in time.
+	answerMargin = 10 * time.Millisecond
+	// defaultTimeout bounds requests of routes without a timeout whose callers
+	// give none.
+	defaultTimeout = 30 * time.Second
+)
+
+// ServeCaller serves a caller's request; it is the only writer of the answer.
+func (p *Proxy) ServeCaller(w http.ResponseWriter, r *http.Request) {
+	p.open.Add(1)
+	defer p.open.Add(-1)
+	f, err := p.newFlight(r)
+	if err == nil {
+		var a *answer
+		a, err = f.fly(r.Context())
+		if err == nil {
+			p.deliver(w, f, a)
+			return
+		}
+	}
+	p.refuse(w, r, f, err)
+}
+
+// newFlight finds the route of a request and reads its body.
+func (p *Proxy) newFlight(r *http.Request) (*flight, error) {
+	now := p.ports.Clock.Now()
+	picture := p.picture.Load()
+	if picture == nil || picture.Table == nil {
+		return nil, port.Refuse(port.ReasonNotReady, retryNotReady, "this node has no configuration yet")
+	}
+	route := picture.Table.Route(r.Host, r.URL.Path)
+	if route == nil {
+		return nil, port.Refuse(port.ReasonUnknownRoute, 0, "no route for this host and path")
+	}
+	limits := picture.Table.Config.Limits
+	if limits.BodyBytes > 0 && r.ContentLength > limits.BodyBytes {
+		return nil, port.Refuse(port.ReasonBodyTooLarge, 0, "the body is over %d bytes", limits.BodyBytes)
+	}
+	body, length, err := requestbody.Read(r.Body, r.ContentLength)
+	if err != nil {
+		return nil, &port.Unknown{Stage: "body", Cause: err}
+	}
+	f := &flight{
+		proxy: p, picture: picture, route: route, began: now,
+		method: r.Method, uri: r.RequestURI, host: r.Host, header: http.Header{},
+		body: body, length: length, id: r.Header.Get(p.config.Headers.RequestID),
+		tried: map[string]bool{},
+	}
+	f.deadline = now.Add(p.timeLeft(r, route) - answerMargin)
+	callhttp.CopyHeader(f.header, r.Header)
+	f.header[p.config.Headers.CallerService] = []string{*p.service.Load()}
+	f.service = p.pickService(picture, route)
+	return f, nil
+}
+
+// timeLeft is the shorter of what the caller and the route allow.
+func (p *Proxy) timeLeft(r *http.Request, route *mesh.Route) time.Duration {
+	left := defaultTimeout
+	if route.Timeout > 0 {
+		left = route.Timeout
+	}
+	millis, err := strconv.ParseInt(r.Header.Get(p.config.Headers.Deadline), 10, 64)
+	if err == nil && millis >= 0 && millis < left.Milliseconds() {
+		left = time.Duration(millis) * time.Millisecond
+	}
+	return left
+}
+
+func (p *Proxy) pickService(picture *Picture, route *mesh.Route) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.splitter.Pick(picture.Table.Config, route)
+}
+
+// deliver passes an answer on. What is buffered is known to be whole; a body
+// too large to buffer ends broken for the caller where it breaks.
+func (p *Proxy) deliver(w http.ResponseWriter, f *flight, a *answer) {
+	p.closeWhenStopping(w)
+	p.ports.Meter.Count(port.MetricAnswered, f.route.Name, 1)
+	if a.rest == nil {
+		a.response.ContentLength = int64(len(a.whole))
+	} else {
+		defer a.rest.Close()
+	}
+	writeAnswer(w, a.response)
+	// A caller that is gone needs no answer.
+	if _, err := w.Write(a.whole); err != nil {
+		return
+	}
+	if a.rest == nil {
+		return
+	}
+	if _, err := io.Copy(w, a.rest); err != nil {
+		p.ports.Log.Warn().Str(fieldRequest, f.id).Str(fieldRoute, f.route.Name).Err(err).Msg("answer broke off")
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// refuse tells the caller that its request did not run, or that nobody knows.
+func (p *Proxy) refuse(w http.ResponseWriter, r *http.Request, f *flight, err error) {
+	p.closeWhenStopping(w)
+	var refusal *port.Refusal
+	known := errors.As(err, &refusal)
+	p.logRefusal(r, f, refusal, err)
+	if r.Context().Err() != nil {
+		return
+	}
+	if known {
+		callhttp.WriteExactRefusal(w, refusal)
+		return
+	}
+	callhttp.WriteError(w, err)
+}
+
+// Names of fields in log lines.
+const (
+	fieldRequest = "request"
+	fieldRoute   = "route"
+	fieldReason  = "reason"
+)
+
+func (p *Proxy) logRefusal(r *http.Request, f *flight, refusal *port.Refusal, err error) {
+	entry := p.ports.Log.Info().Str(fieldRequest, r.Header.Get(p.config.Headers.RequestID))
+	if f != nil {
+		entry = entry.Str(fieldRoute, f.route.Name).Str("service", f.service).Int("offers", f.offers).
+			Int("arrivals", f.arrivals).Dur("after", p.ports.Clock.Now().Sub(f.began)).
+			Uint64("version", f.picture.Table.Config.Version)
+	}
+	gone := r.Context().Err() != nil
+	if refusal != nil {
+		p.ports.Meter.Count(port.MetricRefused, string(refusal.Reason), 1)
+		entry.Str(fieldReason, string(refusal.Reason)).Dur("retry_after", refusal.RetryAfter).Bool("caller_gone", gone).Msg("refused: " + refusal.Detail)
+		return
+	}
+	name := ""
+	if f != nil {
+		name = f.route.Name
+	}
+	p.ports.Meter.Count(port.MetricUnknown, name, 1)
+	entry.Bool("caller_gone", gone).Err(err).Msg("outcome unknown")
+}
+
+// answer is a target's answer with its body: whole, or its first part and the
+// rest to be streamed.
+type answer struct {
+	response *exchangeResponse
+	whole    []byte
+	rest     io.ReadCloser
+}
+
+// maxBuffered is how much of an answer's body is held until its end is known.
+// A body that breaks within it can be had again from another target; most
+// archives of the users' sheets (90 KB on average, 540 KB at most) fit.
+const maxBuffered = 1 << 20
+
+// readAnswer reads the body up to maxBuffered.
+func readAnswer(response *exchangeResponse) (*answer, error) {
+	limit := int64(maxBuffered)
+	size := min(max(response.ContentLength, 0), limit)
+	whole := make([]byte, 0, size+1)
+	for int64(len(whole)) < limit {
+		if len(whole) == cap(whole) {
+			whole = append(whole, 0)[:len(whole)]
+		}
+		n, err := response.Body.Read(whole[len(whole):min(cap(whole), maxBuffered)])
+		whole = whole[:len(whole)+n]
+		if err == io.EOF {
+			return &answer{response: response, whole: whole}, response.Body.Close()
+		}
+		if err != nil {
+			_ = response.Body.Close()
+			return nil, err
+		}
+	}
+	return &answer{response: response, whole: whole, rest: response.Body}, nil
+}
+
+// alive reports whether the caller still waits at now.
+func (f *flight) alive(ctx context.Context, now time.Time) bool {
+	return ctx.Err() == nil && now.Before(f.deadline)
+}
--- /dev/null
+++ b/internal/proxy/flight.go
@@ -0,0 +1,402 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tamarackquay/internal/adapter/callhttp"
+	"tamarackquay/internal/adapter/exchange"
+	"tamarackquay/internal/mesh"
+	"tamarackquay/internal/placement"
+	"tamarackquay/internal/port"
+	"tamarackquay/internal/requestbody"
+	"tamarackquay/internal/routing/retry"
+)
+
+type exchangeResponse = exchange.Response
+
+// flight is one caller's request with the attempts made for it.
+type flight struct {
+	proxy    *Proxy
+	picture  *Picture
+	route    *mesh.Route
+	service  string
+	began    time.Time
+	deadline time.Time
+
+	id     string
+	method string
+	uri    string
+	host   string
+	header http.Header
+	body   *requestbody.Body
+	length int64
+
+	tried map[string]bool
+	// offers counts attempts, arrivals those that may have reached a target.
+	offers   int
+	arrivals int
+
+	// refusal lets the caller come back soonest; unknown is set once any
+	// attempt may have run, and then nothing else may be told.
+	refusal *port.Refusal
+	unknown error
+	// failure is a target's own answer that says it failed.
+	failure *answer
+}
+
+// Bounds on the search for a target.
+const (
+	// maxOffers bounds the offers to nodes for one request. An offer that is
+	// refused costs a round trip, and a service whose nodes are all full is
+	// not asked one by one.
+	maxOffers = 4
+	// noTargetRetry is when to come back while no target of a service is known.
+	noTargetRetry = 500 * time.Millisecond
+)
+
+// fly offers the request to one target after another until one answers or
+// another offer is not allowed.
+func (f *flight) fly(ctx context.Context) (*answer, error) {
+	f.proxy.countRequest(f)
+	for f.offers < maxOffers {
+		now := f.proxy.ports.Clock.Now()
+		if !f.alive(ctx, now) {
+			f.refused(port.Refuse(port.ReasonDeadline, noTargetRetry, "the time was over before a target took the request"))
+			break
+		}
+		member := f.choose(now)
+		if member == nil {
+			break
+		}
+		if f.arrivals > 0 && !f.mayRepeat(now) {
+			break
+		}
+		a, err := f.attempt(ctx, now, member)
+		if err == nil && !f.failed(a) {
+			return a, nil
+		}
+		if ctx.Err() != nil {
+			f.note(err)
+			break
+		}
+		if err == nil {
+			f.failure = a
+			err = &port.Unknown{Stage: "answer", Cause: errors.Errorf("the target answered with status %d", a.response.Status)}
+		}
+		if !f.mayOfferAgain(member, err) {
+			break
+		}
+	}
+	return f.end()
+}
+
+// end is what the caller gets when no attempt was answered well.
+func (f *flight) end() (*answer, error) {
+	switch {
+	case f.failure != nil:
+		return f.failure, nil
+	case f.unknown != nil:
+		return nil, f.unknown
+	case f.refusal != nil:
+		return nil, f.refusal
+	}
+	return nil, port.Refuse(port.ReasonNoTarget, noTargetRetry, "no usable target of service %s", f.service)
+}
+
+// failed reports whether an answer says that the target failed, so that another
+// may be asked.
+func (f *flight) failed(a *answer) bool {
+	return a.rest == nil && f.route.Kind.Repeatable() && a.response.Status >= http.StatusInternalServerError
+}
+
+// choose returns the cheapest usable target that was not tried, or nil.
+func (f *flight) choose(now time.Time) *mesh.Member {
+	p := f.proxy
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	request := &placement.Request{Work: *p.workOf(f.route), Left: f.wanted(now)}
+	var best *mesh.Member
+	least := 0.0
+	for _, member := range f.picture.Services[f.service] {
+		stats := p.stats[member.ID]
+		if f.tried[member.ID] || stats == nil || !member.Usable(now) || !stats.Available(now) {
+			continue
+		}
+		cost := stats.Cost(now, request) + tieBreak*p.random.Float64()
+		if best == nil || cost < least {
+			best, least = member, cost
+		}
+	}
+	return best
+}
+
+// tieBreak is the random part of a cost: nodes that know the same of two equal
+// targets would otherwise all take the same one.
+const tieBreak = 0.02
+
+// wanted is the time in which the answer is still worth its full credit; past
+// it, the time in which it is worth anything.
+func (f *flight) wanted(now time.Time) time.Duration {
+	left := f.deadline.Sub(now)
+	if early := f.began.Add(f.route.TargetLatency).Sub(now); f.route.TargetLatency > 0 && early > 0 {
+		return min(left, early)
+	}
+	return left
+}
+
+// workOf must be called with the mutex held.
+func (p *Proxy) workOf(route *mesh.Route) *placement.Work {
+	work := p.work[route.Name]
+	if work == nil {
+		work = &placement.Work{}
+		p.work[route.Name] = work
+	}
+	return work
+}
+
+// attempt offers the request to one target and reads its answer.
+func (f *flight) attempt(ctx context.Context, now time.Time, member *mesh.Member) (*answer, error) {
+	p := f.proxy
+	f.tried[member.ID] = true
+	t := f.terms(now)
+	f.offers++
+	r := f.request(member)
+	stats := p.begin(member)
+	defer p.finish(stats)
+	ctx, cancel := context.WithDeadline(ctx, f.attemptDeadline(now))
+	response, word, err := p.send(ctx, member, &t, r, now)
+	if err != nil {
+		cancel()
+		p.noteFailure(stats, word, err)
+		return nil, err
+	}
+	way := p.ports.Clock.Now().Sub(now) - word.spent
+	a, err := f.read(response, cancel)
+	if err != nil {
+		p.noteFailure(stats, word, err)
+		return nil, &port.Unknown{Stage: "answer", Cause: err}
+	}
+	p.noteAnswer(stats, f.route, word, way, a)
+	return a, nil
+}
+
+// read buffers the answer and checks that a target made it.
+func (f *flight) read(response *exchangeResponse, cancel func()) (*answer, error) {
+	response.Body = &released{ReadCloser: response.Body, release: cancel}
+	proof := f.proxy.config.Headers.Proof
+	if proof != "" && response.Status < http.StatusMultipleChoices && response.Header.Get(proof) == "" {
+		_ = response.Body.Close()
+		return nil, errNoProof
+	}
+	return readAnswer(response)
+}
+
+var errNoProof = errors.New("a success that no target vouches for")
+
+// firstPart is the part of the time left that an attempt may take which can be
+// followed by another: a target that hangs would otherwise use up all of it.
+const firstPart = 0.6
+
+func (f *flight) attemptDeadline(now time.Time) time.Time {
+	left := f.deadline.Sub(now)
+	if !f.route.Kind.Repeatable() || f.arrivals+1 >= f.route.MaxAttempts || !f.body.IsKept() {
+		return f.deadline
+	}
+	return now.Add(max(time.Duration(firstPart*float64(left)), min(left, f.route.TargetLatency)))
+}
+
+// Ranks of requests that wait for a slot: by the route's priority, and within it
+// those first that can still be answered in time.
+const (
+	ranksPerPriority = 2
+	rankLate         = 1
+)
+
+// terms are what the owner node is told. A first offer waits as long as the
+// answer can still come in time; once nodes have refused that, it waits longer.
+func (f *flight) terms(now time.Time) terms {
+	p := f.proxy
+	p.mu.Lock()
+	hold := p.workOf(f.route).Hold
+	p.mu.Unlock()
+	left := f.deadline.Sub(now)
+	t := terms{attempt: p.nextAttempt(now), route: f.route.Name, rank: f.route.Priority * ranksPerPriority, budget: left}
+	if early := f.wanted(now) - hold; early > 0 {
+		t.wait = early
+	} else {
+		t.rank += rankLate
+	}
+	if f.offers > 0 || t.wait == 0 {
+		t.wait = max(t.wait, min(left-hold, f.route.TargetLatency))
+	}
+	t.wait = max(t.wait, 0)
+	return t
+}
+
+func (f *flight) request(member *mesh.Member) *exchange.Request {
+	header := f.header.Clone()
+	header[f.proxy.config.Headers.ExpectedTarget] = []string{member.ID}
+	r := &exchange.Request{
+		Method: f.method, URI: f.uri, Host: f.host, Header: header,
+		ContentLength: f.length, IDHeader: f.proxy.config.Headers.RequestID, ID: f.id,
+	}
+	if body := f.body.Reader(); body != nil {
+		r.Body = body
+	}
+	return r
+}
+
+// send runs the request on the VM's own target or through the other's node.
+func (p *Proxy) send(ctx context.Context, member *mesh.Member, t *terms, r *exchange.Request, now time.Time) (*exchangeResponse, loadWord, error) {
+	if member.Address == p.config.TargetAddress {
+		return p.own(ctx, t, r, now)
+	}
+	r.Header[headerTerms] = []string{t.encode()}
+	// Nodes refuse with bodies of their own, which echo nothing.
+	r.IDHeader = ""
+	response, err := p.ports.Peers.Do(ctx, p.peerAddress(member), r)
+	if err != nil {
+		return nil, loadWord{}, p.targetFailure(err)
+	}
+	word, _ := readLoad(response.Header)
+	told := callhttp.ReadError(&http.Response{Header: response.Header, Body: response.Body})
+	if told != nil {
+		return nil, word, told
+	}
+	if response.Header.Get(p.config.Headers.RequestID) != r.ID {
+		_ = response.Body.Close()
+		return nil, word, &port.Unknown{Stage: "answer", Cause: errors.New("the answer is another request's")}
+	}
+	return response, word, nil
+}
+
+func (p *Proxy) begin(member *mesh.Member) *placement.Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	stats := p.stats[member.ID]
+	if stats == nil {
+		// It left since it was chosen.
+		stats = &placement.Stats{}
+	}
+	stats.Begin()
+	return stats
+}
+
+func (p *Proxy) finish(stats *placement.Stats) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	stats.End()
+}
+
+func (p *Proxy) noteAnswer(stats *placement.Stats, route *mesh.Route, word loadWord, way time.Duration, a *answer) {
+	now := p.ports.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if a.response.Status >= http.StatusInternalServerError {
+		stats.Failed(now)
+		return
+	}
+	relative := p.workOf(route).Observe(word.held, stats.Factor(), len(a.whole))
+	stats.Answered(now, relative, way)
+	p.hear(now, stats, word)
+}
+
+func (p *Proxy) hear(now time.Time, stats *placement.Stats, word loadWord) {
+	if word.Slots > 0 {
+		stats.Heard(now, word.Load)
+	}
+}
+
+// noteFailure judges a target by an attempt that failed.
+func (p *Proxy) noteFailure(stats *placement.Stats, word loadWord, err error) {
+	now := p.ports.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hear(now, stats, word)
+	var refusal *port.Refusal
+	if !errors.As(err, &refusal) {
+		stats.Failed(now)
+		return
+	}
+	switch refusal.Reason {
+	case port.ReasonStopping, port.ReasonDraining, port.ReasonNotReady, port.ReasonWrongOwner,
+		port.ReasonUnreachable, port.ReasonMisdirected:
+		stats.Avoid(now)
+	case port.ReasonShed:
+		stats.Failed(now)
+	}
+}
+
+// note keeps what an error says of the whole request.
+func (f *flight) note(err error) {
+	var refusal *port.Refusal
+	if errors.As(err, &refusal) {
+		f.refused(refusal)
+		return
+	}
+	if err != nil {
+		f.unknown = err
+	}
+}
+
+func (f *flight) refused(refusal *port.Refusal) {
+	if f.refusal == nil || refusal.RetryAfter > 0 && refusal.RetryAfter < f.refusal.RetryAfter {
+		f.refusal = refusal
+	}
+}
+
+// mayOfferAgain judges a failed attempt and reports whether another may follow.
+func (f *flight) mayOfferAgain(member *mesh.Member, err error) bool {
+	f.note(err)
+	f.proxy.ports.Log.Debug().Str(fieldRequest, f.id).Str("target", member.ID).Err(err).Msg("attempt failed")
+	var refusal *port.Refusal
+	if !errors.As(err, &refusal) {
+		f.arrivals++
+		return f.route.Kind.Repeatable() && f.body.Again()
+	}
+	switch refusal.Reason {
+	case port.ReasonShed, port.ReasonMisdirected:
+		f.arrivals++
+	case port.ReasonBadRequest:
+		return false
+	}
+	return f.body.Again()
+}
+
+// mayRepeat takes an arrival beyond the first out of the fleet's budget.
+func (f *flight) mayRepeat(now time.Time) bool {
+	if f.arrivals >= f.route.MaxAttempts {
+		return false
+	}
+	p := f.proxy
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	few := p.config.RepeatFew / float64(max(f.picture.Nodes, 1))
+	if !p.window(f.service).Repeat(now, p.config.RepeatRatio, few) {
+		return false
+	}
+	p.ports.Meter.Count(port.MetricRetries, f.route.Name, 1)
+	return true
+}
+
+func (p *Proxy) countRequest(f *flight) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.window(f.service).Request(f.began)
+}
+
+func (p *Proxy) window(service string) *retry.Window {
+	w := p.repeats[service]
+	if w == nil {
+		w = &retry.Window{}
+		p.repeats[service] = w
+	}
+	return w
+}
+
+var _ io.ReadCloser = (*released)(nil)
--- /dev/null
+++ b/internal/proxy/owner.go
@@ -0,0 +1,233 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tamarackquay/internal/adapter/callhttp"
+	"tamarackquay/internal/adapter/exchange"
+	"tamarackquay/internal/admission"
+	"tamarackquay/internal/port"
+)
+
+// meshCustomer is the one contract of a mesh whose configuration names no
+// customers: its requests are ordered by rank alone.
+const meshCustomer = "mesh"
+
+// queuePerSlot bounds the requests that wait at a target: at four a slot the
+// last waits about four times the work of one, which is the longest target
+// latency that the users' sheets give.
+const queuePerSlot = 4
+
+func ownTerms(slots int) admission.Terms {
+	return admission.Terms{
+		Slots: slots, QueuePerSlot: queuePerSlot,
+		Shares: map[string]admission.Share{meshCustomer: {Guaranteed: 1, Limit: 1}},
+	}
+}
+
+// Times of the owner node.
+const (
+	// retryUnreachable is when a caller may come back to a target that can't be
+	// reached; by then other nodes know.
+	retryUnreachable = 500 * time.Millisecond
+	// retryStopping is when a caller may come back to a node that stops.
+	retryStopping = 500 * time.Millisecond
+	// drainWork is for how long after the news of its draining a target still
+	// gets work that was on its way. The platform allows some seconds, and a
+	// node elsewhere hears of it a moment later than this one.
+	drainWork = time.Second
+	// leastBudget is the least time for which work is begun.
+	leastBudget = 5 * time.Millisecond
+)
+
+// own runs a request on the VM's own target. The error is a *port.Refusal if
+// the target did not run it, and a *port.Unknown otherwise.
+func (p *Proxy) own(ctx context.Context, t *terms, r *exchange.Request, received time.Time) (*exchange.Response, loadWord, error) {
+	p.open.Add(1)
+	response, word, err := p.admit(ctx, t, r, received)
+	if err != nil {
+		p.open.Add(-1)
+		return nil, word, err
+	}
+	response.Body = &released{ReadCloser: response.Body, release: func() {
+		p.gate.Leave(t.attempt)
+		p.open.Add(-1)
+	}}
+	return response, word, nil
+}
+
+func (p *Proxy) admit(ctx context.Context, t *terms, r *exchange.Request, received time.Time) (*exchange.Response, loadWord, error) {
+	if refusal := p.mayRun(r); refusal != nil {
+		return nil, p.loadWord(received, 0), refusal
+	}
+	deadline := received.Add(t.budget)
+	refusal := p.gate.Enter(ctx, admission.Request{
+		ID: t.attempt, Customer: meshCustomer, Rank: t.rank,
+		Deadline: received.Add(min(t.wait+leastBudget, t.budget)),
+	})
+	if refusal != nil {
+		return nil, p.loadWord(received, 0), refusal
+	}
+	began := p.ports.Clock.Now()
+	response, err := p.runOwn(ctx, r, deadline)
+	held := p.ports.Clock.Now().Sub(began)
+	p.noteHold(held, response, err)
+	if err != nil {
+		p.gate.Observe(err)
+		p.gate.Leave(t.attempt)
+		return nil, p.loadWord(received, held), err
+	}
+	p.gate.Observe(nil)
+	return response, p.loadWord(received, held), nil
+}
+
+// mayRun says why no work goes to the VM's own target, or nil.
+func (p *Proxy) mayRun(r *exchange.Request) *port.Refusal {
+	if p.stopping.Load() {
+		return port.Refuse(port.ReasonStopping, retryStopping, "the target's node is stopping")
+	}
+	picture := p.picture.Load()
+	if picture == nil || picture.Own == nil {
+		return port.Refuse(port.ReasonNotReady, retryUnreachable, "no target is listed on this VM")
+	}
+	own := picture.Own
+	if expected := r.Header.Get(p.config.Headers.ExpectedTarget); expected != "" && expected != own.ID {
+		return port.Refuse(port.ReasonWrongOwner, retryUnreachable, "this VM's target is another one")
+	}
+	if !own.DrainingSince.IsZero() && p.ports.Clock.Now().Sub(own.DrainingSince) > drainWork {
+		return port.Refuse(port.ReasonDraining, retryUnreachable, "the target drains")
+	}
+	return nil
+}
+
+// runOwn sends the request to the target and reads the header of its answer.
+func (p *Proxy) runOwn(ctx context.Context, r *exchange.Request, deadline time.Time) (*exchange.Response, error) {
+	if refusal := p.mayRun(r); refusal != nil {
+		// The wait for the slot may have been long.
+		return nil, refusal
+	}
+	left := deadline.Sub(p.ports.Clock.Now())
+	if left < leastBudget {
+		return nil, port.Refuse(port.ReasonDeadline, 0, "the deadline passed before the target took the request")
+	}
+	r.Header[p.config.Headers.Deadline] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
+	ctx, cancel := context.WithTimeout(ctx, left)
+	response, err := p.ports.Target.Do(ctx, p.config.TargetAddress, r)
+	if err != nil {
+		cancel()
+		return nil, p.targetFailure(err)
+	}
+	if refusal := p.notRun(response); refusal != nil {
+		p.discard(response.Body)
+		cancel()
+		return nil, refusal
+	}
+	response.Body = &released{ReadCloser: response.Body, release: cancel}
+	return response, nil
+}
+
+func (p *Proxy) targetFailure(err error) error {
+	var failure *exchange.Failure
+	if errors.As(err, &failure) && !failure.Sent {
+		return port.Refuse(port.ReasonUnreachable, retryUnreachable, "%v", failure.Cause)
+	}
+	return &port.Unknown{Stage: "target", Cause: err}
+}
+
+// notRun returns the refusal that a target's answer stands for, or nil. Only a
+// target that says so did not run the request; its other errors are answers.
+func (p *Proxy) notRun(response *exchange.Response) *port.Refusal {
+	if response.Status == http.StatusMisdirectedRequest {
+		return port.Refuse(port.ReasonMisdirected, retryUnreachable, "another target has the address")
+	}
+	if response.Header.Get(p.config.Headers.DidNotRun) == "" {
+		return nil
+	}
+	switch response.Status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return port.Refuse(port.ReasonShed, 0, "the target shed the request")
+	}
+	return nil
+}
+
+// maxDiscarded is how much of an unwanted body is read to keep its connection.
+const maxDiscarded = 16 << 10
+
+// discard reads the rest of a small body, so that its connection can be used
+// again, and gives up on others.
+func (p *Proxy) discard(body io.ReadCloser) {
+	// A break shows in the connection, which is then not used again.
+	_, _ = io.CopyN(io.Discard, body, maxDiscarded)
+	_ = body.Close()
+}
+
+// ServePeer runs a request that another node sends for this VM's target.
+func (p *Proxy) ServePeer(w http.ResponseWriter, r *http.Request) {
+	received := p.ports.Clock.Now()
+	t, err := decodeTerms(r.Header.Get(headerTerms))
+	if err != nil {
+		callhttp.WriteError(w, port.Refuse(port.ReasonBadRequest, 0, "%v", err))
+		return
+	}
+	request := &exchange.Request{
+		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: http.Header{},
+		Body: r.Body, ContentLength: r.ContentLength,
+		IDHeader: p.config.Headers.RequestID, ID: r.Header.Get(p.config.Headers.RequestID),
+	}
+	if r.ContentLength == 0 {
+		request.Body = nil
+	}
+	callhttp.CopyHeader(request.Header, r.Header)
+	response, word, err := p.own(r.Context(), &t, request, received)
+	word.write(w.Header())
+	if err != nil {
+		callhttp.WriteError(w, err)
+		return
+	}
+	defer response.Body.Close()
+	writeAnswer(w, response)
+	if _, err := io.Copy(w, response.Body); err != nil {
+		// The answer must end broken for the entry node as well.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// writeAnswer writes the header of a target's answer.
+func writeAnswer(w http.ResponseWriter, response *exchange.Response) {
+	header := w.Header()
+	callhttp.CopyHeader(header, response.Header)
+	if _, ok := header["Content-Type"]; !ok {
+		// net/http would guess one.
+		header["Content-Type"] = nil
+	}
+	if _, ok := header["Date"]; !ok {
+		header["Date"] = nil
+	}
+	delete(header, "Content-Length")
+	if response.ContentLength >= 0 {
+		header["Content-Length"] = []string{strconv.FormatInt(response.ContentLength, 10)}
+	}
+	w.WriteHeader(response.Status)
+}
+
+// released calls release once when the body is done with.
+type released struct {
+	io.ReadCloser
+	release func()
+}
+
+// Close implements io.Closer.
+func (r *released) Close() error {
+	err := r.ReadCloser.Close()
+	if r.release != nil {
+		r.release()
+		r.release = nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/proxy/proxy.go
@@ -0,0 +1,214 @@
+// Package proxy is the path of requests through a node of the mesh. As entry
+// node it takes a caller's request, finds its route and target, and passes the
+// answer back; as owner node it admits requests to the VM's own target.
+//
+// A request reaches a target only through the target's own node, which counts
+// the slots exactly. A full target is thus found out by a refusal of its node,
+// which costs the target nothing.
+package proxy
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"tamarackquay/internal/adapter/exchange"
+	"tamarackquay/internal/gate"
+	"tamarackquay/internal/mesh"
+	"tamarackquay/internal/placement"
+	"tamarackquay/internal/port"
+	"tamarackquay/internal/routing/retry"
+)
+
+// Headers name the headers in which callers and targets speak of a request. An
+// empty name means that the header isn't used.
+type Headers struct {
+	// RequestID identifies one attempt of a caller; targets echo it.
+	RequestID string
+	// Deadline is how many milliseconds the sender waits.
+	Deadline string
+	// ExpectedTarget names the target that is to run the request; any other
+	// answers 421 and doesn't.
+	ExpectedTarget string
+	// CallerService is the service beside which the request began.
+	CallerService string
+	// Proof stands in each answer that a target made.
+	Proof string
+	// DidNotRun stands in answers of targets that did not run the request.
+	DidNotRun string
+	// Load is the target's own load: running, waiting, slots.
+	Load string
+}
+
+// Config is what a node of the mesh is told about itself.
+type Config struct {
+	Headers       Headers
+	FailureDomain string
+	Region        string
+	// Regions maps failure domains to regions.
+	Regions map[string]string
+	// TargetAddress is the VM's own target, an IP:port.
+	TargetAddress string
+	// PeerPort is where the nodes of all VMs listen for each other.
+	PeerPort int
+	// RepeatRatio and RepeatFew bound what all nodes send again together: the
+	// part of a service's requests, and so many besides, in each ten seconds.
+	RepeatRatio float64
+	RepeatFew   float64
+	Seed        uint64
+}
+
+// Ports are the proxy's ways to the world.
+type Ports struct {
+	Clock port.Clock
+	// Peers and Target send requests to other nodes and to the VM's own target.
+	Peers  *exchange.Pool
+	Target *exchange.Pool
+	Log    *log.Logger
+	Meter  port.Meter
+}
+
+// Picture is what requests are routed by: a moment's immutable view of the mesh.
+type Picture struct {
+	Table *mesh.Table
+	// Services holds the usable targets by service.
+	Services map[string][]*mesh.Member
+	// Own is the VM's own target, nil while the platform doesn't list it.
+	Own *mesh.Member
+	// Nodes is how many VMs the mesh has.
+	Nodes int
+}
+
+// Proxy routes requests. It is safe for concurrent use.
+type Proxy struct {
+	config  Config
+	ports   Ports
+	gate    *gate.Gate
+	service atomic.Pointer[string]
+	picture atomic.Pointer[Picture]
+	// stopping is set when a planned stop begins.
+	stopping atomic.Bool
+	open     atomic.Int64
+	attempts atomic.Uint64
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	splitter mesh.Splitter
+	stats    map[string]*placement.Stats
+	work     map[string]*placement.Work
+	repeats  map[string]*retry.Window
+	held     holds
+}
+
+// New returns a proxy that has no picture yet and refuses everything.
+func New(config Config, ports Ports) *Proxy {
+	p := &Proxy{
+		config: config, ports: ports, gate: gate.New(ports.Clock, config.Seed),
+		random:  rand.New(rand.NewPCG(config.Seed, 1)),
+		stats:   map[string]*placement.Stats{},
+		work:    map[string]*placement.Work{},
+		repeats: map[string]*retry.Window{},
+	}
+	p.SetService("")
+	return p
+}
+
+// SetService tells which service runs beside this node.
+func (p *Proxy) SetService(name string) { p.service.Store(&name) }
+
+// SetPicture puts a new picture in force.
+func (p *Proxy) SetPicture(picture *Picture) {
+	before := p.picture.Swap(picture)
+	if picture.Own != nil && (before == nil || before.Own == nil || before.Own.Slots != picture.Own.Slots) {
+		p.gate.Configure(ownTerms(picture.Own.Slots))
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forgetGone(picture)
+	for _, members := range picture.Services {
+		for _, member := range members {
+			p.addStats(member)
+		}
+	}
+}
+
+func (p *Proxy) addStats(member *mesh.Member) {
+	if known := p.stats[member.ID]; known != nil {
+		known.Slots = member.Slots
+		known.WarmAt = member.WarmAt
+		return
+	}
+	p.stats[member.ID] = &placement.Stats{Distance: p.distance(member), Slots: member.Slots, WarmAt: member.WarmAt}
+}
+
+func (p *Proxy) forgetGone(picture *Picture) {
+	listed := map[string]bool{}
+	for _, members := range picture.Services {
+		for _, member := range members {
+			listed[member.ID] = true
+		}
+	}
+	for id := range p.stats {
+		if !listed[id] {
+			delete(p.stats, id)
+		}
+	}
+}
+
+func (p *Proxy) distance(member *mesh.Member) placement.Distance {
+	switch {
+	case member.Address == p.config.TargetAddress:
+		return placement.SameVM
+	case member.FailureDomain == p.config.FailureDomain:
+		return placement.SameDomain
+	case p.config.Regions[member.FailureDomain] == p.config.Region:
+		return placement.SameRegion
+	}
+	return placement.OtherRegion
+}
+
+// peerAddress is where the node of a target listens for other nodes.
+func (p *Proxy) peerAddress(member *mesh.Member) string {
+	host, _, err := net.SplitHostPort(member.Address)
+	if err != nil {
+		// Addresses are checked where they are decoded.
+		return member.Address
+	}
+	return net.JoinHostPort(host, strconv.Itoa(p.config.PeerPort))
+}
+
+// Ready reports whether callers may be sent here.
+func (p *Proxy) Ready() bool {
+	picture := p.picture.Load()
+	return !p.stopping.Load() && picture != nil && picture.Table != nil
+}
+
+// Open is how many requests are under way through this node.
+func (p *Proxy) Open() int64 { return p.open.Load() }
+
+// Stop begins a planned stop: the node is not ready any more, its target takes
+// no new work, and each answer closes its connection. Callers are served on.
+func (p *Proxy) Stop() { p.stopping.Store(true) }
+
+func (p *Proxy) closeWhenStopping(w http.ResponseWriter) {
+	if p.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// Tick lets requests start that time alone has made room for.
+func (p *Proxy) Tick() { p.gate.Tick() }
+
+// Counts returns how many requests run and wait at the VM's own target.
+func (p *Proxy) Counts() (running, waiting int) { return p.gate.Counts() }
+
+// nextAttempt makes an id that no other attempt of this node has.
+func (p *Proxy) nextAttempt(now time.Time) string {
+	return strconv.FormatUint(p.attempts.Add(1), 36) + "." + strconv.FormatInt(now.UnixNano()&0xffffff, 36)
+}
--- /dev/null
+++ b/internal/proxy/terms.go
@@ -0,0 +1,104 @@
+package proxy
+
+import (
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tamarackquay/internal/adapter/callhttp"
+	"tamarackquay/internal/placement"
+)
+
+// Headers between nodes.
+const (
+	headerTerms = callhttp.HeaderPrefix + "Terms"
+	headerLoad  = callhttp.HeaderPrefix + "Load"
+)
+
+const termSeparator = ";"
+
+// terms are what the owner node must know of a request besides its HTTP form.
+type terms struct {
+	// attempt is unique among all attempts of all nodes.
+	attempt string
+	route   string
+	// rank orders requests that wait for a slot, 0 first.
+	rank int
+	// budget is what is left until nobody wants the answer any more.
+	budget time.Duration
+	// wait is how long the request may wait for a slot.
+	wait time.Duration
+}
+
+func (t *terms) encode() string {
+	return strings.Join([]string{
+		url.QueryEscape(t.attempt), url.QueryEscape(t.route), strconv.Itoa(t.rank),
+		callhttp.FormatMillis(t.budget), callhttp.FormatMillis(t.wait),
+	}, termSeparator)
+}
+
+const termCount = 5
+
+func decodeTerms(text string) (terms, error) {
+	var t terms
+	parts := strings.Split(text, termSeparator)
+	if len(parts) != termCount {
+		return t, errors.Errorf("%d terms in place of %d", len(parts), termCount)
+	}
+	var errs [termCount]error
+	t.attempt, errs[0] = url.QueryUnescape(parts[0])
+	t.route, errs[1] = url.QueryUnescape(parts[1])
+	t.rank, errs[2] = strconv.Atoi(parts[2])
+	t.budget, errs[3] = callhttp.ParseMillis(parts[3])
+	t.wait, errs[4] = callhttp.ParseMillis(parts[4])
+	for i, err := range errs {
+		if err != nil {
+			return t, errors.Wrapf(err, "term %d", i)
+		}
+	}
+	return t, nil
+}
+
+// loadWord is what an owner node says of its target with each answer.
+type loadWord struct {
+	placement.Load
+	// held is how long the target held this request, spent how long this node
+	// took for it in all, up to the answer's header.
+	held, spent time.Duration
+}
+
+func (l *loadWord) write(header http.Header) {
+	header[headerLoad] = []string{strings.Join([]string{
+		strconv.Itoa(l.Running), strconv.Itoa(l.Waiting), strconv.Itoa(l.Slots),
+		strconv.FormatInt(l.Hold.Microseconds(), 10), strconv.FormatFloat(l.Failing, 'f', 2, 64),
+		strconv.FormatInt(l.held.Microseconds(), 10), strconv.FormatInt(l.spent.Microseconds(), 10),
+	}, termSeparator)}
+}
+
+const loadCount = 7
+
+// readLoad reads what write wrote; false when there is nothing readable.
+func readLoad(header http.Header) (loadWord, bool) {
+	var l loadWord
+	parts := strings.Split(header.Get(headerLoad), termSeparator)
+	if len(parts) != loadCount {
+		return l, false
+	}
+	var numbers [loadCount]float64
+	for i, part := range parts {
+		number, err := strconv.ParseFloat(part, 64)
+		if err != nil || number < 0 {
+			return l, false
+		}
+		numbers[i] = number
+	}
+	micros := func(i int) time.Duration { return time.Duration(numbers[i]) * time.Microsecond }
+	l.Running, l.Waiting, l.Slots = int(numbers[0]), int(numbers[1]), int(numbers[2])
+	l.Hold, l.Failing = micros(3), numbers[4]
+	l.held, l.spent = micros(5), micros(6)
+	return l, true
+}
--- a/internal/node/body.go
+++ b/internal/requestbody/requestbody.go
@@ -1,4 +1,5 @@
-package node
+// Package requestbody hands a request's body to one attempt after another.
+package requestbody
 
 import (
 	"bytes"
@@ -8,18 +9,18 @@
 	"github.com/pkg/errors"
 )
 
-// keptBodyBytes is how large a request body may be to be kept in memory, so
+// KeptBytes is how large a request body may be to be kept in memory, so
 // that a refused request can be offered to another target.
-const keptBodyBytes = 64 << 10
+const KeptBytes = 64 << 10
 
-// errRevoked is what an attempt gets that reads a body after it was over.
-var errRevoked = errors.New("the attempt that read this body is over")
+// ErrRevoked is what an attempt gets that reads a body after it was over.
+var ErrRevoked = errors.New("the attempt that read this body is over")
 
-// requestBody hands a caller's body to one attempt after another. Small bodies
+// Body hands a caller's body to one attempt after another. Small bodies
 // are kept whole. A large one can be handed on only as long as not a byte of it
 // was read: half of it may lie at a target that refused. It is safe for
 // concurrent use, as net/http may still read for an attempt that is over.
-type requestBody struct {
+type Body struct {
 	kept   []byte
 	stream io.Reader
 
@@ -28,31 +29,31 @@
 	touched bool
 }
 
-// readBody keeps a small body. The length is negative when it is not known.
-func readBody(body io.Reader, length int64) (*requestBody, int64, error) {
+// Read keeps a small body. The length is negative when it is not known.
+func Read(body io.Reader, length int64) (*Body, int64, error) {
 	if body == nil || length == 0 {
-		return &requestBody{}, 0, nil
+		return &Body{}, 0, nil
 	}
-	if length > keptBodyBytes {
-		return &requestBody{stream: body}, length, nil
+	if length > KeptBytes {
+		return &Body{stream: body}, length, nil
 	}
-	head, err := io.ReadAll(io.LimitReader(body, keptBodyBytes+1))
+	head, err := io.ReadAll(io.LimitReader(body, KeptBytes+1))
 	if err != nil {
 		return nil, 0, errors.Wrap(err, "body")
 	}
-	if len(head) > keptBodyBytes {
-		return &requestBody{stream: io.MultiReader(bytes.NewReader(head), body)}, length, nil
+	if len(head) > KeptBytes {
+		return &Body{stream: io.MultiReader(bytes.NewReader(head), body)}, length, nil
 	}
-	return &requestBody{kept: head}, int64(len(head)), nil
+	return &Body{kept: head}, int64(len(head)), nil
 }
 
-// isKept reports whether any number of attempts can have the whole body.
-func (b *requestBody) isKept() bool { return b.stream == nil }
+// IsKept reports whether any number of attempts can have the whole body.
+func (b *Body) IsKept() bool { return b.stream == nil }
 
-// reader returns the body for the next attempt and takes it from the last one;
+// Reader returns the body for the next attempt and takes it from the last one;
 // nil if there is none. Of a large body that was read in part the next attempt
 // gets an error and not the rest: its target would take the rest for all.
-func (b *requestBody) reader() io.Reader {
+func (b *Body) Reader() io.Reader {
 	if b.stream == nil {
 		if len(b.kept) == 0 {
 			return nil
@@ -68,9 +69,9 @@
 	return next
 }
 
-// again reports whether another attempt can have the whole body. After it said
+// Again reports whether another attempt can have the whole body. After it said
 // yes, earlier attempts can read nothing any more.
-func (b *requestBody) again() bool {
+func (b *Body) Again() bool {
 	if b.stream == nil {
 		return true
 	}
@@ -83,17 +84,17 @@
 }
 
 // bodyReader is one attempt's hold on a large body.
-type bodyReader struct{ body *requestBody }
+type bodyReader struct{ body *Body }
 
 // Read implements io.Reader.
 func (r *bodyReader) Read(p []byte) (int, error) {
 	if !r.body.touch(r) {
-		return 0, errRevoked
+		return 0, ErrRevoked
 	}
 	return r.body.stream.Read(p)
 }
 
-func (b *requestBody) touch(by *bodyReader) bool {
+func (b *Body) touch(by *bodyReader) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.current != by {
