Keep those in front that can still be in time

Cause: under overload each request waited up to the last moment at which it could be in time by the mean of its work, so half of those that got a slot came just too late, and the late ones waited in the same order for a whole target latency more. Change: a first wait leaves 1.5 times the usual work; a late wait is half the target latency, behind the others.

--- a/internal/proxy/flight.go
+++ b/internal/proxy/flight.go
@@ -249,6 +249,10 @@
 // that starts with less is likely cut at its deadline, and its work is wasted.
 const workMargin = 1.5
 
+// lateWaitPart is the part of the target latency for which a request waits that
+// can't be in time any more: one in so many.
+const lateWaitPart = 2
+
 // terms are what the owner node is told. A first offer waits as long as the
 // answer can still come in time; once nodes have refused that, it waits longer.
 func (f *flight) terms(now time.Time) terms {
@@ -259,13 +263,13 @@
 	left := f.deadline.Sub(now)
 	most := left - time.Duration(workMargin*float64(hold))
 	t := terms{attempt: p.nextAttempt(now), route: f.route.Name, rank: f.route.Priority * ranksPerPriority, budget: left}
-	if early := f.wanted(now) - hold; early > 0 {
+	if early := f.wanted(now) - time.Duration(workMargin*float64(hold)); early > 0 {
 		t.wait = early
 	} else {
 		t.rank += rankLate
 	}
 	if f.offers > 0 || t.wait == 0 {
-		t.wait = max(t.wait, f.route.TargetLatency)
+		t.wait = max(t.wait, f.route.TargetLatency/lateWaitPart)
 	}
 	t.wait = max(min(t.wait, most), 0)
 	return t
