Give an attempt up only with another target in sight, and never while stopping

Ruled out: the route's timeout (the cut came 0.5 s before it). Change: the timer looks for an untried target first, and a stopping node gives up nothing. Tests: TestSlowAttemptIsGivenUpOnlyForAnother/no_other_target and TestStoppingNodeGivesNothingUp are red with the check taken out. The rest of internal/proxy gets its tests over loopback with scripted targets.

--- /dev/null
+++ b/internal/proxy/fleet_test.go
@@ -0,0 +1,157 @@
+package proxy
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+
+	"tamarackquay/internal/adapter/exchange"
+	"tamarackquay/internal/adapter/metrics"
+	"tamarackquay/internal/mesh"
+)
+
+// headers are the names that the tests' callers and targets use.
+var headers = Headers{
+	RequestID: "X-Id", Deadline: "X-Deadline-Ms", ExpectedTarget: "X-Expected", CallerService: "X-Caller",
+	Proof: "X-Proof", DidNotRun: "X-Did-Not-Run", Load: "X-Load",
+}
+
+type wallClock struct{}
+
+func (wallClock) Now() time.Time { return time.Now() }
+
+// testTarget is a target of the fleet; serve may be replaced by a test.
+type testTarget struct {
+	id      string
+	arrived atomic.Int32
+	serve   func(w http.ResponseWriter, r *http.Request)
+}
+
+func (s *testTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.arrived.Add(1)
+	w.Header().Set(headers.RequestID, r.Header.Get(headers.RequestID))
+	if expected := r.Header.Get(headers.ExpectedTarget); expected != "" && expected != s.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	s.serve(w, r)
+}
+
+// runs answers as a target that ran the request.
+func (s *testTarget) runs(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	w.Header().Set(headers.Proof, "proof")
+	fmt.Fprintf(w, "%s ran %s %s", s.id, r.URL, body)
+}
+
+// sheds answers as a target that turns the request away.
+func sheds(load string) func(w http.ResponseWriter, r *http.Request) {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headers.DidNotRun, "1")
+		w.Header().Set(headers.Load, load)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// fleet is a mesh of real proxies on loopback, one for each target.
+type fleet struct {
+	proxies []*Proxy
+	targets []*testTarget
+	table   *mesh.Table
+	logs    *bytes.Buffer
+}
+
+const testSlots = 4
+
+// newFleet starts so many nodes with a target of the service "s" each. The
+// routes lead to it under "/idempotent/" and "/once/".
+func newFleet(t *testing.T, count int) *fleet {
+	f := &fleet{logs: &bytes.Buffer{}, table: mesh.NewTable(&mesh.Config{Version: 1, Routes: []mesh.Route{
+		testRoute("/idempotent/", mesh.Idempotent), testRoute("/once/", mesh.NonIdempotent),
+	}})}
+	members := make([]*mesh.Member, count)
+	port := freePort(t)
+	for i := range count {
+		target := &testTarget{id: fmt.Sprint("t", i)}
+		target.serve = target.runs
+		f.targets = append(f.targets, target)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.%d:0", i+2))
+		assert.NilError(t, err)
+		serveUntilEnd(t, listener, target)
+		members[i] = &mesh.Member{Target: mesh.Target{
+			ID: target.id, Service: "s", Address: listener.Addr().String(), FailureDomain: "a", Slots: testSlots, State: mesh.Ready,
+		}}
+	}
+	for i := range count {
+		f.start(t, i, port, members)
+	}
+	return f
+}
+
+func (f *fleet) start(t *testing.T, i, port int, members []*mesh.Member) {
+	options := exchange.Options{DialTimeout: time.Second, IdleTimeout: time.Second, SilenceTimeout: time.Second, MaxIdle: 8}
+	p := New(Config{
+		Headers: headers, FailureDomain: "a", Region: "r", Regions: map[string]string{"a": "r"},
+		TargetAddress: members[i].Address, PeerPort: port, RepeatRatio: 0.2, RepeatFew: 100, Seed: uint64(i),
+	}, Ports{
+		Clock: wallClock{}, Peers: exchange.NewPool(options), Target: exchange.NewPool(options),
+		Log: &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}}, Meter: metrics.New(),
+	})
+	p.SetService("caller-service")
+	p.SetPicture(&Picture{Table: f.table, Services: map[string][]*mesh.Member{"s": members}, Own: members[i], Nodes: len(members)})
+	listener, err := net.Listen("tcp", net.JoinHostPort(fmt.Sprintf("127.0.0.%d", i+2), strconv.Itoa(port)))
+	assert.NilError(t, err)
+	serveUntilEnd(t, listener, http.HandlerFunc(p.ServePeer))
+	f.proxies = append(f.proxies, p)
+}
+
+func testRoute(prefix string, kind mesh.Kind) mesh.Route {
+	return mesh.Route{
+		Name: prefix, Host: "h", Prefix: prefix, Kind: kind, Timeout: 2 * time.Second,
+		TargetLatency: 200 * time.Millisecond, MaxAttempts: 2, Shares: []mesh.Share{{Service: "s", Weight: 1}},
+	}
+}
+
+func freePort(t *testing.T) int {
+	listener, err := net.Listen("tcp", "127.0.0.2:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	return listener.Addr().(*net.TCPAddr).Port
+}
+
+func serveUntilEnd(t *testing.T, listener net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler}
+	go server.Serve(listener)
+	t.Cleanup(func() { server.Close() })
+}
+
+var requests atomic.Int64
+
+// ask sends a request to a node as a caller does.
+func (f *fleet) ask(node int, method, path, body string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Host = "h"
+	r.Header.Set(headers.RequestID, fmt.Sprint("request-", requests.Add(1)))
+	w := httptest.NewRecorder()
+	f.proxies[node].ServeCaller(w, r)
+	return w
+}
+
+func (f *fleet) arrivals() int {
+	total := 0
+	for _, target := range f.targets {
+		total += int(target.arrived.Load())
+	}
+	return total
+}
--- a/internal/proxy/flight.go
+++ b/internal/proxy/flight.go
@@ -42,11 +42,8 @@
 	offers   int
 	arrivals int
 
-	// mu guards what the timer of a slow attempt looks at: whether the attempt
-	// has its answer, and whether the next one is granted already.
-	mu       sync.Mutex
-	answered bool
-	granted  bool
+	// granted says that the next arrival was taken out of the budget already.
+	granted bool
 
 	// refusal lets the caller come back soonest; unknown is set once any
 	// attempt may have run, and then nothing else may be told.
@@ -176,11 +173,9 @@
 	stats := p.begin(member)
 	defer p.finish(stats)
 	ctx, cancel := context.WithDeadline(ctx, f.deadline)
-	defer f.giveUpWhenSlow(now, stats, cancel)()
+	over := f.giveUpWhenSlow(now, stats, cancel)
 	response, word, err := p.send(ctx, member, &t, r, now)
-	f.mu.Lock()
-	f.answered = err == nil
-	f.mu.Unlock()
+	over()
 	if err != nil {
 		cancel()
 		p.noteFailure(stats, word, err)
@@ -218,8 +213,9 @@
 const slowFactor = 4
 
 // giveUpWhenSlow cancels an attempt that takes far longer than usual. The
-// returned function must be called when the attempt is over.
-func (f *flight) giveUpWhenSlow(now time.Time, stats *placement.Stats, cancel context.CancelFunc) (stop func()) {
+// returned function must be called when the attempt is over. A node that stops
+// gives up nothing that a target works on.
+func (f *flight) giveUpWhenSlow(now time.Time, stats *placement.Stats, cancel context.CancelFunc) (over func()) {
 	if !f.route.Kind.Repeatable() || f.arrivals+1 >= f.route.MaxAttempts || !f.body.IsKept() {
 		return func() {}
 	}
@@ -227,15 +223,32 @@
 	p.mu.Lock()
 	usual := stats.Expected(now, &placement.Request{Work: *p.workOf(f.route)}, slowFactor)
 	p.mu.Unlock()
+	attempt := &slowAttempt{}
 	timer := time.AfterFunc(max(usual, f.route.TargetLatency), func() {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		if !f.answered && f.grantRepeat(p.ports.Clock.Now(), f.arrivals+1) {
+		attempt.mu.Lock()
+		defer attempt.mu.Unlock()
+		now := p.ports.Clock.Now()
+		if attempt.over || p.stopping.Load() || f.offers >= maxOffers || f.choose(now) == nil {
+			return
+		}
+		if f.grantRepeat(now, f.arrivals+1) {
 			f.granted = true
 			cancel()
 		}
 	})
-	return func() { timer.Stop() }
+	return func() {
+		timer.Stop()
+		attempt.mu.Lock()
+		defer attempt.mu.Unlock()
+		attempt.over = true
+	}
+}
+
+// slowAttempt keeps the timer of an attempt from touching the flight after the
+// attempt is over: until then nothing else does.
+type slowAttempt struct {
+	mu   sync.Mutex
+	over bool
 }
 
 // Ranks of requests that wait for a slot: by the route's priority, and within it
@@ -408,8 +421,6 @@
 // mayRepeat takes an arrival beyond the first out of the fleet's budget, unless
 // that was done when the last attempt was given up.
 func (f *flight) mayRepeat(now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	granted := f.granted
 	f.granted = false
 	return granted || f.grantRepeat(now, f.arrivals)
--- /dev/null
+++ b/internal/proxy/proxy_test.go
@@ -0,0 +1,217 @@
+package proxy
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tamarackquay/internal/adapter/callhttp"
+	"tamarackquay/internal/mesh"
+)
+
+func TestRequestReachesTheTargetUnchanged(t *testing.T) {
+	f := newFleet(t, 2)
+	f.proxies[0].stats["t0"].Avoid(time.Now())
+	var got http.Header
+	f.targets[1].serve = func(w http.ResponseWriter, r *http.Request) {
+		got = r.Header.Clone()
+		f.targets[1].runs(w, r)
+	}
+	w := f.ask(0, "POST", "/once/a%2fb?q=1", "body")
+	assert.Equal(t, w.Code, http.StatusOK)
+	assert.Equal(t, w.Body.String(), "t1 ran /once/a%2fb?q=1 body")
+	assert.Equal(t, got.Get(headers.CallerService), "caller-service")
+	assert.Equal(t, got.Get(headers.ExpectedTarget), "t1")
+	assert.Assert(t, got.Get(headers.Deadline) != "")
+	for name := range got {
+		assert.Assert(t, !strings.HasPrefix(name, callhttp.HeaderPrefix), name)
+	}
+}
+
+// A node that has just started knows no configuration. It must not say that a
+// route doesn't exist, which callers would believe.
+func TestNodeWithoutConfigurationIsNotSure(t *testing.T) {
+	f := newFleet(t, 1)
+	assert.Equal(t, f.ask(0, "GET", "/nowhere/", "").Code, http.StatusNotFound)
+	f.proxies[0].SetPicture(&Picture{})
+	w := f.ask(0, "GET", "/nowhere/", "")
+	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, w.Header().Get("Retry-After"), "0.500")
+}
+
+// A target turns every request away though it says that it has free slots. The
+// callers are asked back soon, and the node goes on offering it as much as
+// before: counting its slots down would turn away those whom it would serve.
+func TestShedWithRoomTakesNoSlots(t *testing.T) {
+	f := newFleet(t, 1)
+	f.targets[0].serve = sheds("1,0,4")
+	for range 3 * testSlots {
+		w := f.ask(0, "GET", "/idempotent/x", "")
+		assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+		assert.Equal(t, w.Header().Get("Retry-After"), "0.050")
+	}
+	var served sync.WaitGroup
+	running := make(chan struct{}, testSlots)
+	release := make(chan struct{})
+	f.targets[0].serve = func(w http.ResponseWriter, r *http.Request) {
+		running <- struct{}{}
+		<-release
+		f.targets[0].runs(w, r)
+	}
+	for range testSlots {
+		served.Go(func() { f.ask(0, "GET", "/idempotent/x", "") })
+	}
+	for range testSlots {
+		<-running
+	}
+	close(release)
+	served.Wait()
+}
+
+// A target sheds a filing, which is proof that it did not run. It is offered to
+// another target, and runs once.
+func TestShedFilingRunsElsewhereOnce(t *testing.T) {
+	f := newFleet(t, 2)
+	f.targets[0].serve = sheds("1,0,4")
+	f.proxies[0].stats["t1"].Failed(time.Now())
+	w := f.ask(0, "POST", "/once/x", "filing")
+	assert.Equal(t, w.Body.String(), "t1 ran /once/x filing")
+	assert.Equal(t, f.arrivals(), 2)
+}
+
+// A target takes a filing and breaks off. Nobody knows whether it ran, so it is
+// not sent again, and the caller isn't told that it did not run.
+func TestFilingOfUnknownOutcomeIsNotRepeated(t *testing.T) {
+	f := newFleet(t, 2)
+	for _, target := range f.targets {
+		target.serve = func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	}
+	w := f.ask(0, "POST", "/once/x", "filing")
+	assert.Equal(t, w.Code, http.StatusBadGateway)
+	assert.Equal(t, f.arrivals(), 1)
+}
+
+// An answer breaks off midway. The caller of an idempotent request gets the
+// whole answer of another target, never the part.
+func TestBrokenAnswerIsHadAgain(t *testing.T) {
+	f := newFleet(t, 2)
+	f.proxies[0].stats["t1"].Failed(time.Now())
+	f.targets[0].serve = func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headers.Proof, "proof")
+		w.Header().Set("Content-Length", "100")
+		_, _ = w.Write([]byte("half"))
+	}
+	assert.Equal(t, f.ask(0, "GET", "/idempotent/x", "").Body.String(), "t1 ran /idempotent/x ")
+}
+
+// A target answers 200 without the proof that it made the answer. Its bytes are
+// somebody else's and are not passed on.
+func TestSuccessWithoutProofIsNotPassedOn(t *testing.T) {
+	f := newFleet(t, 1)
+	f.targets[0].serve = func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("spoilt")) }
+	w := f.ask(0, "POST", "/once/x", "")
+	assert.Equal(t, w.Code, http.StatusBadGateway)
+	assert.Assert(t, !strings.Contains(w.Body.String(), "spoilt"))
+}
+
+// The address of a target that has gone belongs to another one now, and the
+// entry node has not heard. The request doesn't run there.
+func TestReusedAddressRunsNothing(t *testing.T) {
+	f := newFleet(t, 1)
+	f.targets[0].id = "stranger"
+	w := f.ask(0, "POST", "/once/x", "")
+	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, w.Header().Get(callhttp.HeaderReason), "misdirected")
+}
+
+// One target hangs. The caller of an idempotent request gets its answer from
+// another one within its deadline. Where there is no other, the attempt runs on:
+// giving it up would waste the work of a target that is only slow.
+func TestSlowAttemptIsGivenUpOnlyForAnother(t *testing.T) {
+	for _, test := range []struct {
+		desc  string
+		nodes int
+		want  string
+	}{
+		{"another target", 2, "t1 ran /idempotent/x "},
+		{"no other target", 1, "t0 ran /idempotent/x "},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			f := newFleet(t, test.nodes)
+			if test.nodes > 1 {
+				f.proxies[0].stats["t1"].Failed(time.Now())
+			}
+			f.targets[0].serve = func(w http.ResponseWriter, r *http.Request) {
+				select {
+				case <-time.After(time.Second):
+					f.targets[0].runs(w, r)
+				case <-r.Context().Done():
+				}
+			}
+			assert.Equal(t, f.ask(0, "GET", "/idempotent/x", "").Body.String(), test.want)
+		})
+	}
+}
+
+// A node is told to stop while a target works slowly on a request that came in
+// before. The answer is waited for, though another target could be asked.
+func TestStoppingNodeGivesNothingUp(t *testing.T) {
+	f := newFleet(t, 2)
+	f.proxies[0].stats["t1"].Failed(time.Now())
+	f.targets[0].serve = func(w http.ResponseWriter, r *http.Request) {
+		f.proxies[0].Stop()
+		time.Sleep(600 * time.Millisecond)
+		f.targets[0].runs(w, r)
+	}
+	w := f.ask(0, "GET", "/idempotent/x", "")
+	assert.Equal(t, w.Body.String(), "t0 ran /idempotent/x ")
+	assert.Equal(t, w.Header().Get("Connection"), "close")
+}
+
+// Every target fails. The further attempts of all requests stay within the
+// fleet's budget: a part of the requests, and a few besides.
+func TestRepeatsStayWithinTheBudget(t *testing.T) {
+	f := newFleet(t, 2)
+	for _, p := range f.proxies {
+		p.config.RepeatFew = 4
+	}
+	for _, target := range f.targets {
+		target.serve = func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(headers.Proof, "proof")
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+	}
+	const asked = 40
+	for range asked {
+		assert.Equal(t, f.ask(0, "GET", "/idempotent/x", "").Code, http.StatusInternalServerError)
+	}
+	assert.Assert(t, f.arrivals() <= asked+asked/5+2, "%d", f.arrivals())
+}
+
+// The owner node of the nearest target stops. It refuses as not run, and the
+// request goes elsewhere without an arrival.
+func TestStoppingOwnerCostsNoArrival(t *testing.T) {
+	f := newFleet(t, 2)
+	f.proxies[1].Stop()
+	f.proxies[0].stats["t0"].Failed(time.Now())
+	assert.Equal(t, f.ask(0, "POST", "/once/x", "").Body.String(), "t0 ran /once/x ")
+	assert.Equal(t, f.arrivals(), 1)
+}
+
+// Both parts of a split lead to one service here; the shares are counted at the
+// splitter's own test. What has no usable target is refused and goes nowhere
+// else.
+func TestPartWithoutTargetsIsRefused(t *testing.T) {
+	f := newFleet(t, 1)
+	route := testRoute("/split/", mesh.Idempotent)
+	route.Shares = []mesh.Share{{Service: "empty", Weight: 1}}
+	picture := *f.proxies[0].picture.Load()
+	picture.Table = mesh.NewTable(&mesh.Config{Version: 2, Routes: []mesh.Route{route}})
+	f.proxies[0].SetPicture(&picture)
+	assert.Equal(t, f.ask(0, "GET", "/split/x", "").Code, http.StatusServiceUnavailable)
+	assert.Equal(t, f.arrivals(), 0)
+}
