Share a VM's link between large answers and everything else

Cause: archives of 90 to 280 KB need more than the links of their VMs carry (15 to 22 Mbit/s). The link's queue grew to seconds; calls of filings that led to the same VMs waited in it and failed, and with them the filings. Ruled out: slots (16 each, two in three free) and processor time (0.01 of a core). Change: large answers take at most 0.9 of the link, three at a time in the order in which they are ready; a request whose answer would wait too long is refused at once with the time to come back; entry nodes count the wait for the link and the transfer; the target's slot is free once its answer is read.

--- /dev/null
+++ b/internal/link/link.go
@@ -0,0 +1,92 @@
+// Package link shares a VM's network link between large answers and everything
+// else. It answers the load of a service whose answers together need more than
+// the links of its VMs carry: without it the queue of the link grows to seconds,
+// and small answers of calls, heartbeats and new connections wait in it behind
+// archives. The package is pure: time is handed in.
+package link
+
+import "time"
+
+const (
+	// Large is the size from which an answer is paced. Below it an answer takes
+	// 17 ms of the slowest link that the users' sheets name (15 Mbit/s).
+	Large = 32 << 10
+	// share is the part of the link that large answers may take. The rest is
+	// for small ones, acknowledgements and the headers of packets.
+	share = 0.9
+	// burst is how far the pace may be behind what was granted.
+	burst = 16 << 10
+)
+
+// Share is the part of a link that large answers have. It is not safe for
+// concurrent use.
+type Share struct {
+	// rate is in bytes a second, 0 for a link that needs no pacing.
+	rate float64
+	// backlog is what large answers have yet to send, as of at.
+	backlog float64
+	at      time.Time
+	// paid is when the bytes sent so far are paid for by the pace.
+	paid time.Time
+}
+
+// NewShare returns the share of a link of so many bytes a second; 0 means that
+// the link's speed is not known and nothing is paced.
+func NewShare(bytesPerSecond float64) *Share { return &Share{rate: share * bytesPerSecond} }
+
+// Rate is the pace of large answers in bytes a second.
+func (s *Share) Rate() float64 { return s.rate }
+
+// Wait is how long a new large answer waits for those ahead of it.
+func (s *Share) Wait(now time.Time) time.Duration {
+	if s.rate <= 0 {
+		return 0
+	}
+	s.drain(now)
+	return time.Duration(s.backlog / s.rate * float64(time.Second))
+}
+
+// Admit takes an answer of an expected size into the backlog, or reports false
+// if its last byte would wait longer than it may, and when to come back. An
+// answer that finds the link free is always taken.
+func (s *Share) Admit(now time.Time, size float64, wait time.Duration) (retryAfter time.Duration, ok bool) {
+	if s.rate <= 0 || size < Large {
+		return 0, true
+	}
+	if s.Wait(now) == 0 {
+		s.backlog += size
+		return 0, true
+	}
+	took := s.Wait(now) + time.Duration(size/s.rate*float64(time.Second))
+	if took > wait {
+		return took - wait, false
+	}
+	s.backlog += size
+	return 0, true
+}
+
+// Correct replaces the expected size of an admitted answer by its true one.
+func (s *Share) Correct(expected, size float64) {
+	if s.rate > 0 && expected >= Large {
+		s.backlog = max(0, s.backlog+size-expected)
+	}
+}
+
+func (s *Share) drain(now time.Time) {
+	if !s.at.IsZero() {
+		s.backlog = max(0, s.backlog-s.rate*now.Sub(s.at).Seconds())
+	}
+	s.at = now
+}
+
+// Pace returns how long to wait before so many bytes of a large answer are sent.
+func (s *Share) Pace(now time.Time, bytes int) time.Duration {
+	if s.rate <= 0 {
+		return 0
+	}
+	if earliest := now.Add(-time.Duration(burst / s.rate * float64(time.Second))); s.paid.Before(earliest) {
+		s.paid = earliest
+	}
+	s.paid = s.paid.Add(time.Duration(float64(bytes) / s.rate * float64(time.Second)))
+	return max(0, s.paid.Sub(now))
+}
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,55 @@
+package link
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// Archives of 90 KB are asked for at twice what a link of 15.4 Mbit/s carries.
+// Those that are taken wait no longer than they may; the others are refused at
+// once with the time at which there is room. Without the refusals the wait
+// grows by a second each second.
+func TestLargeAnswersWaitNoLongerThanTheyMay(t *testing.T) {
+	const size = 90e3
+	const mayWait = 300 * time.Millisecond
+	s := NewShare(15.4e6 / 8)
+	taken, refused := 0, 0
+	for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(23 * time.Millisecond) {
+		retryAfter, ok := s.Admit(now, size, mayWait)
+		if !ok {
+			refused++
+			assert.Assert(t, retryAfter > 0)
+			continue
+		}
+		taken++
+		assert.Assert(t, s.Wait(now) <= mayWait)
+	}
+	carried := int(10 * s.Rate() / size)
+	assert.Assert(t, taken >= carried && taken <= carried+8, "%d of %d", taken, carried)
+	assert.Assert(t, refused > 0)
+}
+
+// What is sent keeps to the pace, whatever the chunks.
+func TestPace(t *testing.T) {
+	s := NewShare(1e6)
+	now := start
+	sent := 0
+	for now.Before(start.Add(time.Second)) {
+		now = now.Add(s.Pace(now, 8<<10))
+		sent += 8 << 10
+	}
+	assert.Assert(t, float64(sent) <= s.Rate()+burst+8<<10, "%d", sent)
+	assert.Assert(t, float64(sent) >= 0.95*s.Rate(), "%d", sent)
+}
+
+func TestUnknownLinkIsNotPaced(t *testing.T) {
+	s := NewShare(0)
+	_, ok := s.Admit(start, 1e9, 0)
+	assert.Assert(t, ok)
+	assert.Equal(t, s.Pace(start, 1e9), time.Duration(0))
+	assert.Equal(t, s.Wait(start), time.Duration(0))
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -8,6 +8,8 @@
 import (
 	"math"
 	"time"
+
+	"tamarackquay/internal/link"
 )
 
 // Distance orders targets by the price of their bytes.
@@ -72,6 +74,10 @@
 	Hold time.Duration
 	// Failing is the part of its answers that were failures, 0 to 1.
 	Failing float64
+	// LinkWait is how long a large answer waits for the VM's link, LinkRate the
+	// bytes a second that it then gets; 0 for links that need no pacing.
+	LinkWait time.Duration
+	LinkRate float64
 }
 
 // Stats is what an entry node knows of one target. It is not safe for concurrent
@@ -197,7 +203,17 @@
 		factor = coldFactor
 	}
 	hold = time.Duration(float64(r.Work.Hold) * factor)
-	return way, s.wait(now, hold), hold
+	return way + s.transfer(now, r.Work.Bytes), s.wait(now, hold), hold
+}
+
+// transfer is how long a large answer takes over the link of the target's VM.
+// Answers to callers on the same VM don't cross it.
+func (s *Stats) transfer(now time.Time, bytes float64) time.Duration {
+	if s.Distance == SameVM || bytes < link.Large || s.load.LinkRate <= 0 {
+		return 0
+	}
+	took := time.Duration(bytes / s.load.LinkRate * float64(time.Second))
+	return took + max(0, s.load.LinkWait-now.Sub(s.loadAt))
 }
 
 // Expected is how long an answer takes that takes so many times the usual work.
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -106,14 +106,7 @@
 		defer a.rest.Close()
 	}
 	writeAnswer(w, a.response)
-	// A caller that is gone needs no answer.
-	if _, err := w.Write(a.whole); err != nil {
-		return
-	}
-	if a.rest == nil {
-		return
-	}
-	if _, err := io.Copy(w, a.rest); err != nil {
+	if err := copyAnswer(w, a); err != nil {
 		p.ports.Log.Warn().Str(fieldRequest, f.id).Str(fieldRoute, f.route.Name).Err(err).Msg("answer broke off")
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/proxy/flight.go
+++ b/internal/proxy/flight.go
@@ -153,11 +153,19 @@
 	return left
 }
 
+// firstDownload is the size that a download is taken for until one was seen, so
+// that the first ones don't cross paid links either; the smaller of the means
+// that the users' sheets give.
+const firstDownload = 90e3
+
 // workOf must be called with the mutex held.
 func (p *Proxy) workOf(route *mesh.Route) *placement.Work {
 	work := p.work[route.Name]
 	if work == nil {
 		work = &placement.Work{}
+		if route.Kind == mesh.Download {
+			work.Bytes = firstDownload
+		}
 		p.work[route.Name] = work
 	}
 	return work
@@ -271,11 +279,12 @@
 func (f *flight) terms(now time.Time) terms {
 	p := f.proxy
 	p.mu.Lock()
-	hold := p.workOf(f.route).Hold
+	work := *p.workOf(f.route)
 	p.mu.Unlock()
+	hold := work.Hold
 	left := f.deadline.Sub(now)
 	most := left - time.Duration(workMargin*float64(hold))
-	t := terms{attempt: p.nextAttempt(now), route: f.route.Name, rank: f.route.Priority * ranksPerPriority, budget: left}
+	t := terms{attempt: p.nextAttempt(now), route: f.route.Name, rank: f.route.Priority * ranksPerPriority, budget: left, size: int(work.Bytes)}
 	if early := f.wanted(now) - time.Duration(workMargin*float64(hold)); early > 0 {
 		t.wait = early
 	} else {
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -13,6 +13,7 @@
 	"tamarackquay/internal/adapter/callhttp"
 	"tamarackquay/internal/adapter/exchange"
 	"tamarackquay/internal/admission"
+	"tamarackquay/internal/link"
 	"tamarackquay/internal/port"
 )
 
@@ -206,20 +207,56 @@
 		request.Body = nil
 	}
 	callhttp.CopyHeader(request.Header, r.Header)
+	if refusal := p.admitToLink(&t); refusal != nil {
+		word := p.loadWord(received, 0)
+		word.write(w.Header())
+		callhttp.WriteError(w, refusal)
+		return
+	}
 	response, word, err := p.own(r.Context(), &t, request, received)
 	word.write(w.Header())
 	if err != nil {
+		p.correctLink(&t, 0)
 		callhttp.WriteError(w, err)
 		return
 	}
-	defer response.Body.Close()
-	writeAnswer(w, response)
-	if _, err := io.Copy(w, response.Body); err != nil {
+	// The target's slot falls free with the last byte read from it, not when the
+	// other node has them all.
+	a, err := readAnswer(response)
+	if err != nil {
+		p.correctLink(&t, 0)
+		callhttp.WriteError(w, &port.Unknown{Stage: "answer", Cause: err})
+		return
+	}
+	p.correctLink(&t, len(a.whole))
+	if err := p.pass(r.Context(), w, a); err != nil {
 		// The answer must end broken for the entry node as well.
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// pass sends an answer on, the whole part and then the rest.
+func (p *Proxy) pass(ctx context.Context, w http.ResponseWriter, a *answer) error {
+	if a.rest == nil {
+		a.response.ContentLength = int64(len(a.whole))
+	} else {
+		defer a.rest.Close()
+	}
+	if len(a.whole) >= link.Large && p.link.Rate() > 0 {
+		return p.passPaced(ctx, w, a)
+	}
+	writeAnswer(w, a.response)
+	return copyAnswer(w, a)
+}
+
+func copyAnswer(w io.Writer, a *answer) error {
+	if _, err := w.Write(a.whole); err != nil || a.rest == nil {
+		return err
+	}
+	_, err := io.Copy(w, a.rest)
+	return err
+}
+
 // writeAnswer writes the header of a target's answer.
 func writeAnswer(w http.ResponseWriter, response *exchange.Response) {
 	header := w.Header()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -17,9 +17,11 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"golang.org/x/sync/semaphore"
 
 	"tamarackquay/internal/adapter/exchange"
 	"tamarackquay/internal/gate"
+	"tamarackquay/internal/link"
 	"tamarackquay/internal/mesh"
 	"tamarackquay/internal/placement"
 	"tamarackquay/internal/port"
@@ -61,7 +63,10 @@
 	// part of a service's requests, and so many besides, in each ten seconds.
 	RepeatRatio float64
 	RepeatFew   float64
-	Seed        uint64
+	// LinkRate is the speed of the VM's link in bytes a second; 0 when it is
+	// not known.
+	LinkRate float64
+	Seed     uint64
 }
 
 // Ports are the proxy's ways to the world.
@@ -104,6 +109,9 @@
 	work     map[string]*placement.Work
 	repeats  map[string]*retry.Window
 	held     holds
+	link     *link.Share
+	// turns orders the large answers that are sent to other nodes.
+	turns *semaphore.Weighted
 }
 
 // New returns a proxy that has no picture yet and refuses everything.
@@ -114,6 +122,8 @@
 		stats:   map[string]*placement.Stats{},
 		work:    map[string]*placement.Work{},
 		repeats: map[string]*retry.Window{},
+		link:    link.NewShare(config.LinkRate),
+		turns:   semaphore.NewWeighted(atOnce),
 	}
 	p.SetService("")
 	return p
--- a/internal/proxy/terms.go
+++ b/internal/proxy/terms.go
@@ -32,16 +32,18 @@
 	budget time.Duration
 	// wait is how long the request may wait for a slot.
 	wait time.Duration
+	// size is how many bytes the answer is expected to have.
+	size int
 }
 
 func (t *terms) encode() string {
 	return strings.Join([]string{
 		url.QueryEscape(t.attempt), url.QueryEscape(t.route), strconv.Itoa(t.rank),
-		callhttp.FormatMillis(t.budget), callhttp.FormatMillis(t.wait),
+		callhttp.FormatMillis(t.budget), callhttp.FormatMillis(t.wait), strconv.Itoa(t.size),
 	}, termSeparator)
 }
 
-const termCount = 5
+const termCount = 6
 
 func decodeTerms(text string) (terms, error) {
 	var t terms
@@ -55,6 +57,7 @@
 	t.rank, errs[2] = strconv.Atoi(parts[2])
 	t.budget, errs[3] = callhttp.ParseMillis(parts[3])
 	t.wait, errs[4] = callhttp.ParseMillis(parts[4])
+	t.size, errs[5] = strconv.Atoi(parts[5])
 	for i, err := range errs {
 		if err != nil {
 			return t, errors.Wrapf(err, "term %d", i)
@@ -76,10 +79,11 @@
 		strconv.Itoa(l.Running), strconv.Itoa(l.Waiting), strconv.Itoa(l.Slots),
 		strconv.FormatInt(l.Hold.Microseconds(), 10), strconv.FormatFloat(l.Failing, 'f', 2, 64),
 		strconv.FormatInt(l.held.Microseconds(), 10), strconv.FormatInt(l.spent.Microseconds(), 10),
+		strconv.FormatInt(l.LinkWait.Microseconds(), 10), strconv.FormatInt(int64(l.LinkRate), 10),
 	}, termSeparator)}
 }
 
-const loadCount = 7
+const loadCount = 9
 
 // readLoad reads what write wrote; false when there is nothing readable.
 func readLoad(header http.Header) (loadWord, bool) {
@@ -100,5 +104,6 @@
 	l.Running, l.Waiting, l.Slots = int(numbers[0]), int(numbers[1]), int(numbers[2])
 	l.Hold, l.Failing = micros(3), numbers[4]
 	l.held, l.spent = micros(5), micros(6)
+	l.LinkWait, l.LinkRate = micros(7), numbers[8]
 	return l, true
 }
