--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -69,7 +70,25 @@
 	proxies []*Proxy
 	targets []*testTarget
 	table   *mesh.Table
-	logs    *bytes.Buffer
+	logs    *safeBuffer
+}
+
+// safeBuffer takes the log lines of all nodes.
+type safeBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *safeBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *safeBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
 }
 
 const testSlots = 4
@@ -77,7 +96,7 @@
 // newFleet starts so many nodes with a target of the service "s" each. The
 // routes lead to it under "/idempotent/" and "/once/".
 func newFleet(t *testing.T, count int) *fleet {
-	f := &fleet{logs: &bytes.Buffer{}, table: mesh.NewTable(&mesh.Config{Version: 1, Routes: []mesh.Route{
+	f := &fleet{logs: &safeBuffer{}, table: mesh.NewTable(&mesh.Config{Version: 1, Routes: []mesh.Route{
 		testRoute("/idempotent/", mesh.Idempotent), testRoute("/once/", mesh.NonIdempotent),
 	}})}
 	members := make([]*mesh.Member, count)
@@ -106,7 +125,10 @@
 		TargetAddress: members[i].Address, PeerPort: port, RepeatRatio: 0.2, RepeatFew: 100, Seed: uint64(i),
 	}, Ports{
 		Clock: wallClock{}, Peers: exchange.NewPool(options), Target: exchange.NewPool(options),
-		Log: &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}}, Meter: metrics.New(),
+		Log: &log.Logger{
+			TimeFormat: time.RFC3339Nano, Context: log.NewContext(nil).Str("node", fmt.Sprint("n", i)).Value(),
+			Writer: &log.IOWriter{Writer: f.logs},
+		}, Meter: metrics.New(),
 	})
 	p.SetService("caller-service")
 	p.SetPicture(&Picture{Table: f.table, Services: map[string][]*mesh.Member{"s": members}, Own: members[i], Nodes: len(members)})
@@ -138,11 +160,16 @@
 
 var requests atomic.Int64
 
+func nextRequest() string { return fmt.Sprint("request-", requests.Add(1)) }
+
+// lastRequest is the id of the request that was asked last.
+func lastRequest() string { return fmt.Sprint("request-", requests.Load()) }
+
 // ask sends a request to a node as a caller does.
 func (f *fleet) ask(node int, method, path, body string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(method, path, strings.NewReader(body))
 	r.Host = "h"
-	r.Header.Set(headers.RequestID, fmt.Sprint("request-", requests.Add(1)))
+	r.Header.Set(headers.RequestID, nextRequest())
 	w := httptest.NewRecorder()
 	f.proxies[node].ServeCaller(w, r)
 	return w
