Give no work to the old entry of an address

Cause: after a loss of power each address had the new target's entry and the old one, whose lease ran on for seconds; 750 offers in 3 s went to targets that were gone and were refused by their nodes as wrong-owner. Change: of several entries with one address only the newest takes work. Test: TestOldEntryOfAnAddressTakesNoWork.

--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -247,13 +247,10 @@
 
 // takeView makes the picture that requests are routed by.
 func (c *sidecar) takeView(view *mesh.View) {
-	picture := &proxy.Picture{Table: view.Table(), Services: map[string][]*mesh.Member{}}
+	picture := &proxy.Picture{Table: view.Table(), Services: view.Takers()}
 	hosts := map[string]bool{}
 	for _, member := range view.Members() {
 		hosts[follow.HostOf(member.Address)] = true
-		if member.State == mesh.Ready {
-			picture.Services[member.Service] = append(picture.Services[member.Service], member)
-		}
 		if member.Address == c.settings.TargetAddress && (picture.Own == nil || picture.Own.Revision < member.Revision) {
 			picture.Own = member
 		}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -133,3 +133,20 @@
 	assert.Equal(t, len(news.Config.Changed), 1)
 	assert.Equal(t, len(news.Targets), 0)
 }
+
+// A fleet has lost its power and is back: each address has the entry of the
+// target that runs there now, and the old one, whose lease has not run out. No
+// work goes to the old ones, nor to a target whose address another service has.
+func TestOldEntryOfAnAddressTakesNoWork(t *testing.T) {
+	view := NewView()
+	assert.NilError(t, view.Apply(start, &News{Targets: []Target{
+		{ID: "old", Service: "s", Address: "a:1", State: Ready, Revision: 5},
+		{ID: "new", Service: "s", Address: "a:1", State: Ready, Revision: 8},
+		{ID: "other", Service: "s", Address: "b:1", State: Ready, Revision: 6},
+		{ID: "reused", Service: "t", Address: "b:1", State: Draining, Revision: 9},
+	}}))
+	takers := view.Takers()
+	assert.Equal(t, len(takers["s"]), 1)
+	assert.Equal(t, takers["s"][0].ID, "new")
+	assert.Equal(t, len(takers["t"]), 0)
+}
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -118,6 +118,27 @@
 // Members returns all known targets by id. The map belongs to the view.
 func (v *View) Members() map[string]*Member { return v.members }
 
+// Takers returns the targets that take work, by service. Of several entries with
+// one address only the newest counts: a target that started anew has a new
+// entry, and the old one stands until its lease runs out. After a loss of power
+// of a whole fleet every second offer would else go to a target that is gone.
+func (v *View) Takers() map[string][]*Member {
+	newest := map[string]*Member{}
+	for _, member := range v.members {
+		if other := newest[member.Address]; other == nil || other.Revision < member.Revision {
+			newest[member.Address] = member
+		}
+	}
+	takers := map[string][]*Member{}
+	for _, id := range slices.Sorted(maps.Keys(v.members)) {
+		member := v.members[id]
+		if member.State == Ready && newest[member.Address] == member {
+			takers[member.Service] = append(takers[member.Service], member)
+		}
+	}
+	return takers
+}
+
 // Apply takes news. It returns ErrBase if the configuration builds on a version
 // that the view doesn't hold; the rest is taken all the same.
 func (v *View) Apply(now time.Time, news *News) error {
