--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -165,6 +165,7 @@
 	c.follower = follow.New(follow.Config{
 		Self: peerAddress(s.IP), FailureDomain: s.FailureDomain, Region: s.Region, Regions: s.Regions,
 		PeerAddress: func(target string) string { return peerAddress(follow.HostOf(target)) },
+		Greet:       c.proxy.Greet,
 	}, platform.NewStore(s.StoreAddress, logger), feedws.NewClient(feedTransport()), wallClock{}, logger, c.meter, c.takeView)
 	c.callers = callerhttp.NewServer(c.proxy, callerhttp.Limits{HeaderBytes: mostHeaderBytes, BodyBytes: mostBodyBytes})
 	c.peerSide = c.newPeerSide(peerAddress)
@@ -194,9 +195,13 @@
 	e := echo.New()
 	e.HideBanner = true
 	e.GET(feedws.Path, echo.WrapHandler(feedws.NewHandler(c.follower)))
-	e.GET(proxy.PingPath, func(context echo.Context) error { return context.NoContent(http.StatusNoContent) })
+	hint := func(r *http.Request) { c.follower.Hint(peerAddress(follow.HostOf(r.RemoteAddr))) }
+	e.GET(proxy.PingPath, func(context echo.Context) error {
+		hint(context.Request())
+		return context.NoContent(http.StatusNoContent)
+	})
 	e.Any("/*", func(context echo.Context) error {
-		c.follower.Hint(peerAddress(follow.HostOf(context.Request().RemoteAddr)))
+		hint(context.Request())
 		c.proxy.ServePeer(context.Response(), context.Request())
 		return nil
 	})
--- a/internal/adapter/feedws/feedws.go
+++ b/internal/adapter/feedws/feedws.go
@@ -37,7 +37,7 @@
 
 // Source hands out news.
 type Source interface {
-	Serve(ctx context.Context, version uint64, send func(*mesh.News) error) error
+	Serve(ctx context.Context, host string, version uint64, send func(*mesh.News) error) error
 }
 
 // NewHandler serves feeds of the source.
@@ -55,7 +55,7 @@
 		defer conn.CloseNow()
 		// Nothing is read; this notices that the follower has gone.
 		ctx := conn.CloseRead(r.Context())
-		err = source.Serve(ctx, version, func(news *mesh.News) error { return write(ctx, conn, news) })
+		err = source.Serve(ctx, follow.HostOf(r.RemoteAddr), version, func(news *mesh.News) error { return write(ctx, conn, news) })
 		if err != nil && ctx.Err() == nil {
 			// The follower sees the end and opens another feed.
 			_ = conn.Close(websocket.StatusGoingAway, "")
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -65,6 +65,9 @@
 	Regions       map[string]string
 	// PeerAddress turns a target's address into its node's.
 	PeerAddress func(target string) string
+	// Greet reaches the node at an address, which gets a hint by it; nil where
+	// nobody is greeted.
+	Greet func(ctx context.Context, address string)
 }
 
 // Times of following.
@@ -97,6 +100,9 @@
 	retryMost       = 4 * time.Second
 	// tickInterval is how often roles and neighbours are looked at again.
 	tickInterval = 100 * time.Millisecond
+	// greetInterval is how often a reader greets the nodes of its region that
+	// don't follow it.
+	greetInterval = 500 * time.Millisecond
 	// outage is the time without an answer of the platform after which removals
 	// may be leases that ran out, and settle for how long after its return.
 	outage = 2500 * time.Millisecond
@@ -120,12 +126,15 @@
 	nearerAt time.Time
 	changed  chan struct{}
 	hints    []string
+	// feeds counts the open feeds by the host that follows.
+	feeds map[string]int
 
 	revision uint64
 	// answered is when the platform last answered this node, returned when it
 	// did so after an outage.
 	answered, returned time.Time
-	lost               bool
+	// lostAt is when the platform stopped answering; zero while it answers.
+	lostAt time.Time
 }
 
 // New returns a follower that knows nothing. OnChange is called with the view
@@ -133,7 +142,7 @@
 func New(config Config, platform Platform, feed Feed, clock port.Clock, logger *log.Logger, meter port.Meter, onChange func(*mesh.View)) *Follower {
 	return &Follower{
 		config: config, platform: platform, feed: feed, clock: clock, log: logger, meter: meter, onChange: onChange,
-		view: mesh.NewView(), changed: make(chan struct{}),
+		view: mesh.NewView(), changed: make(chan struct{}), feeds: map[string]int{},
 	}
 }
 
@@ -142,6 +151,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { f.read(ctx) })
 	running.Go(func() { f.followNeighbours(ctx) })
+	running.Go(func() { f.greetOthers(ctx) })
 	running.Wait()
 }
 
@@ -229,8 +239,11 @@
 	return f.view.Age(f.clock.Now())
 }
 
-// Serve hands a neighbour the news that it lacks until ctx ends or send fails.
-func (f *Follower) Serve(ctx context.Context, version uint64, send func(*mesh.News) error) error {
+// Serve hands the neighbour on a host the news that it lacks until ctx ends or
+// send fails.
+func (f *Follower) Serve(ctx context.Context, host string, version uint64, send func(*mesh.News) error) error {
+	f.countFeed(host, 1)
+	defer f.countFeed(host, -1)
 	position := mesh.Position{}
 	first := true
 	for {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -39,6 +39,8 @@
 	// nobody and are reached by nobody.
 	refused map[string]bool
 	cut     map[string]bool
+	// quiet nodes greet nobody.
+	quiet   bool
 	nodes   map[string]*Follower
 	stops   map[string]context.CancelFunc
 	running sync.WaitGroup
@@ -73,7 +75,7 @@
 	domain := w.targets[id].FailureDomain
 	w.mu.Unlock()
 	f := New(Config{
-		Self: id, FailureDomain: domain, Region: regions[domain], Regions: regions, PeerAddress: HostOf,
+		Self: id, FailureDomain: domain, Region: regions[domain], Regions: regions, PeerAddress: HostOf, Greet: w.greet(id),
 	}, &link{world: w, node: id}, &link{world: w, node: id}, wallClock{},
 		&log.Logger{Level: log.FatalLevel, Writer: &log.IOWriter{Writer: io.Discard}}, metrics.New(), func(*mesh.View) {})
 	ctx, stop := context.WithCancel(context.Background())
@@ -122,6 +124,19 @@
 	w.record(mesh.News{Removed: []mesh.Removal{{ID: id, Revision: w.revision}}, Age: time.Duration(w.revision)})
 }
 
+// greet gives the node at an address a hint of who greets.
+func (w *world) greet(from string) func(context.Context, string) {
+	return func(_ context.Context, address string) {
+		w.mu.Lock()
+		other := w.nodes[address]
+		quiet := w.quiet
+		w.mu.Unlock()
+		if other != nil && !quiet && !w.isCut(from, address) {
+			other.Hint(from)
+		}
+	}
+}
+
 // takeReads returns how often the platform was read since it was last asked.
 func (w *world) takeReads() int {
 	w.mu.Lock()
@@ -263,7 +278,7 @@
 		return errAway
 	}
 	silence := time.AfterFunc(1200*time.Millisecond, cancel)
-	return other.Serve(ctx, version, func(news *mesh.News) error {
+	return other.Serve(ctx, l.node, version, func(news *mesh.News) error {
 		if w.isCut(l.node, address) {
 			return nil
 		}
@@ -425,6 +440,7 @@
 		for id := range w.nodes {
 			w.refused[id] = true
 		}
+		w.quiet = true
 		w.stops["a1-0"]()
 		w.mu.Unlock()
 		time.Sleep(time.Second)
@@ -436,3 +452,22 @@
 		assert.Equal(t, len(w.lagging(1)), 0)
 	})
 }
+
+// The same, but nobody sends it a request: its clients would be refused until the
+// platform is back. The readers of its region greet it.
+func TestRestartWithoutPlatformIsGreeted(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		w.mu.Lock()
+		for id := range w.nodes {
+			w.refused[id] = true
+		}
+		w.mu.Unlock()
+		for _, id := range []string{w.readers()[0], "b2-1"} {
+			w.stops[id]()
+			time.Sleep(500 * time.Millisecond)
+			w.start(id)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		assert.Equal(t, len(w.lagging(1)), 0, "%v", w.lagging(1))
+	})
+}
--- /dev/null
+++ b/internal/follow/greet.go
@@ -0,0 +1,53 @@
+package follow
+
+import (
+	"context"
+	"slices"
+
+	"tamarackquay/internal/distribution"
+)
+
+// greetOthers lets nodes that don't follow this one know of it, while it is one
+// of the readers of their region. A process that restarts while the platform is
+// away knows nobody: its region's readers, which have a view, know its VM. Nodes
+// that follow already are left alone, so that a calm region greets nobody.
+func (f *Follower) greetOthers(ctx context.Context) {
+	if f.config.Greet == nil {
+		return
+	}
+	for f.pause(ctx, greetInterval) {
+		for _, address := range f.strangers() {
+			f.config.Greet(ctx, address)
+		}
+	}
+}
+
+// strangers are the nodes of the region that should follow this one and don't.
+func (f *Follower) strangers() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	order := distribution.ReaderOrder(f.self(), f.vms())
+	var strangers []string
+	reader := false
+	for i, vm := range order {
+		if vm.ID == f.config.Self {
+			reader = i < parents
+		} else if f.feeds[HostOf(vm.PeerAddress)] == 0 {
+			strangers = append(strangers, vm.PeerAddress)
+		}
+	}
+	if !reader || f.view.Table() == nil {
+		return nil
+	}
+	slices.Sort(strangers)
+	return strangers
+}
+
+func (f *Follower) countFeed(host string, n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.feeds[host] += n
+	if f.feeds[host] == 0 {
+		delete(f.feeds, host)
+	}
+}
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -135,15 +135,15 @@
 func (f *Follower) noteContact(err error) {
 	now := f.clock.Now()
 	if err != nil {
-		if !f.lost {
-			f.lost = true
+		if f.lostAt.IsZero() {
+			f.lostAt = now
 			f.log.Warn().Err(err).Uint64(logfield.Revision, f.revision).Msg("platform lost")
 		}
 		return
 	}
-	if f.lost {
-		f.lost = false
-		f.log.Info().Int64(logfield.After, now.Sub(f.answered).Milliseconds()).Uint64(logfield.Revision, f.revision).Msg("platform regained")
+	if !f.lostAt.IsZero() {
+		f.log.Info().Int64(logfield.After, now.Sub(f.lostAt).Milliseconds()).Uint64(logfield.Revision, f.revision).Msg("platform regained")
+		f.lostAt = time.Time{}
 	}
 	if !f.answered.IsZero() && now.Sub(f.answered) > outage {
 		f.returned = now
--- a/internal/proxy/reach.go
+++ b/internal/proxy/reach.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tamarackquay/internal/adapter/exchange"
+	"tamarackquay/internal/logfield"
 	"tamarackquay/internal/mesh"
 	"tamarackquay/internal/placement"
 	"tamarackquay/internal/port"
@@ -100,6 +101,13 @@
 // firstTrip is the longest round trip that a probe allows for.
 const firstTrip = 100 * time.Millisecond
 
+// Greet reaches the node at an address, whether it answers or not.
+func (p *Proxy) Greet(_ context.Context, address string) {
+	if err := p.ping(address, pingTimeout+firstTrip); err != nil {
+		p.ports.Log.Debug().Str(logfield.Neighbour, address).Err(err).Msg("greeting not answered")
+	}
+}
+
 func (p *Proxy) listed(address string) bool {
 	for _, members := range p.picture.Load().Services {
 		for _, member := range members {
