Follow more nodes when the view is old, and pause no longer than the bound allows

Found beside it in the fleet on virtual time: nodes that the platform turns away, together with both readers of their region, followed nobody who could read; the first answer after an outage was waited for a whole watch; readers that restarted both were greeted by nobody. Change: pauses end with news and are 1 s at most; a node whose readers' feeds broke steps in after 0.6 s; one whose view is old follows up to eight nodes of its region; the first read after a loss doesn't wait; who knows more greets.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -82,6 +83,9 @@
 	// word: a watch, two beats and a little. What was published just before
 	// is then in force within 2 s, under the 2.5 s that the users allow.
 	staleAfter = 1600 * time.Millisecond
+	// orphanedAfter is the same for a node whose readers' feeds have all broken,
+	// as they do at once when processes end: two beats.
+	orphanedAfter = 600 * time.Millisecond
 	// fartherAfter is the age from which a reader far from the platform reads as
 	// well, though a nearer one did until then.
 	fartherAfter = 1350 * time.Millisecond
@@ -94,10 +98,12 @@
 	// read in a few calls a second instead of one for each change.
 	coalesce = 150 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed read. Readers
-	// keep to retryMostReader, so that the platform's return is noticed soon.
+	// keep to retryMostReader, so that the platform's return is noticed soon;
+	// the others must not be in a pause that is longer than what is left of the
+	// 2.5 s in which a change is to be in force.
 	retryFirst      = 200 * time.Millisecond
 	retryMostReader = 500 * time.Millisecond
-	retryMost       = 4 * time.Second
+	retryMost       = time.Second
 	// tickInterval is how often roles and neighbours are looked at again.
 	tickInterval = 100 * time.Millisecond
 	// greetInterval is how often a reader greets the nodes of its region that
@@ -128,6 +134,8 @@
 	hints    []string
 	// feeds counts the open feeds by the host that follows.
 	feeds map[string]int
+	// broken holds the neighbours whose feeds have broken and not come back.
+	broken map[string]bool
 
 	revision uint64
 	// answered is when the platform last answered this node, returned when it
@@ -142,7 +150,7 @@
 func New(config Config, platform Platform, feed Feed, clock port.Clock, logger *log.Logger, meter port.Meter, onChange func(*mesh.View)) *Follower {
 	return &Follower{
 		config: config, platform: platform, feed: feed, clock: clock, log: logger, meter: meter, onChange: onChange,
-		view: mesh.NewView(), changed: make(chan struct{}), feeds: map[string]int{},
+		view: mesh.NewView(), changed: make(chan struct{}), feeds: map[string]int{}, broken: map[string]bool{},
 	}
 }
 
@@ -225,12 +233,18 @@
 func (f *Follower) Hint(address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.view.Table() == nil && len(f.hints) < maxHints {
-		f.hints = append(f.hints, address)
+	if f.view.Table() != nil || slices.Contains(f.hints, address) {
+		return
+	}
+	f.hints = append(f.hints, address)
+	if len(f.hints) > maxHints {
+		f.hints = f.hints[1:]
 	}
 }
 
-const maxHints = 2
+// maxHints is how many hints are followed at a time, the newest ones: who gave
+// an older one may have restarted since.
+const maxHints = 3
 
 // Age is how old the view is; negative when it never was current.
 func (f *Follower) Age() time.Duration {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -40,9 +40,11 @@
 	refused map[string]bool
 	cut     map[string]bool
 	// quiet nodes greet nobody.
-	quiet   bool
-	nodes   map[string]*Follower
-	stops   map[string]context.CancelFunc
+	quiet bool
+	nodes map[string]*Follower
+	stops map[string]context.CancelFunc
+	// lives end with the process of a node, and with it the feeds that it serves.
+	lives   map[string]context.Context
 	running sync.WaitGroup
 }
 
@@ -53,7 +55,7 @@
 func newWorld() *world {
 	w := &world{
 		targets: map[string]mesh.Target{}, changed: make(chan struct{}), revision: 1,
-		refused: map[string]bool{}, cut: map[string]bool{}, nodes: map[string]*Follower{}, stops: map[string]context.CancelFunc{},
+		refused: map[string]bool{}, cut: map[string]bool{}, nodes: map[string]*Follower{}, stops: map[string]context.CancelFunc{}, lives: map[string]context.Context{},
 	}
 	w.publish(1)
 	for domain := range regions {
@@ -82,6 +84,7 @@
 	w.mu.Lock()
 	w.nodes[id] = f
 	w.stops[id] = stop
+	w.lives[id] = ctx
 	w.mu.Unlock()
 	w.running.Go(func() { f.Run(ctx) })
 }
@@ -162,11 +165,14 @@
 }
 
 // readers returns the nodes that read the platform by rank.
-func (w *world) readers() []string {
+func (w *world) readers() []string { return w.ranked(1) }
+
+// ranked returns so many nodes of each region, in the order of readers.
+func (w *world) ranked(count int) []string {
 	var found []string
 	for id, f := range w.nodes {
 		f.mu.Lock()
-		if f.rank() == 0 {
+		if f.rank() < count {
 			found = append(found, id)
 		}
 		f.mu.Unlock()
@@ -272,11 +278,12 @@
 	defer cancel()
 	w := l.world
 	w.mu.Lock()
-	other := w.nodes[address]
+	other, life := w.nodes[address], w.lives[address]
 	w.mu.Unlock()
-	if other == nil || w.isCut(l.node, address) {
+	if other == nil || life.Err() != nil || w.isCut(l.node, address) {
 		return errAway
 	}
+	defer context.AfterFunc(life, cancel)()
 	silence := time.AfterFunc(1200*time.Millisecond, cancel)
 	return other.Serve(ctx, l.node, version, func(news *mesh.News) error {
 		if w.isCut(l.node, address) {
@@ -339,6 +346,11 @@
 		{"one reader is cut off from everybody", func(w *world, r []string) { w.cut[r[0]] = true }},
 		{"all readers are cut off from everybody", func(w *world, r []string) { w.cut[r[0]], w.cut[r[1]] = true, true }},
 		{"the readers' processes end", func(w *world, r []string) { w.stops[r[0]](); w.stops[r[1]]() }},
+		{"both readers and those behind them are refused", func(w *world, _ []string) {
+			for _, id := range w.ranked(parents + 1) {
+				w.refused[id] = true
+			}
+		}},
 		{"half of the nodes are refused, the readers among them", func(w *world, r []string) {
 			w.refused[r[0]], w.refused[r[1]] = true, true
 			for id := range w.nodes {
@@ -471,3 +483,36 @@
 		assert.Equal(t, len(w.lagging(1)), 0, "%v", w.lagging(1))
 	})
 }
+
+// The platform was away for long, and every node has tried it again and again.
+// It is back, the readers tell the others, and are then stopped just before a
+// change. The others step in at once: the pauses between their tries, which had
+// grown to seconds, ended when they had news.
+func TestPausesEndWithTheOutage(t *testing.T) {
+	for outage := 6 * time.Second; outage <= 12*time.Second; outage += 500 * time.Millisecond {
+		t.Run(outage.String(), func(t *testing.T) {
+			simulate(t, func(t *testing.T, w *world) {
+				readers := w.ranked(parents)
+				w.mu.Lock()
+				for id := range w.nodes {
+					w.refused[id] = true
+				}
+				w.mu.Unlock()
+				time.Sleep(outage)
+				w.mu.Lock()
+				clear(w.refused)
+				w.mu.Unlock()
+				time.Sleep(800 * time.Millisecond)
+				w.mu.Lock()
+				for _, id := range readers {
+					w.stops[id]()
+					w.cut[id] = true
+				}
+				w.mu.Unlock()
+				w.publish(2)
+				time.Sleep(inForceWithin)
+				assert.Equal(t, len(w.lagging(2)), 0, "%v", w.lagging(2))
+			})
+		})
+	}
+}
--- a/internal/follow/greet.go
+++ b/internal/follow/greet.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"tamarackquay/internal/distribution"
+	"tamarackquay/internal/mesh"
 )
 
 // greetOthers lets nodes that don't follow this one know of it, while it is one
@@ -22,6 +23,15 @@
 	}
 }
 
+// greetIfLost greets a reader that has restarted and knows nothing, where this
+// node does: all readers of a region may restart at once.
+func (f *Follower) greetIfLost(ctx context.Context, address string, news *mesh.News) {
+	if f.config.Greet == nil || news.Age >= 0 || f.Age() < 0 {
+		return
+	}
+	f.config.Greet(ctx, address)
+}
+
 // strangers are the nodes of the region that should follow this one and don't.
 func (f *Follower) strangers() []string {
 	f.mu.Lock()
--- a/internal/follow/neighbours.go
+++ b/internal/follow/neighbours.go
@@ -16,6 +16,16 @@
 // reads and the one that steps in first.
 const parents = 2
 
+// staleParents is how many nodes of its region a node follows whose view is old
+// though it tries to read the platform itself. The platform may turn away this
+// node and both readers while it answers others, which then read for themselves;
+// with a third of the nodes turned away, all of eight are in one case of 4,000.
+const staleParents = 8
+
+// moreParentsAfter is the age of a view from which it follows so many: by then
+// the first nodes that can read have stepped in.
+const moreParentsAfter = staleAfter + 200*time.Millisecond
+
 // vms are the VMs on which targets run that take work, one for each address.
 func (f *Follower) vms() []membership.VM {
 	seen := map[string]bool{}
@@ -58,6 +68,11 @@
 		reader = reader || vm.ID == f.config.Self
 		add(vm)
 	}
+	if f.view.Age(f.clock.Now()) > moreParentsAfter {
+		for _, vm := range order[:min(staleParents, len(order))] {
+			add(vm)
+		}
+	}
 	if reader {
 		for _, region := range f.otherRegions() {
 			stranger := membership.VM{Region: region}
@@ -120,7 +135,34 @@
 // refollow is the pause before a broken feed is opened again.
 const refollow = 300 * time.Millisecond
 
+func (f *Follower) setBroken(address string, broken bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if broken {
+		f.broken[address] = true
+	} else {
+		delete(f.broken, address)
+	}
+}
+
+// orphaned reports whether the feeds of all the region's readers that this node
+// follows have broken. It must be called with the mutex held.
+func (f *Follower) orphaned() bool {
+	followed := 0
+	for i, vm := range distribution.ReaderOrder(f.self(), f.vms()) {
+		if i >= parents || vm.ID == f.config.Self {
+			break
+		}
+		if !f.broken[vm.PeerAddress] {
+			return false
+		}
+		followed++
+	}
+	return followed > 0
+}
+
 func (f *Follower) followOne(ctx context.Context, address string) {
+	defer f.setBroken(address, false)
 	lost := false
 	for ctx.Err() == nil {
 		f.mu.Lock()
@@ -129,9 +171,11 @@
 		err := f.feed.Follow(ctx, address, version, func(news *mesh.News) error {
 			if lost {
 				lost = false
+				f.setBroken(address, false)
 				f.log.Info().Str(logfield.Neighbour, address).Msg("neighbour regained")
 			}
 			f.noteNearer(news)
+			f.greetIfLost(ctx, address, news)
 			return f.apply(news)
 		})
 		if ctx.Err() != nil {
@@ -139,6 +183,7 @@
 		}
 		if !lost {
 			lost = true
+			f.setBroken(address, true)
 			f.log.Info().Str(logfield.Neighbour, address).Err(err).Msg("neighbour lost")
 		}
 		f.pause(ctx, refollow)
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -32,8 +32,7 @@
 		}
 		f.noteContact(err)
 		if err != nil {
-			failures++
-			f.pause(ctx, f.backoff(failures))
+			failures = f.retryPause(ctx, failures+1)
 			continue
 		}
 		failures = 0
@@ -59,7 +58,28 @@
 	if rank == 0 {
 		return f.clock.Now().Sub(f.nearerAt) > fartherAfter
 	}
-	return age > staleAfter+time.Duration(rank)*stepInGap
+	stale := staleAfter
+	if f.orphaned() {
+		stale = orphanedAfter
+	}
+	return age > stale+time.Duration(rank)*stepInGap
+}
+
+// retryPause waits after so many failures in a row and returns how many still
+// count. It ends when this node needn't read any more: neighbours have news, so
+// the platform is back, and the next time that the view gets old must not find
+// this node in a pause of seconds.
+func (f *Follower) retryPause(ctx context.Context, failures int) int {
+	until := f.clock.Now().Add(f.backoff(failures))
+	for f.clock.Now().Before(until) {
+		if !f.pause(ctx, min(until.Sub(f.clock.Now()), tickInterval)) {
+			break
+		}
+		if !f.mayRead() {
+			return 0
+		}
+	}
+	return failures
 }
 
 func (f *Follower) backoff(failures int) time.Duration {
@@ -79,7 +99,13 @@
 		f.countRead("list", err)
 		return true, err
 	}
-	changes, err := f.platform.Watch(ctx, f.revision, watchWait)
+	wait := watchWait
+	if !f.lostAt.IsZero() {
+		// The first answer after an outage is wanted at once: it makes the view
+		// current for all who follow.
+		wait = 0
+	}
+	changes, err := f.platform.Watch(ctx, f.revision, wait)
 	f.countRead("watch", err)
 	if err != nil {
 		return false, err
