Let answers take 0.93 of a link, and ask refused callers back one after another

Cause: small answers are counted since, so 0.85 left a tenth of each link idle where it was what bound; callers who were refused for the link were told the same moment to come back and were refused again. Change: 0.93, and each refusal books the time of one answer. Tests: TestRefusedTogetherReturnApart.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -13,7 +13,7 @@
 	Large = 32 << 10
 	// share is the part of the link that answers may take together. The rest is
 	// for acknowledgements, the headers of packets and what is not counted here.
-	share = 0.85
+	share = 0.93
 	// nearlyFree is the wait below which a link counts as free: one small answer
 	// or two are always on their way.
 	nearlyFree = 10 * time.Millisecond
@@ -29,6 +29,8 @@
 	// backlog is what is yet to be sent, as of at.
 	backlog float64
 	at      time.Time
+	// nextReturn is the time that was told to the last caller who was refused.
+	nextReturn time.Time
 	// paid is when the bytes sent so far are paid for by the pace.
 	paid time.Time
 }
@@ -60,14 +62,32 @@
 		s.backlog += size
 		return 0, true
 	}
-	took := s.Wait(now) + time.Duration(size/s.rate*float64(time.Second))
-	if took > wait {
-		return took - wait, false
+	alone := time.Duration(size / s.rate * float64(time.Second))
+	if took := s.Wait(now) + alone; took > wait {
+		return s.bookReturn(now, took-wait, alone), false
 	}
 	s.backlog += size
 	return 0, true
 }
 
+// mostReturn bounds the time after which a refused caller is asked back.
+const mostReturn = 10 * time.Second
+
+// bookReturn tells a refused caller when the link is likely to have room for it.
+// Each refusal books the time of one answer, so that callers who were refused
+// together don't come back together and are refused again.
+func (s *Share) bookReturn(now time.Time, earliest, alone time.Duration) time.Duration {
+	if first := now.Add(earliest); s.nextReturn.Before(first) {
+		s.nextReturn = first
+	} else {
+		s.nextReturn = s.nextReturn.Add(alone)
+	}
+	if last := now.Add(mostReturn); s.nextReturn.After(last) {
+		s.nextReturn = last
+	}
+	return s.nextReturn.Sub(now)
+}
+
 // Correct replaces the expected size of an admitted answer by its true one.
 func (s *Share) Correct(expected, size float64) {
 	if s.rate > 0 && expected >= Large {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -33,6 +33,21 @@
 	assert.Assert(t, refused > 0)
 }
 
+// Ten archives are refused at one moment. Their callers are asked back one after
+// another, as the link will have room for them.
+func TestRefusedTogetherReturnApart(t *testing.T) {
+	const size = 90e3
+	s := NewShare(15.4e6 / 8)
+	s.Small(start, 2e6)
+	last := time.Duration(0)
+	for range 10 {
+		retryAfter, ok := s.Admit(start, size, 0)
+		assert.Assert(t, !ok)
+		assert.Assert(t, retryAfter >= last+time.Duration(0.9*size/s.Rate()*float64(time.Second)))
+		last = retryAfter
+	}
+}
+
 // What is sent keeps to the pace, whatever the chunks.
 func TestPace(t *testing.T) {
 	s := NewShare(1e6)
