--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -55,7 +55,9 @@
 	Method         string    `json:"method"`
 	Path           string    `json:"path"`
 	Start          time.Time `json:"start"`
-	End            time.Time `json:"end"`
+	// StartSinceBoot is the same on the clock of SinceBoot.
+	StartSinceBoot time.Duration `json:"start_since_boot"`
+	End            time.Time     `json:"end"`
 	// Whole is false for runs whose answer was cut.
 	Whole bool `json:"whole"`
 }
@@ -190,6 +192,7 @@
 		Method:         r.Method,
 		Path:           r.URL.Path,
 		Start:          time.Now(),
+		StartSinceBoot: SinceBoot(),
 	}
 	t.ledger = append(t.ledger, entry)
 	if t.journal != nil {
--- a/test/process/ledger_test.go
+++ b/test/process/ledger_test.go
@@ -44,8 +44,10 @@
 	path       string
 	idempotent bool
 	start, end time.Time
-	outcome    outcome
-	detail     string
+	// startSinceBoot is the start on the clock that the targets share.
+	startSinceBoot time.Duration
+	outcome        outcome
+	detail         string
 }
 
 // book collects what callers were told, to be compared with what the targets
@@ -72,7 +74,7 @@
 
 // file sends one request to an entry node and keeps what came of it.
 func (b *book) file(entry, method, path, body string) filing {
-	made := filing{path: path, idempotent: method == http.MethodGet, start: time.Now()}
+	made := filing{path: path, idempotent: method == http.MethodGet, start: time.Now(), startSinceBoot: target.SinceBoot()}
 	made.outcome, made.detail = b.send(entry, method, path, body)
 	made.end = time.Now()
 	b.mu.Lock()
@@ -190,7 +192,7 @@
 		}
 		assert.Check(t, made.idempotent || len(ran) <= 1, "%s ran %d times", made.path, len(ran))
 		for _, run := range ran {
-			late := run.Start.Sub(made.start) - b.deadline
+			late := run.StartSinceBoot - made.startSinceBoot - b.deadline
 			assert.Check(t, late < lateBy, "%s was started %s after its deadline", made.path, late)
 		}
 	}
