--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -47,15 +47,21 @@
 // before it and in whatever way.
 func TestChangeIsInForceInTime(t *testing.T) {
 	for _, test := range []struct {
-		desc   string
-		break_ func(w *world, readers []string)
+		desc string
+		lose func(w *world, readers []string)
 	}{
 		{"nothing is broken", func(*world, []string) {}},
 		{"one reader is refused by the platform", func(w *world, r []string) { w.refused[r[0]] = true }},
 		{"all readers are refused by the platform", func(w *world, r []string) { w.refused[r[0]], w.refused[r[1]] = true, true }},
 		{"one reader is cut off from everybody", func(w *world, r []string) { w.cut[r[0]] = true }},
 		{"all readers are cut off from everybody", func(w *world, r []string) { w.cut[r[0]], w.cut[r[1]] = true, true }},
-		{"the readers' processes end", func(w *world, r []string) { w.stops[r[0]](); w.stops[r[1]]() }},
+		{"the readers' processes end", func(w *world, r []string) {
+			for _, id := range r {
+				w.stops[id]()
+				// What has ended can't lag.
+				w.cut[id] = true
+			}
+		}},
 		{"both readers and those behind them are refused", func(w *world, _ []string) {
 			for _, id := range w.ranked(parents + 1) {
 				w.refused[id] = true
@@ -75,12 +81,7 @@
 				readers := w.readers()
 				assert.Equal(t, len(readers), 2)
 				w.mu.Lock()
-				test.break_(w, readers)
-				for _, id := range readers {
-					if test.desc == "the readers' processes end" {
-						w.cut[id] = true
-					}
-				}
+				test.lose(w, readers)
 				w.mu.Unlock()
 				w.publish(2)
 				time.Sleep(inForceWithin)
@@ -94,11 +95,7 @@
 // the gap. The listing that follows shows that it is gone.
 func TestDroppedHistoryLosesNoDeparture(t *testing.T) {
 	simulate(t, func(t *testing.T, w *world) {
-		w.mu.Lock()
-		for id := range w.nodes {
-			w.refused[id] = true
-		}
-		w.mu.Unlock()
+		w.platformAway()
 		time.Sleep(1200 * time.Millisecond)
 		w.remove("a1-0")
 		w.mu.Lock()
@@ -118,11 +115,7 @@
 // its list is empty for a moment. No node drops the targets, which renew.
 func TestLapsedLeasesEmptyNoView(t *testing.T) {
 	simulate(t, func(t *testing.T, w *world) {
-		w.mu.Lock()
-		for id := range w.nodes {
-			w.refused[id] = true
-		}
-		w.mu.Unlock()
+		w.platformAway()
 		time.Sleep(8 * time.Second)
 		var targets []mesh.Target
 		w.mu.Lock()
@@ -133,9 +126,7 @@
 		for _, target := range targets {
 			w.remove(target.ID)
 		}
-		w.mu.Lock()
-		clear(w.refused)
-		w.mu.Unlock()
+		w.platformBack()
 		time.Sleep(1500 * time.Millisecond)
 		for _, f := range w.nodes {
 			f.mu.Lock()
@@ -158,10 +149,8 @@
 // node sends it a request; from that node it gets its view.
 func TestRestartWithoutPlatformLearnsFromWhoCalls(t *testing.T) {
 	simulate(t, func(t *testing.T, w *world) {
+		w.platformAway()
 		w.mu.Lock()
-		for id := range w.nodes {
-			w.refused[id] = true
-		}
 		w.quiet = true
 		w.stops["a1-0"]()
 		w.mu.Unlock()
@@ -179,11 +168,7 @@
 // platform is back. The readers of its region greet it.
 func TestRestartWithoutPlatformIsGreeted(t *testing.T) {
 	simulate(t, func(t *testing.T, w *world) {
-		w.mu.Lock()
-		for id := range w.nodes {
-			w.refused[id] = true
-		}
-		w.mu.Unlock()
+		w.platformAway()
 		for _, id := range []string{w.readers()[0], "b2-1"} {
 			w.stops[id]()
 			time.Sleep(500 * time.Millisecond)
@@ -203,15 +188,9 @@
 		t.Run(outage.String(), func(t *testing.T) {
 			simulate(t, func(t *testing.T, w *world) {
 				readers := w.ranked(parents)
-				w.mu.Lock()
-				for id := range w.nodes {
-					w.refused[id] = true
-				}
-				w.mu.Unlock()
+				w.platformAway()
 				time.Sleep(outage)
-				w.mu.Lock()
-				clear(w.refused)
-				w.mu.Unlock()
+				w.platformBack()
 				time.Sleep(800 * time.Millisecond)
 				w.mu.Lock()
 				for _, id := range readers {
--- a/internal/follow/world_test.go
+++ b/internal/follow/world_test.go
@@ -137,6 +137,21 @@
 	}
 }
 
+// platformAway lets the platform turn every node away, until platformBack.
+func (w *world) platformAway() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id := range w.nodes {
+		w.refused[id] = true
+	}
+}
+
+func (w *world) platformBack() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	clear(w.refused)
+}
+
 // takeReads returns how often the platform was read since it was last asked.
 func (w *world) takeReads() int {
 	w.mu.Lock()
