--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -21,9 +21,12 @@
 	"tamarackquay/internal/adapter/callhttp"
 	"tamarackquay/internal/adapter/exchange"
 	"tamarackquay/internal/adapter/feedws"
+	"tamarackquay/internal/adapter/logout"
 	"tamarackquay/internal/adapter/metrics"
 	"tamarackquay/internal/follow"
+	"tamarackquay/internal/logfield"
 	"tamarackquay/internal/mesh"
+	"tamarackquay/internal/port"
 	"tamarackquay/internal/proxy"
 	"tamarackquay/internal/wait"
 	"tamarackquay/platform"
@@ -36,8 +39,8 @@
 	settingsPoll = 500 * time.Millisecond
 	// proxyTick is how often requests are started that time alone made room for.
 	proxyTick = 100 * time.Millisecond
-	// idleSweepSidecar is how often idle connections are closed.
-	idleSweepSidecar = time.Second
+	// housekeeping is how often idle connections are closed and gauges set.
+	housekeeping = time.Second
 	// takeOut is how long after the order to stop callers may still come: the
 	// platform asks once a second and takes a node out after two misses.
 	takeOut = 2500 * time.Millisecond
@@ -102,6 +105,7 @@
 type sidecar struct {
 	settings platform.Settings
 	log      *log.Logger
+	output   *logout.Writer
 	proxy    *proxy.Proxy
 	follower *follow.Follower
 	peers    *exchange.Pool
@@ -124,34 +128,42 @@
 	running.Go(func() { c.follower.Run(ctx) })
 	running.Go(func() { c.tick(ctx) })
 	running.Go(func() { c.watchSettings(ctx, path) })
-	c.log.Info().Str("callers", s.Callers).Int("peers", s.PeerPort).Str("service", s.Service).Str("target", s.TargetAddress).Msg("started")
+	c.log.Info().Str("callers", s.Callers).Int("peers", s.PeerPort).Str(logfield.Service, s.Service).Str(logfield.Target, s.TargetAddress).Msg("started")
 	err := waitForStop(failed)
+	if err != nil {
+		c.log.Error().Err(err).Msg("a listener failed")
+	}
 	c.stop()
 	cancel()
 	running.Wait()
 	c.log.Info().Msg("stopped")
+	if closeErr := c.output.Close(); closeErr != nil && err == nil {
+		err = errors.Wrap(closeErr, "log output")
+	}
 	return err
 }
 
 func newSidecar(s platform.Settings, options sidecarOptions) *sidecar {
+	output := logout.New(os.Stdout)
 	logger := &log.Logger{
 		Level: log.ParseLevel(options.level), TimeFormat: time.RFC3339Nano,
 		Context: log.NewContext(nil).Str("node", s.Node).Value(),
-		Writer:  &log.IOWriter{Writer: os.Stdout},
+		Writer:  output,
 	}
 	c := &sidecar{
-		settings: s, log: logger, meter: metrics.New(),
+		settings: s, log: logger, output: output, meter: metrics.New(),
 		peers: exchange.NewPool(peerConnections), target: exchange.NewPool(targetConnections),
 	}
 	c.proxy = proxy.New(proxyConfig(s), proxy.Ports{
 		Clock: wallClock{}, Peers: c.peers, Target: c.target, Log: logger, Meter: c.meter,
+		ViewAge: func() time.Duration { return c.follower.Age() },
 	})
 	c.proxy.SetService(s.Service)
 	peerAddress := func(host string) string { return net.JoinHostPort(host, strconv.Itoa(s.PeerPort)) }
 	c.follower = follow.New(follow.Config{
 		Self: peerAddress(s.IP), FailureDomain: s.FailureDomain, Region: s.Region, Regions: s.Regions,
 		PeerAddress: func(target string) string { return peerAddress(follow.HostOf(target)) },
-	}, platform.NewStore(s.StoreAddress, logger), feedws.NewClient(feedTransport()), wallClock{}, logger, c.takeView)
+	}, platform.NewStore(s.StoreAddress, logger), feedws.NewClient(feedTransport()), wallClock{}, logger, c.meter, c.takeView)
 	c.callers = callerhttp.NewServer(c.proxy, callerhttp.Limits{HeaderBytes: mostHeaderBytes, BodyBytes: mostBodyBytes})
 	c.peerSide = c.newPeerSide(peerAddress)
 	return c
@@ -247,6 +259,10 @@
 		}
 	}
 	picture.Nodes = len(hosts)
+	c.meter.Set(port.MetricConfigVersion, "", float64(view.Version()))
+	for service, members := range picture.Services {
+		c.meter.Set(port.MetricTargetsUsable, service, float64(len(members)))
+	}
 	c.proxy.SetPicture(picture)
 }
 
@@ -254,14 +270,30 @@
 	sweep := time.Now()
 	for wait.Sleep(ctx, proxyTick) {
 		c.proxy.Tick()
-		if now := time.Now(); now.Sub(sweep) > idleSweepSidecar {
+		if now := time.Now(); now.Sub(sweep) > housekeeping {
 			sweep = now
-			c.peers.CloseIdle(now)
-			c.target.CloseIdle(now)
+			c.keepHouse(now)
 		}
 	}
 }
 
+// keepHouse closes idle connections and brings metrics and the log up to date.
+func (c *sidecar) keepHouse(now time.Time) {
+	c.peers.CloseIdle(now)
+	c.target.CloseIdle(now)
+	c.proxy.TellLeftOut()
+	if lines := c.output.TakeDropped(); lines > 0 {
+		c.meter.Count(port.MetricLinesDropped, "output", int(lines))
+		c.log.Warn().Str(logfield.Kind, "output").Int64(logfield.Lines, lines).Msg("lines dropped")
+	}
+	running, waiting := c.proxy.Counts()
+	c.meter.Set(port.MetricSlotsRunning, "", float64(running))
+	c.meter.Set(port.MetricQueueWaiting, "", float64(waiting))
+	c.meter.Set(port.MetricRequestsOpen, "", float64(c.proxy.Open()))
+	c.meter.Set(port.MetricLinkWait, "", c.proxy.LinkWait().Seconds())
+	c.meter.Set(port.MetricViewAge, "", c.follower.Age().Seconds())
+}
+
 // watchSettings takes up changed settings, on a signal and without one.
 func (c *sidecar) watchSettings(ctx context.Context, path string) {
 	hup := make(chan os.Signal, 1)
@@ -295,7 +327,7 @@
 		c.log.Error().Err(found).Msg("changed settings are not taken up")
 		return
 	}
-	c.log.Info().Str("service", loaded.Service).Msg("settings loaded")
+	c.log.Info().Str(logfield.Service, loaded.Service).Msg("settings loaded")
 	c.proxy.SetService(loaded.Service)
 }
 
--- a/internal/adapter/metrics/metrics.go
+++ b/internal/adapter/metrics/metrics.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 
 	vm "github.com/VictoriaMetrics/metrics"
 
@@ -32,6 +33,11 @@
 	m.set.GetOrCreateGauge(series(metric, label), nil).Set(value)
 }
 
+// Observe implements port.Meter.
+func (m *Meter) Observe(metric port.Metric, label string, took time.Duration) {
+	m.set.GetOrCreateHistogram(series(metric, label)).Update(took.Seconds())
+}
+
 func series(metric port.Metric, label string) string {
 	if label == "" {
 		return string(metric)
--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -12,6 +12,7 @@
 	"tamarackquay/internal/command/peercert"
 	"tamarackquay/internal/command/status"
 	"tamarackquay/internal/command/token"
+	"tamarackquay/internal/command/trace"
 )
 
 // New returns the whole command line.
@@ -25,6 +26,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(check.New(), build.New(), diff.New(), explain.New(), status.New(), audit.New(), token.New(), peercert.New())
+	root.AddCommand(check.New(), build.New(), diff.New(), explain.New(), status.New(), audit.New(), token.New(), peercert.New(), trace.New())
 	return root
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -7,12 +7,12 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
+	"tamarackquay/internal/logfield"
 	"tamarackquay/internal/mesh"
 	"tamarackquay/internal/port"
 	"tamarackquay/internal/wait"
@@ -101,6 +101,7 @@
 	feed     Feed
 	clock    port.Clock
 	log      *log.Logger
+	meter    port.Meter
 	onChange func(*mesh.View)
 
 	mu      sync.Mutex
@@ -113,15 +114,13 @@
 	// did so after an outage.
 	answered, returned time.Time
 	lost               bool
-	reading            atomic.Bool
-	calls              atomic.Int64
 }
 
 // New returns a follower that knows nothing. OnChange is called with the view
 // under its lock after each change; it must not keep the view.
-func New(config Config, platform Platform, feed Feed, clock port.Clock, logger *log.Logger, onChange func(*mesh.View)) *Follower {
+func New(config Config, platform Platform, feed Feed, clock port.Clock, logger *log.Logger, meter port.Meter, onChange func(*mesh.View)) *Follower {
 	return &Follower{
-		config: config, platform: platform, feed: feed, clock: clock, log: logger, onChange: onChange,
+		config: config, platform: platform, feed: feed, clock: clock, log: logger, meter: meter, onChange: onChange,
 		view: mesh.NewView(), changed: make(chan struct{}),
 	}
 }
@@ -139,11 +138,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before, version := f.view.Change(), f.view.Version()
+	members := f.statesOf(news)
 	err := f.view.Apply(f.clock.Now(), news)
 	if f.view.Change() != before {
+		f.tellStates(members)
 		if f.view.Version() != version {
-			f.log.Info().Uint64("version", f.view.Version()).Uint64("before", version).
-				Int("routes", len(f.view.Table().Config.Routes)).Msg("configuration in force")
+			f.log.Info().Uint64(logfield.Version, f.view.Version()).Uint64(logfield.Before, version).
+				Int(logfield.Routes, len(f.view.Table().Config.Routes)).Msg("configuration in force")
 		}
 		f.onChange(f.view)
 		close(f.changed)
@@ -152,6 +153,39 @@
 	return err
 }
 
+// stateGone is the state of a target that the view doesn't hold.
+const stateGone mesh.TargetState = 0
+
+var stateNames = map[mesh.TargetState]string{mesh.Ready: "ready", mesh.Draining: "draining", stateGone: "gone"}
+
+// statesOf returns the states of the targets that the news are about.
+func (f *Follower) statesOf(news *mesh.News) map[string]mesh.TargetState {
+	states := map[string]mesh.TargetState{}
+	for i := range news.Targets {
+		states[news.Targets[i].ID] = f.stateOf(news.Targets[i].ID)
+	}
+	for i := range news.Removed {
+		states[news.Removed[i].ID] = f.stateOf(news.Removed[i].ID)
+	}
+	return states
+}
+
+func (f *Follower) stateOf(id string) mesh.TargetState {
+	if member := f.view.Members()[id]; member != nil && member.UsableUntil.IsZero() {
+		return member.State
+	}
+	return stateGone
+}
+
+// tellStates logs which of the targets are in another state than before.
+func (f *Follower) tellStates(before map[string]mesh.TargetState) {
+	for id, state := range before {
+		if now := f.stateOf(id); now != state {
+			f.log.Info().Str(logfield.Target, id).Str(logfield.State, stateNames[now]).Str(logfield.Before, stateNames[state]).Msg("target")
+		}
+	}
+}
+
 // Hint names a node that reached this one. A node that restarts while the
 // platform is away knows nobody; who sends it a request has a view.
 func (f *Follower) Hint(address string) {
@@ -171,9 +205,6 @@
 	return f.view.Age(f.clock.Now())
 }
 
-// Calls is how many calls this node made to the platform.
-func (f *Follower) Calls() int64 { return f.calls.Load() }
-
 // Serve hands a neighbour the news that it lacks until ctx ends or send fails.
 func (f *Follower) Serve(ctx context.Context, version uint64, send func(*mesh.News) error) error {
 	position := mesh.Position{}
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,430 @@
+package follow
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"tamarackquay/internal/adapter/metrics"
+	"tamarackquay/internal/mesh"
+)
+
+type wallClock struct{}
+
+func (wallClock) Now() time.Time { return time.Now() }
+
+var errAway = errors.New("no answer")
+
+// world is a platform and a fleet that follows it, on virtual time. Links can be
+// cut silently.
+type world struct {
+	mu       sync.Mutex
+	revision uint64
+	// history holds all changes; what is at or before dropped is forgotten.
+	history []mesh.News
+	dropped uint64
+	config  *mesh.Config
+	targets map[string]mesh.Target
+	changed chan struct{}
+	reads   int
+	// refused and cut name nodes that the platform turns away, and that reach
+	// nobody and are reached by nobody.
+	refused map[string]bool
+	cut     map[string]bool
+	nodes   map[string]*Follower
+	stops   map[string]context.CancelFunc
+	running sync.WaitGroup
+}
+
+var regions = map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
+
+const perDomain = 3
+
+func newWorld() *world {
+	w := &world{
+		targets: map[string]mesh.Target{}, changed: make(chan struct{}), revision: 1,
+		refused: map[string]bool{}, cut: map[string]bool{}, nodes: map[string]*Follower{}, stops: map[string]context.CancelFunc{},
+	}
+	w.publish(1)
+	for domain := range regions {
+		for i := range perDomain {
+			id := fmt.Sprint(domain, "-", i)
+			w.put(mesh.Target{ID: id, Service: "s", Address: id + ":80", FailureDomain: domain, Slots: 1, State: mesh.Ready})
+		}
+	}
+	for domain := range regions {
+		for i := range perDomain {
+			w.start(fmt.Sprint(domain, "-", i))
+		}
+	}
+	return w
+}
+
+func (w *world) start(id string) {
+	w.mu.Lock()
+	domain := w.targets[id].FailureDomain
+	w.mu.Unlock()
+	f := New(Config{
+		Self: id, FailureDomain: domain, Region: regions[domain], Regions: regions, PeerAddress: HostOf,
+	}, &link{world: w, node: id}, &link{world: w, node: id}, wallClock{},
+		&log.Logger{Level: log.FatalLevel, Writer: &log.IOWriter{Writer: io.Discard}}, metrics.New(), func(*mesh.View) {})
+	ctx, stop := context.WithCancel(context.Background())
+	w.mu.Lock()
+	w.nodes[id] = f
+	w.stops[id] = stop
+	w.mu.Unlock()
+	w.running.Go(func() { f.Run(ctx) })
+}
+
+func (w *world) stop() {
+	for _, stop := range w.stops {
+		stop()
+	}
+	w.running.Wait()
+}
+
+func (w *world) record(news mesh.News) {
+	w.history = append(w.history, news)
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+func (w *world) publish(version uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.revision++
+	w.config = &mesh.Config{Version: version}
+	w.record(mesh.News{Config: mesh.Diff(nil, w.config), Age: time.Duration(w.revision)})
+}
+
+func (w *world) put(target mesh.Target) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.revision++
+	target.Revision = w.revision
+	w.targets[target.ID] = target
+	w.record(mesh.News{Targets: []mesh.Target{target}, Age: time.Duration(w.revision)})
+}
+
+func (w *world) remove(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.revision++
+	delete(w.targets, id)
+	w.record(mesh.News{Removed: []mesh.Removal{{ID: id, Revision: w.revision}}, Age: time.Duration(w.revision)})
+}
+
+// takeReads returns how often the platform was read since it was last asked.
+func (w *world) takeReads() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	reads := w.reads
+	w.reads = 0
+	return reads
+}
+
+// lagging returns the nodes that are not on the version.
+func (w *world) lagging(version uint64) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var found []string
+	for id, f := range w.nodes {
+		f.mu.Lock()
+		if f.view.Version() != version && !w.cut[id] {
+			found = append(found, id)
+		}
+		f.mu.Unlock()
+	}
+	return found
+}
+
+// readers returns the nodes that read the platform by rank.
+func (w *world) readers() []string {
+	var found []string
+	for id, f := range w.nodes {
+		f.mu.Lock()
+		if f.rank() == 0 {
+			found = append(found, id)
+		}
+		f.mu.Unlock()
+	}
+	return found
+}
+
+// link is one node's way to the platform and to other nodes.
+type link struct {
+	world *world
+	node  string
+}
+
+// gate waits for the answer that never comes on a cut link, and returns at once
+// what a refusal says.
+func (l *link) gate(ctx context.Context) error {
+	l.world.mu.Lock()
+	cut, refused := l.world.cut[l.node], l.world.refused[l.node]
+	l.world.mu.Unlock()
+	if cut {
+		ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		defer cancel()
+		<-ctx.Done()
+	}
+	if cut || refused {
+		return errAway
+	}
+	return nil
+}
+
+func (l *link) List(ctx context.Context) (*Listing, error) {
+	if err := l.gate(ctx); err != nil {
+		return nil, err
+	}
+	w := l.world
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reads++
+	listing := &Listing{Config: w.config, Revision: w.revision}
+	for _, target := range w.targets {
+		listing.Targets = append(listing.Targets, target)
+	}
+	return listing, nil
+}
+
+func (l *link) Watch(ctx context.Context, after uint64, wait time.Duration) (*Changes, error) {
+	if err := l.gate(ctx); err != nil {
+		return nil, err
+	}
+	w := l.world
+	w.mu.Lock()
+	w.reads++
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		if after < w.dropped {
+			w.mu.Unlock()
+			return nil, ErrHistoryGone
+		}
+		changes := w.since(after)
+		changed := w.changed
+		w.mu.Unlock()
+		if changes.Revision > after {
+			return changes, l.gate(ctx)
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return &Changes{Revision: after}, l.gate(ctx)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		w.mu.Lock()
+	}
+}
+
+func (w *world) since(after uint64) *Changes {
+	changes := &Changes{Revision: after}
+	for _, news := range w.history {
+		// The age of recorded news holds its revision.
+		if revision := uint64(news.Age); revision > after {
+			changes.Revision = revision
+			changes.Targets = append(changes.Targets, news.Targets...)
+			changes.Removed = append(changes.Removed, news.Removed...)
+			if news.Config != nil {
+				changes.Config, _ = news.Config.Apply(nil)
+			}
+		}
+	}
+	return changes
+}
+
+func (l *link) Follow(ctx context.Context, address string, version uint64, take func(*mesh.News) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w := l.world
+	w.mu.Lock()
+	other := w.nodes[address]
+	w.mu.Unlock()
+	if other == nil || w.isCut(l.node, address) {
+		return errAway
+	}
+	silence := time.AfterFunc(1200*time.Millisecond, cancel)
+	return other.Serve(ctx, version, func(news *mesh.News) error {
+		if w.isCut(l.node, address) {
+			return nil
+		}
+		silence.Reset(1200 * time.Millisecond)
+		return take(news)
+	})
+}
+
+func (w *world) isCut(a, b string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cut[a] || w.cut[b]
+}
+
+// inForceWithin is how soon a published version must be in force, with the
+// second that the users' own bound of 2.5 s leaves for slow VMs.
+const inForceWithin = 2200 * time.Millisecond
+
+func simulate(t *testing.T, play func(t *testing.T, w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		defer w.stop()
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, len(w.lagging(1)), 0, "%v", w.lagging(1))
+		play(t, w)
+	})
+}
+
+// On a calm day one node of each region reads the platform: one call a second
+// each, and as many more as there are bursts of changes.
+func TestFewReadForAll(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		w.takeReads()
+		time.Sleep(10 * time.Second)
+		reads := w.takeReads()
+		assert.Assert(t, reads <= 2*11, "%d", reads)
+		for version := uint64(2); version <= 41; version++ {
+			w.publish(version)
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(300 * time.Millisecond)
+		assert.Equal(t, len(w.lagging(41)), 0, "%v", w.lagging(41))
+		reads = w.takeReads()
+		assert.Assert(t, reads <= 2*(2*7+4), "%d", reads)
+	})
+}
+
+// A change is in force everywhere in time, whoever of the readers is lost just
+// before it and in whatever way.
+func TestChangeIsInForceInTime(t *testing.T) {
+	for _, test := range []struct {
+		desc   string
+		break_ func(w *world, readers []string)
+	}{
+		{"nothing is broken", func(*world, []string) {}},
+		{"one reader is refused by the platform", func(w *world, r []string) { w.refused[r[0]] = true }},
+		{"all readers are refused by the platform", func(w *world, r []string) { w.refused[r[0]], w.refused[r[1]] = true, true }},
+		{"one reader is cut off from everybody", func(w *world, r []string) { w.cut[r[0]] = true }},
+		{"all readers are cut off from everybody", func(w *world, r []string) { w.cut[r[0]], w.cut[r[1]] = true, true }},
+		{"the readers' processes end", func(w *world, r []string) { w.stops[r[0]](); w.stops[r[1]]() }},
+		{"half of the nodes are refused, the readers among them", func(w *world, r []string) {
+			w.refused[r[0]], w.refused[r[1]] = true, true
+			for id := range w.nodes {
+				if len(w.refused) < len(w.nodes)/2 {
+					w.refused[id] = true
+				}
+			}
+		}},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			simulate(t, func(t *testing.T, w *world) {
+				readers := w.readers()
+				assert.Equal(t, len(readers), 2)
+				w.mu.Lock()
+				test.break_(w, readers)
+				for _, id := range readers {
+					if test.desc == "the readers' processes end" {
+						w.cut[id] = true
+					}
+				}
+				w.mu.Unlock()
+				w.publish(2)
+				time.Sleep(inForceWithin)
+				assert.Equal(t, len(w.lagging(2)), 0, "%v", w.lagging(2))
+			})
+		})
+	}
+}
+
+// The platform drops the history that a watch stands at, and a target leaves in
+// the gap. The listing that follows shows that it is gone.
+func TestDroppedHistoryLosesNoDeparture(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		w.mu.Lock()
+		for id := range w.nodes {
+			w.refused[id] = true
+		}
+		w.mu.Unlock()
+		time.Sleep(1200 * time.Millisecond)
+		w.remove("a1-0")
+		w.mu.Lock()
+		w.dropped = w.revision
+		clear(w.refused)
+		w.mu.Unlock()
+		time.Sleep(inForceWithin)
+		for id, f := range w.nodes {
+			f.mu.Lock()
+			assert.Assert(t, f.view.Members()["a1-0"] == nil, "%s", id)
+			f.mu.Unlock()
+		}
+	})
+}
+
+// The platform is away for long and leases run out meanwhile. When it is back,
+// its list is empty for a moment. No node drops the targets, which renew.
+func TestLapsedLeasesEmptyNoView(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		w.mu.Lock()
+		for id := range w.nodes {
+			w.refused[id] = true
+		}
+		w.mu.Unlock()
+		time.Sleep(8 * time.Second)
+		var targets []mesh.Target
+		w.mu.Lock()
+		for _, target := range w.targets {
+			targets = append(targets, target)
+		}
+		w.mu.Unlock()
+		for _, target := range targets {
+			w.remove(target.ID)
+		}
+		w.mu.Lock()
+		clear(w.refused)
+		w.mu.Unlock()
+		time.Sleep(1500 * time.Millisecond)
+		for _, f := range w.nodes {
+			f.mu.Lock()
+			assert.Equal(t, len(f.view.Members()), len(targets))
+			f.mu.Unlock()
+		}
+		for _, target := range targets {
+			w.put(target)
+		}
+		time.Sleep(4 * time.Second)
+		for _, f := range w.nodes {
+			f.mu.Lock()
+			assert.Equal(t, len(f.view.Members()), len(targets))
+			f.mu.Unlock()
+		}
+	})
+}
+
+// A process restarts while the platform is away. It knows nobody until another
+// node sends it a request; from that node it gets its view.
+func TestRestartWithoutPlatformLearnsFromWhoCalls(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		w.mu.Lock()
+		for id := range w.nodes {
+			w.refused[id] = true
+		}
+		w.stops["a1-0"]()
+		w.mu.Unlock()
+		time.Sleep(time.Second)
+		w.start("a1-0")
+		time.Sleep(2 * time.Second)
+		assert.DeepEqual(t, w.lagging(1), []string{"a1-0"})
+		w.nodes["a1-0"].Hint("b2-1")
+		time.Sleep(time.Second)
+		assert.Equal(t, len(w.lagging(1)), 0)
+	})
+}
--- a/internal/follow/neighbours.go
+++ b/internal/follow/neighbours.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tamarackquay/internal/distribution"
+	"tamarackquay/internal/logfield"
 	"tamarackquay/internal/membership"
 	"tamarackquay/internal/mesh"
 )
@@ -128,7 +129,7 @@
 		err := f.feed.Follow(ctx, address, version, func(news *mesh.News) error {
 			if lost {
 				lost = false
-				f.log.Info().Str("neighbour", address).Msg("neighbour regained")
+				f.log.Info().Str(logfield.Neighbour, address).Msg("neighbour regained")
 			}
 			return f.apply(news)
 		})
@@ -137,7 +138,7 @@
 		}
 		if !lost {
 			lost = true
-			f.log.Info().Str("neighbour", address).Err(err).Msg("neighbour lost")
+			f.log.Info().Str(logfield.Neighbour, address).Err(err).Msg("neighbour lost")
 		}
 		f.pause(ctx, refollow)
 	}
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -6,7 +6,9 @@
 
 	"github.com/pkg/errors"
 
+	"tamarackquay/internal/logfield"
 	"tamarackquay/internal/mesh"
+	"tamarackquay/internal/port"
 )
 
 // read is the loop that reads the platform while this node is a reader or its
@@ -15,18 +17,16 @@
 	failures := 0
 	for ctx.Err() == nil {
 		if !f.mayRead() {
-			f.reading.Store(false)
 			failures = 0
 			f.pause(ctx, tickInterval)
 			continue
 		}
-		f.reading.Store(true)
 		changed, err := f.readOnce(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		if errors.Is(err, ErrHistoryGone) {
-			f.log.Warn().Uint64("revision", f.revision).Msg("platform dropped its history; listing anew")
+			f.log.Warn().Uint64(logfield.Revision, f.revision).Msg("platform dropped its history; listing anew")
 			f.revision = 0
 			continue
 		}
@@ -68,11 +68,13 @@
 
 // readOnce lists the platform the first time and watches it then.
 func (f *Follower) readOnce(ctx context.Context) (changed bool, err error) {
-	f.calls.Add(1)
 	if f.revision == 0 {
-		return true, f.list(ctx)
+		err := f.list(ctx)
+		f.countRead("list", err)
+		return true, err
 	}
 	changes, err := f.platform.Watch(ctx, f.revision, watchWait)
+	f.countRead("watch", err)
 	if err != nil {
 		return false, err
 	}
@@ -86,6 +88,14 @@
 	return !news.Empty(), f.apply(news)
 }
 
+func (f *Follower) countRead(what string, err error) {
+	result := " ok"
+	if err != nil {
+		result = " failed"
+	}
+	f.meter.Count(port.MetricPlatformReads, what+result, 1)
+}
+
 func (f *Follower) list(ctx context.Context) error {
 	listing, err := f.platform.List(ctx)
 	if err != nil {
@@ -121,13 +131,13 @@
 	if err != nil {
 		if !f.lost {
 			f.lost = true
-			f.log.Warn().Err(err).Uint64("revision", f.revision).Msg("platform lost")
+			f.log.Warn().Err(err).Uint64(logfield.Revision, f.revision).Msg("platform lost")
 		}
 		return
 	}
 	if f.lost {
 		f.lost = false
-		f.log.Info().Dur("away", now.Sub(f.answered)).Uint64("revision", f.revision).Msg("platform regained")
+		f.log.Info().Int64(logfield.After, now.Sub(f.answered).Milliseconds()).Uint64(logfield.Revision, f.revision).Msg("platform regained")
 	}
 	if !f.answered.IsZero() && now.Sub(f.answered) > outage {
 		f.returned = now
--- a/internal/node/mesh_test.go
+++ b/internal/node/mesh_test.go
@@ -86,6 +86,8 @@
 func (silentMeter) Count(port.Metric, string, int)   {}
 func (silentMeter) Set(port.Metric, string, float64) {}
 
+func (silentMeter) Observe(port.Metric, string, time.Duration) {}
+
 type noTarget struct{}
 
 func (noTarget) Do(context.Context, *port.Call) (*port.Answer, error) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -116,6 +116,14 @@
 	s.failing = max(s.failing, load.Failing)
 }
 
+// Believed returns the target's last word on its load, and how old it is.
+func (s *Stats) Believed(now time.Time) (Load, time.Duration) {
+	if s.loadAt.IsZero() {
+		return Load{}, 0
+	}
+	return s.load, now.Sub(s.loadAt)
+}
+
 // Answered takes an answer: how long the target held the request beside the
 // mean of its route, and how long the way there and back took.
 func (s *Stats) Answered(now time.Time, relative float64, rtt time.Duration) {
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,97 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func target(distance Distance, load Load) *Stats {
+	s := &Stats{Distance: distance, Slots: load.Slots}
+	s.Heard(start, load)
+	return s
+}
+
+// The work of the users' sheets: a lookup of 160 ms and 5 KB that is wanted in
+// 600 ms, and an archive of 130 ms and 90 KB that is wanted in 500 ms.
+var (
+	lookup  = &Request{Work: Work{Hold: 160 * time.Millisecond, Bytes: 5e3}, Left: 600 * time.Millisecond}
+	archive = &Request{Work: Work{Hold: 130 * time.Millisecond, Bytes: 90e3}, Left: 500 * time.Millisecond}
+)
+
+func TestCheaperTarget(t *testing.T) {
+	idle := Load{Running: 2, Slots: 12, Hold: 160 * time.Millisecond}
+	full := Load{Running: 12, Waiting: 24, Slots: 12, Hold: 160 * time.Millisecond}
+	ill := Load{Running: 2, Slots: 12, Hold: 160 * time.Millisecond, Failing: 0.5}
+	choked := Load{Running: 2, Slots: 12, Hold: 130 * time.Millisecond, LinkWait: 2 * time.Second, LinkRate: 1.6e6}
+	slow := target(SameDomain, idle)
+	for range 50 {
+		slow.Answered(start, 5, time.Millisecond)
+	}
+	cold := target(SameDomain, idle)
+	cold.WarmAt = start.Add(time.Minute)
+	for _, test := range []struct {
+		desc            string
+		request         *Request
+		cheaper, dearer *Stats
+	}{
+		{"near before far when both are idle", lookup, target(SameDomain, idle), target(OtherRegion, idle)},
+		{"far before near when the near one is full", lookup, target(OtherRegion, idle), target(SameDomain, full)},
+		{"an archive waits rather than cross regions", archive, target(SameRegion, full), target(OtherRegion, idle)},
+		{"sound before ill", lookup, target(SameRegion, idle), target(SameDomain, ill)},
+		{"as fast as others before five times slower", lookup, target(SameRegion, idle), slow},
+		{"warm before cold", lookup, target(SameDomain, idle), cold},
+		{"an archive avoids a choked link", archive, target(SameRegion, idle), target(SameDomain, choked)},
+		{"a lookup doesn't mind a choked link", lookup, target(SameDomain, choked), target(SameRegion, idle)},
+		{"an archive on its own VM needs no link", archive, target(SameVM, choked), target(SameDomain, idle)},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			cheaper, dearer := test.cheaper.Cost(start, test.request), test.dearer.Cost(start, test.request)
+			assert.Assert(t, cheaper < dearer, "%.3f and %.3f", cheaper, dearer)
+		})
+	}
+}
+
+// A target says that it is full and is then not heard of. Its word fades, so
+// that it is tried again.
+func TestOldWordsFade(t *testing.T) {
+	s := target(SameDomain, Load{Running: 12, Waiting: 48, Slots: 12, Hold: time.Second, Failing: 1})
+	now := s.Cost(start, lookup)
+	later := s.Cost(start.Add(10*time.Second), lookup)
+	assert.Assert(t, later < now/2, "%.3f then %.3f", now, later)
+}
+
+// A target refuses all work. It is left alone for longer and longer, and one
+// answer ends that.
+func TestAvoidedLongerAndLonger(t *testing.T) {
+	s := target(SameDomain, Load{Slots: 12})
+	now := start
+	last := time.Duration(0)
+	for range 3 {
+		s.Avoid(now)
+		until := now
+		for !s.Available(until) {
+			until = until.Add(10 * time.Millisecond)
+		}
+		assert.Assert(t, until.Sub(now) > last)
+		last = until.Sub(now)
+		now = until
+	}
+	s.Answered(now, 1, time.Millisecond)
+	s.Avoid(now)
+	assert.Assert(t, s.Available(now.Add(avoidFirst)))
+}
+
+// What this node sent since the target's last word counts at once: a burst would
+// otherwise go to one target until it says that it is full.
+func TestOwnBurstCountsAtOnce(t *testing.T) {
+	s := target(SameDomain, Load{Running: 10, Slots: 12, Hold: 160 * time.Millisecond})
+	before := s.Cost(start, lookup)
+	for range 20 {
+		s.Begin()
+	}
+	assert.Assert(t, s.Cost(start, lookup) > before+0.05)
+}
--- a/internal/port/metric.go
+++ b/internal/port/metric.go
@@ -14,6 +14,22 @@
 	MetricUnknown Metric = "tamarack_requests_unknown_total"
 	// MetricRetries counts attempts after a request's first, by route.
 	MetricRetries Metric = "tamarack_requests_retried_total"
+	// MetricRequestTime is the time from a request to its answer, in seconds,
+	// by route.
+	MetricRequestTime Metric = "tamarack_request_seconds"
+	// MetricLinesDropped counts log lines that were left out, by kind.
+	MetricLinesDropped Metric = "tamarack_log_lines_dropped_total"
+	// MetricViewAge is how old the view of the mesh is, in seconds; negative
+	// while there is none.
+	MetricViewAge Metric = "tamarack_view_age_seconds"
+	// MetricTargetsUsable is the number of targets that take work, by service.
+	MetricTargetsUsable Metric = "tamarack_targets_usable"
+	// MetricConfigVersion is the version of the configuration in force, as
+	// operators number it.
+	MetricConfigVersion Metric = "tamarack_config_version"
+	// MetricLinkWait is how long a large answer waits for the VM's link, in
+	// seconds.
+	MetricLinkWait Metric = "tamarack_link_wait_seconds"
 	// MetricResumed counts bodies continued from another target, by route.
 	MetricResumed Metric = "tamarack_bodies_resumed_total"
 	// MetricApplied counts versions put in force.
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -144,4 +144,6 @@
 	Count(metric Metric, label string, n int)
 	// Set gives a gauge its value.
 	Set(metric Metric, label string, value float64)
+	// Observe adds a duration to a histogram.
+	Observe(metric Metric, label string, took time.Duration)
 }
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -100,6 +100,9 @@
 func (p *Proxy) deliver(w http.ResponseWriter, f *flight, a *answer) {
 	p.closeWhenStopping(w)
 	p.ports.Meter.Count(port.MetricAnswered, f.route.Name, 1)
+	now := p.ports.Clock.Now()
+	p.ports.Meter.Observe(port.MetricRequestTime, f.route.Name, now.Sub(f.began))
+	p.decisions.served(now, f, a)
 	if a.rest == nil {
 		a.response.ContentLength = int64(len(a.whole))
 	} else {
@@ -107,7 +110,7 @@
 	}
 	writeAnswer(w, a.response)
 	if err := copyAnswer(w, a); err != nil {
-		p.ports.Log.Warn().Str(fieldRequest, f.id).Str(fieldRoute, f.route.Name).Err(err).Msg("answer broke off")
+		p.decisions.brokenOff(p.ports.Clock.Now(), f, err)
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -117,8 +120,9 @@
 	p.closeWhenStopping(w)
 	var refusal *port.Refusal
 	known := errors.As(err, &refusal)
-	p.logRefusal(r, f, refusal, err)
-	if r.Context().Err() != nil {
+	p.countEnd(f, err)
+	p.decisions.ended(p.ports.Clock.Now(), r.Header.Get(p.config.Headers.RequestID), f, callerGone(r), err)
+	if callerGone(r) {
 		return
 	}
 	if known {
@@ -128,32 +132,17 @@
 	callhttp.WriteError(w, err)
 }
 
-// Names of fields in log lines.
-const (
-	fieldRequest = "request"
-	fieldRoute   = "route"
-	fieldReason  = "reason"
-)
-
-func (p *Proxy) logRefusal(r *http.Request, f *flight, refusal *port.Refusal, err error) {
-	entry := p.ports.Log.Info().Str(fieldRequest, r.Header.Get(p.config.Headers.RequestID))
-	if f != nil {
-		entry = entry.Str(fieldRoute, f.route.Name).Str("service", f.service).Int("offers", f.offers).
-			Int("arrivals", f.arrivals).Dur("after", p.ports.Clock.Now().Sub(f.began)).
-			Uint64("version", f.picture.Table.Config.Version)
-	}
-	gone := r.Context().Err() != nil
-	if refusal != nil {
+func (p *Proxy) countEnd(f *flight, err error) {
+	var refusal *port.Refusal
+	if errors.As(err, &refusal) {
 		p.ports.Meter.Count(port.MetricRefused, string(refusal.Reason), 1)
-		entry.Str(fieldReason, string(refusal.Reason)).Dur("retry_after", refusal.RetryAfter).Bool("caller_gone", gone).Msg("refused: " + refusal.Detail)
 		return
 	}
-	name := ""
+	route := ""
 	if f != nil {
-		name = f.route.Name
+		route = f.route.Name
 	}
-	p.ports.Meter.Count(port.MetricUnknown, name, 1)
-	entry.Bool("caller_gone", gone).Err(err).Msg("outcome unknown")
+	p.ports.Meter.Count(port.MetricUnknown, route, 1)
 }
 
 // answer is a target's answer with its body: whole, or its first part and the
--- a/internal/proxy/flight.go
+++ b/internal/proxy/flight.go
@@ -38,6 +38,8 @@
 	length int64
 
 	tried map[string]bool
+	// last is the target of the last offer.
+	last string
 	// offers counts attempts, arrivals those that may have reached a target.
 	offers   int
 	arrivals int
@@ -92,7 +94,7 @@
 			f.failure = a
 			err = &port.Unknown{Stage: "answer", Cause: errors.Errorf("the target answered with status %d", a.response.Status)}
 		}
-		if !f.mayOfferAgain(member, err) {
+		if !f.mayOfferAgain(err) {
 			break
 		}
 	}
@@ -189,7 +191,8 @@
 	t := f.terms(now)
 	f.offers++
 	r := f.request(member)
-	stats := p.begin(member)
+	f.last = member.ID
+	stats, believed := p.begin(now, member)
 	defer p.finish(stats)
 	ctx, cancel := context.WithDeadline(ctx, f.deadline)
 	over := f.giveUpWhenSlow(now, stats, cancel)
@@ -198,12 +201,14 @@
 	if err != nil {
 		cancel()
 		p.noteFailure(stats, word, err)
+		p.decisions.failedAttempt(p.ports.Clock.Now(), f, member, t.attempt, believed, err)
 		return nil, err
 	}
 	way := p.ports.Clock.Now().Sub(now) - word.spent
 	a, err := f.read(response, cancel)
 	if err != nil {
 		p.noteFailure(stats, word, err)
+		p.decisions.failedAttempt(p.ports.Clock.Now(), f, member, t.attempt, believed, err)
 		return nil, &port.Unknown{Stage: "answer", Cause: err}
 	}
 	p.noteAnswer(stats, f.route, word, way, a)
@@ -346,7 +351,7 @@
 	return response, word, nil
 }
 
-func (p *Proxy) begin(member *mesh.Member) *placement.Stats {
+func (p *Proxy) begin(now time.Time, member *mesh.Member) (*placement.Stats, belief) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	stats := p.stats[member.ID]
@@ -355,7 +360,8 @@
 		stats = &placement.Stats{}
 	}
 	stats.Begin()
-	return stats
+	load, age := stats.Believed(now)
+	return stats, belief{load: load, age: age}
 }
 
 func (p *Proxy) finish(stats *placement.Stats) {
@@ -422,9 +428,8 @@
 }
 
 // mayOfferAgain judges a failed attempt and reports whether another may follow.
-func (f *flight) mayOfferAgain(member *mesh.Member, err error) bool {
+func (f *flight) mayOfferAgain(err error) bool {
 	f.note(err)
-	f.proxy.ports.Log.Debug().Str(fieldRequest, f.id).Str("target", member.ID).Err(err).Msg("attempt failed")
 	var refusal *port.Refusal
 	if !errors.As(err, &refusal) {
 		f.arrivals++
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -210,6 +210,7 @@
 	if refusal := p.admitToLink(&t); refusal != nil {
 		word := p.loadWord(received, 0)
 		word.write(w.Header())
+		p.decisions.ownFailed(p.ports.Clock.Now(), request.ID, &t, received, word, refusal)
 		callhttp.WriteError(w, refusal)
 		return
 	}
@@ -217,6 +218,7 @@
 	word.write(w.Header())
 	if err != nil {
 		p.correctLink(&t, 0)
+		p.decisions.ownFailed(p.ports.Clock.Now(), request.ID, &t, received, word, err)
 		callhttp.WriteError(w, err)
 		return
 	}
--- a/internal/proxy/pace.go
+++ b/internal/proxy/pace.go
@@ -28,6 +28,13 @@
 	p.link.Correct(float64(t.size), float64(size))
 }
 
+// LinkWait is how long a large answer waits for the VM's link.
+func (p *Proxy) LinkWait() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.link.Wait(p.ports.Clock.Now())
+}
+
 // headerBytes is about what the headers of a message between nodes take.
 const headerBytes = 600
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -77,6 +77,8 @@
 	Target *exchange.Pool
 	Log    *log.Logger
 	Meter  port.Meter
+	// ViewAge is how old the picture is; nil where nobody asks.
+	ViewAge func() time.Duration
 }
 
 // Picture is what requests are routed by: a moment's immutable view of the mesh.
@@ -92,11 +94,12 @@
 
 // Proxy routes requests. It is safe for concurrent use.
 type Proxy struct {
-	config  Config
-	ports   Ports
-	gate    *gate.Gate
-	service atomic.Pointer[string]
-	picture atomic.Pointer[Picture]
+	config    Config
+	ports     Ports
+	decisions *decisions
+	gate      *gate.Gate
+	service   atomic.Pointer[string]
+	picture   atomic.Pointer[Picture]
 	// stopping is set when a planned stop begins.
 	stopping atomic.Bool
 	open     atomic.Int64
@@ -117,7 +120,7 @@
 // New returns a proxy that has no picture yet and refuses everything.
 func New(config Config, ports Ports) *Proxy {
 	p := &Proxy{
-		config: config, ports: ports, gate: gate.New(ports.Clock, config.Seed),
+		config: config, ports: ports, decisions: newDecisions(ports), gate: gate.New(ports.Clock, config.Seed),
 		random:  rand.New(rand.NewPCG(config.Seed, 1)),
 		stats:   map[string]*placement.Stats{},
 		work:    map[string]*placement.Work{},
@@ -215,6 +218,9 @@
 // Tick lets requests start that time alone has made room for.
 func (p *Proxy) Tick() { p.gate.Tick() }
 
+// TellLeftOut logs how many lines were left out since it was last called.
+func (p *Proxy) TellLeftOut() { p.decisions.tellLeftOut() }
+
 // Counts returns how many requests run and wait at the VM's own target.
 func (p *Proxy) Counts() (running, waiting int) { return p.gate.Counts() }
 
--- a/test/docs/docs_test.go
+++ b/test/docs/docs_test.go
@@ -101,6 +101,8 @@
 		{"Reason", "docs/FINDINGS.md"},
 		{"AuditKind", "docs/LOGS.md"},
 		{"HealthState", "docs/LOGS.md"},
+		{"Name", "docs/LOGS.md"},
+		{"Ending", "docs/LOGS.md"},
 	} {
 		t.Run(test.typeName, func(t *testing.T) {
 			page := read(t, test.page)
