Let no request pass while a pause is handled

Cause: after a freeze the control loop noted its turn before it made the node not ready. A request that ran between the two saw neither sign of the pause and was served, a second past its deadline, for a caller that had gone. Ruled out: a step of the time of day (the ledger's times are of one clock); targets that start late (the entry in the ledger is the target's own start, right after the wake, and the other requests of that moment were refused not-ready). Change: the node is made not ready before the turn ends the first sign.

--- a/internal/node/pause.go
+++ b/internal/node/pause.go
@@ -43,12 +43,19 @@
 }
 
 // turn notes that the control loop runs, and handles a pause that it wakes from.
+//
+// A frozen node wakes with requests in its sockets whose callers have gone, and
+// serving one would run it past its deadline. Requests ask PausedFor and ready,
+// so the node is made not ready before the turn ends the first: with no moment
+// between the two, no request passes both. The next publish makes it ready again.
 func (n *Node) turn(now time.Time) {
 	gap := n.PausedFor(now)
-	n.lastTurn.Store(&now)
 	if gap == 0 {
+		n.lastTurn.Store(&now)
 		return
 	}
+	n.ready.Store(false)
+	n.lastTurn.Store(&now)
 	n.ports.Log.Warn().Dur("gap", gap).Msg("process was paused")
 	n.ports.Meter.Count(port.MetricPauses, "", 1)
 	n.audit(port.AuditEvent{Kind: port.AuditPaused, Subject: n.config.Self.ID, Detail: gap.Round(time.Millisecond).String()})
--- a/internal/node/request_test.go
+++ b/internal/node/request_test.go
@@ -411,6 +411,23 @@
 	assert.Equal(t, serve(n, "GET", "/tallies", nil).Body.String(), "whole")
 }
 
+// A process wakes from a pause, and a request comes while the control loop is
+// handling the pause: it has had its turn, but hasn't told the others yet that
+// the node must ask its peers first. The request is refused as well. Its caller
+// had gone when the node was still frozen, and it ran a second past its deadline.
+func TestRequestWhileAPauseIsHandled(t *testing.T) {
+	owners := &fakeOwners{answer: func(context.Context, int, membership.VM, *port.Call) (*port.Answer, error) { return ok("whole"), nil }}
+	n := newEntry(t, owners)
+	slept := time.Now().Add(-time.Minute)
+	n.lastTurn.Store(&slept)
+	var told string
+	n.OnPause(func(time.Duration) {
+		told = serve(n, "GET", "/tallies", nil).Header().Get(callhttp.HeaderReason)
+	})
+	n.turn(time.Now())
+	assert.Equal(t, told, string(port.ReasonNotReady))
+}
+
 // A large return is offered without waiting and found busy after a part of it
 // was read. The next target must never get what is left for a whole return: it
 // would file half of it. Large bodies are not sent on probes, and a body that
