Judge lapsed leases by the view's age, not by the node's own readings

Cause: a node that was only ever told by its neighbours had no reading of its own to tell an outage by. If it was the first to read after a long one, it took the empty list for true, dropped every target and told the others. Change: the view's age tells the outage, and the moment at which it became current again, by whatever way, starts the time in which targets renew. The test's checks hold no lock any more: a failed one stopped the test from ending.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -109,8 +109,8 @@
 	// greetInterval is how often a reader greets the nodes of its region that
 	// don't follow it.
 	greetInterval = 500 * time.Millisecond
-	// outage is the time without an answer of the platform after which removals
-	// may be leases that ran out, and settle for how long after its return.
+	// outage is the age of a view from which removals may be leases that ran out
+	// while nobody could renew them, and settle for how long after it.
 	outage = 2500 * time.Millisecond
 	settle = 2500 * time.Millisecond
 )
@@ -138,9 +138,9 @@
 	broken map[string]bool
 
 	revision uint64
-	// answered is when the platform last answered this node, returned when it
-	// did so after an outage.
-	answered, returned time.Time
+	// returned is when the view was brought up to date after an outage of the
+	// platform, by this node's own reading or by a neighbour's word.
+	returned time.Time
 	// lostAt is when the platform stopped answering; zero while it answers.
 	lostAt time.Time
 }
@@ -169,7 +169,12 @@
 	defer f.mu.Unlock()
 	before, version := f.view.Change(), f.view.Version()
 	members := f.statesOf(news)
-	err := f.view.Apply(f.clock.Now(), news)
+	now := f.clock.Now()
+	outdated := f.view.Age(now) > outage
+	err := f.view.Apply(now, news)
+	if outdated && f.view.Age(now) <= outage {
+		f.returned = now
+	}
 	if f.view.Change() != before {
 		f.tellStates(members)
 		if f.view.Version() != version {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -1,6 +1,8 @@
 package follow
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -104,9 +106,7 @@
 		w.mu.Unlock()
 		time.Sleep(inForceWithin)
 		for id, f := range w.nodes {
-			f.mu.Lock()
-			assert.Assert(t, f.view.Members()["a1-0"] == nil, "%s", id)
-			f.mu.Unlock()
+			assert.Assert(t, !f.knows("a1-0"), "%s", id)
 		}
 	})
 }
@@ -128,20 +128,42 @@
 		}
 		w.platformBack()
 		time.Sleep(1500 * time.Millisecond)
-		for _, f := range w.nodes {
-			f.mu.Lock()
-			assert.Equal(t, len(f.view.Members()), len(targets))
-			f.mu.Unlock()
-		}
+		w.assertMembers(t, len(targets))
 		for _, target := range targets {
 			w.put(target)
 		}
 		time.Sleep(4 * time.Second)
-		for _, f := range w.nodes {
-			f.mu.Lock()
-			assert.Equal(t, len(f.view.Members()), len(targets))
-			f.mu.Unlock()
+		w.assertMembers(t, len(targets))
+	})
+}
+
+// A node that never read the platform, and knows its view from its neighbours,
+// is the first to reach the platform after a long outage. The list is empty for
+// a moment, until the targets renew. It drops none of them.
+func TestNodeThatNeverReadDropsNobody(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		const fresh = "a1-0"
+		w.mu.Lock()
+		w.refused[fresh] = true
+		w.stops[fresh]()
+		w.mu.Unlock()
+		time.Sleep(time.Second)
+		w.start(fresh)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, len(w.lagging(1)), 0, "%v", w.lagging(1))
+		w.platformAway()
+		time.Sleep(8 * time.Second)
+		w.mu.Lock()
+		targets := slices.Collect(maps.Keys(w.targets))
+		w.mu.Unlock()
+		for _, id := range targets {
+			w.remove(id)
 		}
+		w.mu.Lock()
+		delete(w.refused, fresh)
+		w.mu.Unlock()
+		time.Sleep(1500 * time.Millisecond)
+		w.assertMembers(t, len(targets))
 	})
 }
 
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -151,13 +151,17 @@
 }
 
 // settling reports whether the platform is back so lately that live targets may
-// not have renewed their entries.
+// not have renewed their entries. It goes by the view's age and not by this
+// node's own readings: a node that was only ever told by its neighbours would
+// else be the one that drops every target, and tell the others.
 func (f *Follower) settling() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	now := f.clock.Now()
-	return !f.answered.IsZero() && now.Sub(f.answered) > outage || !f.returned.IsZero() && now.Sub(f.returned) < settle
+	return f.view.Age(now) > outage || !f.returned.IsZero() && now.Sub(f.returned) < settle
 }
 
-// noteContact keeps when the platform answered, and tells of its loss and return.
+// noteContact tells of the platform's loss and return.
 func (f *Follower) noteContact(err error) {
 	now := f.clock.Now()
 	if err != nil {
@@ -171,8 +175,4 @@
 		f.log.Info().Int64(logfield.After, now.Sub(f.lostAt).Milliseconds()).Uint64(logfield.Revision, f.revision).Msg("platform regained")
 		f.lostAt = time.Time{}
 	}
-	if !f.answered.IsZero() && now.Sub(f.answered) > outage {
-		f.returned = now
-	}
-	f.answered = now
 }
--- a/internal/follow/world_test.go
+++ b/internal/follow/world_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"io"
 	"sync"
+	"testing"
 	"time"
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
 
 	"tamarackquay/internal/adapter/metrics"
 	"tamarackquay/internal/mesh"
@@ -176,6 +178,24 @@
 	return found
 }
 
+// assertMembers checks that every node knows so many targets. No lock is held
+// when a check fails: the nodes could not end then, nor the test.
+func (w *world) assertMembers(t *testing.T, want int) {
+	t.Helper()
+	for id, f := range w.nodes {
+		f.mu.Lock()
+		got := len(f.view.Members())
+		f.mu.Unlock()
+		assert.Equal(t, got, want, "%s", id)
+	}
+}
+
+func (f *Follower) knows(target string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.Members()[target] != nil
+}
+
 // readers returns the nodes that read the platform by rank.
 func (w *world) readers() []string { return w.ranked(1) }
 
