Order entries of one target by its start

Cause: an id or address may be taken over by a new process, and the last word of the old one can reach the platform after the first of the new. Entries were ordered by revision alone, so the old word counted. Ruled out: taking only the id anew (an address is taken over as well). Measured: TestLateWordOfAnEarlierStartIsLeftOut and TestLateWordOfAnEarlierStartTakesNoAddress red before, green after.

--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -258,13 +258,10 @@
 
 // takeView makes the picture that requests are routed by.
 func (c *sidecar) takeView(view *mesh.View) {
-	picture := &proxy.Picture{Table: view.Table(), Services: view.Takers()}
+	picture := &proxy.Picture{Table: view.Table(), Services: view.Takers(), Own: view.At(c.settings.TargetAddress)}
 	hosts := map[string]bool{}
 	for _, member := range view.Members() {
 		hosts[follow.HostOf(member.Address)] = true
-		if member.Address == c.settings.TargetAddress && (picture.Own == nil || picture.Own.Revision < member.Revision) {
-			picture.Own = member
-		}
 	}
 	picture.Nodes = len(hosts)
 	c.meter.Set(port.MetricConfigVersion, "", float64(view.Version()))
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -150,3 +150,34 @@
 	assert.Equal(t, takers["s"][0].ID, "new")
 	assert.Equal(t, len(takers["t"]), 0)
 }
+
+// A target is started again under the id that it had. The last word of the
+// process that ended, "draining", reaches the platform after the first word of
+// the new one. The new process goes on getting work; its own later word counts.
+func TestLateWordOfAnEarlierStartIsLeftOut(t *testing.T) {
+	view := NewView()
+	for _, entry := range []Target{
+		{ID: "i", Service: "s", Address: "a:1", State: Ready, Started: 100, Revision: 5},
+		{ID: "i", Service: "s", Address: "a:1", State: Ready, Started: 200, Revision: 8},
+		{ID: "i", Service: "s", Address: "a:1", State: Draining, Started: 100, Revision: 9},
+	} {
+		assert.NilError(t, view.Apply(start, &News{Targets: []Target{entry}}))
+	}
+	assert.Equal(t, len(view.Takers()["s"]), 1)
+	drains := Target{ID: "i", Service: "s", Address: "a:1", State: Draining, Started: 200, Revision: 10}
+	assert.NilError(t, view.Apply(start, &News{Targets: []Target{drains}}))
+	assert.Equal(t, len(view.Takers()["s"]), 0)
+}
+
+// A target started anew under another id, and a late word of the one that was at
+// its address before reaches the platform after that. Work goes to the new one.
+func TestLateWordOfAnEarlierStartTakesNoAddress(t *testing.T) {
+	view := NewView()
+	assert.NilError(t, view.Apply(start, &News{Targets: []Target{
+		{ID: "old", Service: "s", Address: "a:1", State: Ready, Started: 100, Revision: 9},
+		{ID: "new", Service: "s", Address: "a:1", State: Ready, Started: 200, Revision: 8},
+	}}))
+	takers := view.Takers()["s"]
+	assert.Equal(t, len(takers), 1)
+	assert.Equal(t, takers[0].ID, "new")
+}
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -119,16 +119,12 @@
 func (v *View) Members() map[string]*Member { return v.members }
 
 // Takers returns the targets that take work, by service. Of several entries with
-// one address only the newest counts: a target that started anew has a new
-// entry, and the old one stands until its lease runs out. After a loss of power
-// of a whole fleet every second offer would else go to a target that is gone.
+// one address only that of the latest start counts: a target that started anew
+// has a new entry, and the old one stands until its lease runs out. After a loss
+// of power of a whole fleet every second offer would else go to a target that is
+// gone.
 func (v *View) Takers() map[string][]*Member {
-	newest := map[string]*Member{}
-	for _, member := range v.members {
-		if other := newest[member.Address]; other == nil || other.Revision < member.Revision {
-			newest[member.Address] = member
-		}
-	}
+	newest := v.latest()
 	takers := map[string][]*Member{}
 	for _, id := range slices.Sorted(maps.Keys(v.members)) {
 		member := v.members[id]
@@ -200,7 +196,7 @@
 		return
 	}
 	known := v.members[target.ID]
-	if known != nil && known.Revision >= target.Revision {
+	if known != nil && (known.Revision >= target.Revision || outlived(known, target)) {
 		return
 	}
 	v.change++
@@ -218,6 +214,39 @@
 	v.members[target.ID] = next
 }
 
+// At returns the target of the latest start at an address, or nil.
+func (v *View) At(address string) *Member { return v.latest()[address] }
+
+// latest holds the target of the latest start by address.
+func (v *View) latest() map[string]*Member {
+	latest := map[string]*Member{}
+	for _, member := range v.members {
+		if other := latest[member.Address]; other == nil || startedBefore(other, member) {
+			latest[member.Address] = member
+		}
+	}
+	return latest
+}
+
+// startedBefore reports whether a's process started before b's, both at one
+// address. Where a start isn't told, the entry written last is the later one.
+func startedBefore(a, b *Member) bool {
+	if a.Started != 0 && b.Started != 0 && a.Started != b.Started {
+		return a.Started < b.Started
+	}
+	return a.Revision < b.Revision
+}
+
+// outlived reports whether an entry was written by an earlier start of the known
+// target. A last word of the process that ended can reach the platform after the
+// first of the one that took over its id. Taken for the newest, "draining" would
+// keep a target without work until its next change, and "ready" would send work
+// to one that drains. Nothing is lost by leaving it out: the process that runs
+// writes again.
+func outlived(known *Member, target *Target) bool {
+	return target.Started != 0 && target.Started < known.Started
+}
+
 func (v *View) remove(now time.Time, removal Removal) {
 	known := v.members[removal.ID]
 	if known != nil && known.Revision > removal.Revision {
