Soak real nodes under faults from outside, and check the promises

Cause: failures that virtual time can't show had no proof that anyone can repeat. Change: tamaracksoak plays a plan that a seed gives: nodes and targets killed, frozen, stopped and replaced, links delayed, reset, cut one way or silenced by relays, the store busy or without history, versions in storms. Nine promises are checked from what callers were told and targets saw. Each check finds a spoilt history (TestEachPromiseCanBeFoundBroken). The store and the targets are stand-ins written here.

--- /dev/null
+++ b/internal/soak/check_test.go
@@ -0,0 +1,139 @@
+package soak
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tamarackquay/standin/usertarget"
+)
+
+// sound is a history of two VMs in which every promise was kept: version 1 is in
+// force from the start, version 2 from 20 s on, and a target leaves at 40 s.
+func sound() *History {
+	h := &History{
+		Services: []string{"alpha", "beta"},
+		Targets:  map[string]int{"i-1": 0, "i-2": 1},
+		Events: []Event{
+			{What: Publish, VM: all, Begin: 0, End: time.Second, Version: 1},
+			{What: Publish, VM: all, Begin: 20 * time.Second, End: 20 * time.Second, Version: 2},
+			{What: DrainTarget, VM: 1, Begin: 40 * time.Second, End: 40 * time.Second, Instance: "i-2"},
+		},
+	}
+	for second := 5; second < 60; second++ {
+		at := time.Duration(second) * time.Second
+		h.add("read", prefixRead, "i-1", "alpha", at)
+		if second < 40 {
+			h.add("file", prefixFile, "i-2", "beta", at)
+		}
+		if second < 20 {
+			h.add("moving", prefixMoving, "i-2", movingService(1), at)
+		}
+	}
+	return h
+}
+
+// add records a request of VM 0 that was answered after one run.
+func (h *History) add(name, path, instance, service string, at time.Duration) {
+	id := fmt.Sprint(name, int(at.Seconds()))
+	h.Records = append(h.Records, Record{
+		ID: id, Path: path, Repeatable: path != prefixFile, Begin: at, End: at + 30*time.Millisecond, Outcome: Answered, Status: 200,
+	})
+	h.Entries = append(h.Entries, usertarget.Entry{Request: id, Instance: instance, Service: service, Caller: "alpha", Path: path, Ran: true, At: at + time.Millisecond})
+}
+
+func (h *History) record(id string) *Record {
+	for i := range h.Records {
+		if h.Records[i].ID == id {
+			return &h.Records[i]
+		}
+	}
+	panic(id)
+}
+
+func (h *History) entry(id string) *usertarget.Entry {
+	for i := range h.Entries {
+		if h.Entries[i].Request == id {
+			return &h.Entries[i]
+		}
+	}
+	panic(id)
+}
+
+// Each check finds the breach that it is for, and nothing in a sound history.
+func TestEachPromiseCanBeFoundBroken(t *testing.T) {
+	for _, test := range []struct {
+		desc  string
+		spoil func(h *History)
+		want  Promise
+	}{
+		{"nothing", func(*History) {}, ""},
+		{"an answer with other bytes", func(h *History) { h.record("read7").Outcome = Wrong }, OwnAnswer},
+		{"an answer that no target made", func(h *History) { h.entry("read7").Ran = false }, OwnAnswer},
+		{"a filing that ran twice", func(h *History) { h.Entries = append(h.Entries, *h.entry("file7")) }, Once},
+		{"a refusal of what ran", func(h *History) { h.record("file7").Outcome = Refused }, TrueRefusal},
+		{"a run at a service to which no version sends it", func(h *History) { h.entry("file7").Service = "alpha" }, Route},
+		{"a run with another caller's service", func(h *History) { h.entry("file7").Caller = "beta" }, Route},
+		{"a route that every version has is denied", func(h *History) {
+			h.record("read7").Outcome = Unrouted
+			h.entry("read7").Ran = false
+		}, Route},
+		{"a run by an old version", func(h *History) { h.add("moving", prefixMoving, "i-2", movingService(1), 30*time.Second) }, InForce},
+		{"a new route is not there", func(h *History) {
+			h.Records = append(h.Records, Record{ID: "new", Path: prefixOfVersion(2), Begin: 30 * time.Second, End: 30 * time.Second, Outcome: Unrouted})
+		}, InForce},
+		{"work for a target that left", func(h *History) { h.add("late", prefixFile, "i-2", "beta", 44*time.Second) }, Departed},
+		{"a request that a planned stop cut", func(h *History) {
+			h.Events = append(h.Events, Event{What: RestartNode, VM: 0, Begin: 10 * time.Second, End: 12 * time.Second})
+			h.record("file11").Outcome = Broken
+		}, NothingCut},
+		{"more repeats than the budget has", func(h *History) {
+			for range repeatFew + 20 {
+				h.Entries = append(h.Entries, *h.entry("read7"))
+			}
+		}, Budget},
+		{"no service after the last fault", func(h *History) {
+			for i := range h.Records {
+				if r := &h.Records[i]; r.Begin > 50*time.Second {
+					r.Outcome = Failed
+				}
+			}
+		}, Recovered},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			h := sound()
+			test.spoil(h)
+			found := map[Promise]bool{}
+			for _, f := range Check(h) {
+				found[f.Promise] = true
+			}
+			if test.want == "" {
+				assert.Equal(t, len(found), 0, "%v", found)
+				return
+			}
+			assert.DeepEqual(t, found, map[Promise]bool{test.want: true})
+		})
+	}
+}
+
+// A bound is no promise while a VM is disturbed: a frozen node can't know what was
+// published, and a killed one cuts what it held.
+func TestDisturbedNodesAreExcused(t *testing.T) {
+	h := sound()
+	h.Events = append(h.Events, Event{What: FreezeNode, VM: 0, Begin: 28 * time.Second, End: 30 * time.Second}, Event{What: KillNode, VM: 0, Begin: 11 * time.Second, End: 11 * time.Second})
+	h.add("moving", prefixMoving, "i-2", movingService(1), 30*time.Second)
+	h.record("file11").Outcome = Broken
+	assert.Equal(t, len(Check(h)), 0)
+}
+
+func TestPlansAreRepeatableAndEndCalm(t *testing.T) {
+	for seed := range uint64(50) {
+		plan := MakePlan(seed, 20*time.Second, 6)
+		assert.DeepEqual(t, plan, MakePlan(seed, 20*time.Second, 6))
+		for _, f := range plan {
+			assert.Assert(t, f.Kind == KillAll || f.At+f.For <= 20*time.Second-finalBefore, "%d: %v", seed, f)
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/run.go
@@ -0,0 +1,103 @@
+package soak
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tamarackquay/internal/wait"
+)
+
+// Options are those of one run.
+type Options struct {
+	Programs Programs
+	Seed     uint64
+	// Length is for how long callers send, VMs how many nodes there are.
+	Length time.Duration
+	VMs    int
+	// Net16 is the second number of the loopback addresses that the run uses.
+	Net16 int
+	// Keep is where the history and the logs of a run with findings go; empty for
+	// nowhere.
+	Keep string
+}
+
+// Result is what came of one run.
+type Result struct {
+	Seed     uint64          `json:"seed"`
+	Plan     []Fault         `json:"plan"`
+	Outcomes map[Outcome]int `json:"outcomes"`
+	Findings []Finding       `json:"findings"`
+}
+
+// Run plays one seed. The error is for runs that could not be made; broken
+// promises stand in the result.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	dir, err := os.MkdirTemp("", "tamaracksoak")
+	if err != nil {
+		return nil, errors.Wrap(err, "soak")
+	}
+	defer os.RemoveAll(dir)
+	f, err := newFleet(o.Programs, dir, o.Net16, o.VMs)
+	if f != nil {
+		defer f.close()
+	}
+	if err != nil {
+		return nil, errors.Wrapf(err, "seed %d", o.Seed)
+	}
+	plan := MakePlan(o.Seed, o.Length, o.VMs)
+	records, err := f.play(ctx, o, plan)
+	if err != nil {
+		return nil, errors.Wrapf(err, "seed %d", o.Seed)
+	}
+	history, err := f.history(records)
+	if err != nil {
+		return nil, errors.Wrapf(err, "seed %d", o.Seed)
+	}
+	result := &Result{Seed: o.Seed, Plan: plan, Outcomes: map[Outcome]int{}, Findings: Check(history)}
+	for _, r := range records {
+		result.Outcomes[r.Outcome]++
+	}
+	if len(result.Findings) > 0 && o.Keep != "" {
+		return result, f.keep(filepath.Join(o.Keep, f.seedName(o.Seed)), history)
+	}
+	return result, nil
+}
+
+// play sends the load and carries out the plan beside it.
+func (f *fleet) play(ctx context.Context, o Options, plan []Fault) ([]Record, error) {
+	b := &book{}
+	loadCtx, stop := context.WithTimeout(ctx, o.Length)
+	defer stop()
+	var loading sync.WaitGroup
+	loading.Go(func() { f.load(loadCtx, o.Seed, b) })
+	err := f.inject(loadCtx, plan)
+	if err != nil {
+		stop()
+	}
+	loading.Wait()
+	// What a frozen or cut node still does for callers that have gone is seen too.
+	wait.Sleep(ctx, stability/2)
+	return b.records, err
+}
+
+func (f *fleet) history(records []Record) (*History, error) {
+	entries, err := f.ledgers()
+	if err != nil {
+		return nil, err
+	}
+	h := &History{Records: records, Entries: entries, Events: f.events, Targets: map[string]int{}}
+	for _, m := range f.vms {
+		h.Services = append(h.Services, m.service)
+	}
+	for i, instance := range f.started {
+		h.Targets[instance.name] = f.started[i].vm
+	}
+	slices.SortFunc(h.Events, func(a, b Event) int { return int(a.Begin - b.Begin) })
+	return h, nil
+}
--- /dev/null
+++ b/standin/userstore/http.go
@@ -0,0 +1,105 @@
+package userstore
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+)
+
+// Paths by which targets and operators write. They are the stand-in's own: nodes
+// never call them.
+const (
+	PathPut    = "/admin/put"
+	PathRenew  = "/admin/renew"
+	PathDelete = "/admin/delete"
+	PathForget = "/admin/forget"
+	PathBusy   = "/admin/busy"
+)
+
+// leaseCheck is how often a waiting watch looks for leases that ran out.
+const leaseCheck = 100 * time.Millisecond
+
+type answer struct {
+	Items         []Item `json:"items"`
+	Events        []Item `json:"events"`
+	HasMore       bool
+	StoreRevision uint64
+}
+
+// Handler serves the store.
+func (s *Store) Handler() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.GET("/kv-range", s.serveRange)
+	e.GET("/kv-watch", s.serveWatch)
+	e.POST(PathPut, func(c echo.Context) error {
+		value, err := io.ReadAll(c.Request().Body)
+		if err != nil {
+			return err
+		}
+		return c.JSON(http.StatusOK, s.Put(c.QueryParam("key"), value, millis(c, "ttl_ms")))
+	})
+	e.POST(PathRenew, func(c echo.Context) error {
+		if !s.Renew(c.QueryParam("key"), millis(c, "ttl_ms")) {
+			return c.NoContent(http.StatusNotFound)
+		}
+		return c.NoContent(http.StatusNoContent)
+	})
+	e.POST(PathDelete, func(c echo.Context) error {
+		s.Delete(c.QueryParam("key"))
+		return c.NoContent(http.StatusNoContent)
+	})
+	e.POST(PathForget, func(c echo.Context) error {
+		s.Forget()
+		return c.NoContent(http.StatusNoContent)
+	})
+	e.POST(PathBusy, func(c echo.Context) error {
+		s.SetBusy(c.QueryParam("on") == "true")
+		return c.NoContent(http.StatusNoContent)
+	})
+	return e
+}
+
+func millis(c echo.Context, name string) time.Duration {
+	// A missing or odd number is no time at all, which the callers check.
+	n, _ := strconv.ParseInt(c.QueryParam(name), 10, 64)
+	return time.Duration(n) * time.Millisecond
+}
+
+func (s *Store) serveRange(c echo.Context) error {
+	if s.isBusy() {
+		return c.NoContent(http.StatusServiceUnavailable)
+	}
+	items, revision := s.List(c.QueryParam("PathPrefix"))
+	return c.JSON(http.StatusOK, answer{Items: items, StoreRevision: revision})
+}
+
+func (s *Store) serveWatch(c echo.Context) error {
+	after, err := strconv.ParseUint(c.QueryParam("after"), 10, 64)
+	if err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	deadline := time.Now().Add(millis(c, "WaitMs"))
+	for {
+		if s.isBusy() {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		events, revision, changed, ok := s.Since(c.QueryParam("PathPrefix"), after)
+		if !ok {
+			return c.NoContent(http.StatusGone)
+		}
+		left := time.Until(deadline)
+		if len(events) > 0 || left <= 0 {
+			return c.JSON(http.StatusOK, answer{Events: events, StoreRevision: revision})
+		}
+		select {
+		case <-changed:
+		case <-time.After(min(left, leaseCheck)):
+		case <-c.Request().Context().Done():
+			return c.Request().Context().Err()
+		}
+	}
+}
