Send the large answer that is due first

Cause: large answers crossed a VM's link in the order in which targets had them ready. A slow target's answer, with the least time left, went behind all that were ready before it: of archives that were taken, one in five came after its target latency as seen by its entry node. Change: answers wait for their turn by due time; nothing is left to wait for ever, since what is overdue goes first.

--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -233,21 +233,22 @@
 		return
 	}
 	p.correctLink(&t, len(a.whole))
-	if err := p.pass(r.Context(), w, a); err != nil {
+	if err := p.pass(r.Context(), w, a, received.Add(t.wanted)); err != nil {
 		// The answer must end broken for the entry node as well.
 		panic(http.ErrAbortHandler)
 	}
 }
 
-// pass sends an answer on, the whole part and then the rest.
-func (p *Proxy) pass(ctx context.Context, w http.ResponseWriter, a *answer) error {
+// pass sends an answer on, the whole part and then the rest; due is when it is
+// wanted.
+func (p *Proxy) pass(ctx context.Context, w http.ResponseWriter, a *answer, due time.Time) error {
 	if a.rest == nil {
 		a.response.ContentLength = int64(len(a.whole))
 	} else {
 		defer a.rest.Close()
 	}
 	if len(a.whole) >= link.Large && p.link.Rate() > 0 {
-		return p.passPaced(ctx, w, a)
+		return p.passPaced(ctx, w, a, due)
 	}
 	p.countSmall(len(a.whole) + headerBytes)
 	writeAnswer(w, a.response)
--- a/internal/proxy/pace.go
+++ b/internal/proxy/pace.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"tamarackquay/internal/link"
 	"tamarackquay/internal/port"
 )
 
@@ -45,26 +46,61 @@
 	p.link.Small(p.ports.Clock.Now(), bytes)
 }
 
-const (
-	// pacedChunk is what is sent of a large answer at a time.
-	pacedChunk = 8 << 10
-	// atOnce is how many large answers are sent at a time, in the order in
-	// which they are ready. If all were sent together, each would take as long
-	// as all; one alone can't fill the link on a long way.
-	atOnce = 3
-)
+// pacedChunk is what is sent of a large answer at a time.
+const pacedChunk = 8 << 10
 
 // passPaced sends a large answer in its turn and at the pace of the link's
 // share, so that small answers find the link free.
-func (p *Proxy) passPaced(ctx context.Context, w http.ResponseWriter, a *answer) error {
-	if err := p.turns.Acquire(ctx, 1); err != nil {
+func (p *Proxy) passPaced(ctx context.Context, w http.ResponseWriter, a *answer, due time.Time) error {
+	turn := &link.Turn{Due: due}
+	if err := p.awaitTurn(ctx, turn); err != nil {
 		return err
 	}
-	defer p.turns.Release(1)
+	defer p.endTurn()
 	writeAnswer(w, a.response)
 	return copyAnswer(&pacedWriter{proxy: p, to: w}, a)
 }
 
+// awaitTurn waits until the answer may be sent. Without an error, endTurn must be
+// called once.
+func (p *Proxy) awaitTurn(ctx context.Context, turn *link.Turn) error {
+	p.mu.Lock()
+	if p.turns.Ask(turn) {
+		p.mu.Unlock()
+		return nil
+	}
+	comes := make(chan struct{})
+	p.turnComes[turn] = comes
+	p.mu.Unlock()
+	select {
+	case <-comes:
+		return nil
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	waited := p.turns.Cancel(turn)
+	delete(p.turnComes, turn)
+	p.mu.Unlock()
+	if !waited {
+		// The turn came as the other node went.
+		p.endTurn()
+	}
+	return ctx.Err()
+}
+
+func (p *Proxy) endTurn() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next := p.turns.End()
+	if next == nil {
+		return
+	}
+	if comes := p.turnComes[next]; comes != nil {
+		close(comes)
+		delete(p.turnComes, next)
+	}
+}
+
 type pacedWriter struct {
 	proxy *Proxy
 	to    io.Writer
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -17,7 +17,6 @@
 	"time"
 
 	"github.com/phuslu/log"
-	"golang.org/x/sync/semaphore"
 
 	"tamarackquay/internal/adapter/exchange"
 	"tamarackquay/internal/gate"
@@ -114,21 +113,23 @@
 	held     holds
 	reach    reachability
 	link     *link.Share
-	// turns orders the large answers that are sent to other nodes.
-	turns *semaphore.Weighted
+	// turns orders the large answers that are sent to other nodes; turnComes
+	// holds what is closed when the turn of a waiting one comes.
+	turns     link.Turns
+	turnComes map[*link.Turn]chan struct{}
 }
 
 // New returns a proxy that has no picture yet and refuses everything.
 func New(config Config, ports Ports) *Proxy {
 	p := &Proxy{
 		config: config, ports: ports, decisions: newDecisions(ports), gate: gate.New(ports.Clock, config.Seed),
-		random:  rand.New(rand.NewPCG(config.Seed, 1)),
-		stats:   map[string]*placement.Stats{},
-		work:    map[string]*placement.Work{},
-		repeats: map[string]*retry.Window{},
-		reach:   newReachability(),
-		link:    link.NewShare(config.LinkRate),
-		turns:   semaphore.NewWeighted(atOnce),
+		random:    rand.New(rand.NewPCG(config.Seed, 1)),
+		stats:     map[string]*placement.Stats{},
+		work:      map[string]*placement.Work{},
+		repeats:   map[string]*retry.Window{},
+		reach:     newReachability(),
+		link:      link.NewShare(config.LinkRate),
+		turnComes: map[*link.Turn]chan struct{}{},
 	}
 	p.SetService("")
 	return p
--- a/internal/proxy/rank.go
+++ b/internal/proxy/rank.go
@@ -47,9 +47,12 @@
 	hold := work.Hold
 	left := f.deadline.Sub(now)
 	most := left - time.Duration(workMargin*float64(hold))
-	t := terms{attempt: p.nextAttempt(now), route: f.route.Name, rank: f.route.Priority * ranksPerPriority, budget: left, size: int(work.Bytes),
-		urgency: urgency(f.route.TargetLatency), repeatable: f.route.Kind.Repeatable()}
-	if early := f.wanted(now) - time.Duration(workMargin*float64(hold)); early > 0 {
+	t := terms{
+		attempt: p.nextAttempt(now), route: f.route.Name, rank: f.route.Priority * ranksPerPriority,
+		budget: left, wanted: f.wanted(now), size: int(work.Bytes),
+		urgency: urgency(f.route.TargetLatency), repeatable: f.route.Kind.Repeatable(),
+	}
+	if early := t.wanted - time.Duration(workMargin*float64(hold)); early > 0 {
 		t.wait = early
 	} else {
 		t.rank += rankLate
--- a/internal/proxy/terms.go
+++ b/internal/proxy/terms.go
@@ -34,6 +34,9 @@
 	budget time.Duration
 	// wait is how long the request may wait for a slot.
 	wait time.Duration
+	// wanted is in which time the answer is worth its full credit or, once that
+	// is over, anything.
+	wanted time.Duration
 	// size is how many bytes the answer is expected to have.
 	size int
 	// revision is the platform's revision of the target's entry by which the
@@ -49,10 +52,11 @@
 		url.QueryEscape(t.attempt), url.QueryEscape(t.route), strconv.Itoa(t.rank),
 		callhttp.FormatMillis(t.budget), callhttp.FormatMillis(t.wait), strconv.Itoa(t.size),
 		strconv.FormatUint(t.revision, 10), strconv.Itoa(t.urgency),
+		callhttp.FormatMillis(t.wanted),
 	}, termSeparator)
 }
 
-const termCount = 8
+const termCount = 9
 
 func decodeTerms(text string) (terms, error) {
 	var t terms
@@ -69,6 +73,7 @@
 	t.size, errs[5] = strconv.Atoi(parts[5])
 	t.revision, errs[6] = strconv.ParseUint(parts[6], 10, 64)
 	t.urgency, errs[7] = strconv.Atoi(parts[7])
+	t.wanted, errs[8] = callhttp.ParseMillis(parts[8])
 	for i, err := range errs {
 		if err != nil {
 			return t, errors.Wrapf(err, "term %d", i)
