Send two large answers at a time, and leave room for both

Cause: an answer was taken if the link could send it alone in time, while three were sent side by side, so that it took up to three times as long. Change: two at a time, and the time of both counts when one is taken.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -63,7 +63,8 @@
 		return 0, true
 	}
 	alone := time.Duration(size / s.rate * float64(time.Second))
-	if took := s.Wait(now) + alone; took > wait {
+	// Those sent beside it take as much of the link as it does.
+	if took := s.Wait(now) + AtOnce*alone; took > wait {
 		return s.bookReturn(now, took-wait, alone), false
 	}
 	s.backlog += size
--- a/internal/link/turns.go
+++ b/internal/link/turns.go
@@ -6,8 +6,9 @@
 )
 
 // AtOnce is how many large answers are sent at a time. If all were sent together,
-// each would take as long as all; one alone can't fill the link on a long way.
-const AtOnce = 3
+// each would take as long as all; one alone can't fill the link on a long way, and
+// would hold up all others while its reader is slow.
+const AtOnce = 2
 
 // Turn is a large answer that is sent or waits to be.
 type Turn struct {
