Hold callers to the configuration's limits on headers and idle time

Cause: the limits on header size, header time and idle time were decoded and not enforced. A caller that dribbles its headers, or leaves connections open, took descriptors for as long as it liked. Ruled out: http.Server's own bounds: they can't change with the configuration. Change: header size is checked for each request; once a second, connections that are overdue are ended, with 408 where a request had begun (nothing ran), without a word where none had.

--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -286,6 +286,7 @@
 func (c *sidecar) keepHouse(now time.Time) {
 	c.peers.CloseIdle(now)
 	c.target.CloseIdle(now)
+	c.closeOverdue(now)
 	c.proxy.TellLeftOut()
 	if lines := c.output.TakeDropped(); lines > 0 {
 		c.meter.Count(port.MetricLinesDropped, "output", int(lines))
@@ -299,6 +300,17 @@
 	c.meter.Set(port.MetricViewAge, "", c.follower.Age().Seconds())
 }
 
+// closeOverdue ends the connections of callers that keep this node waiting for
+// longer than the configuration allows.
+func (c *sidecar) closeOverdue(now time.Time) {
+	limits := c.proxy.Limits()
+	ended, err := c.callers.CloseOverdue(now, callerhttp.Waits{Header: limits.HeaderTimeout, Idle: limits.IdleTimeout})
+	if err != nil {
+		c.log.Warn().Err(err).Msg("overdue connections are left open")
+	}
+	c.meter.Count(port.MetricOverdue, "", ended)
+}
+
 // watchSettings takes up changed settings, on a signal and without one.
 func (c *sidecar) watchSettings(ctx context.Context, path string) {
 	hup := make(chan os.Signal, 1)
--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -50,7 +50,7 @@
 }
 
 func serve(entry Entry, limits Limits, w http.ResponseWriter, r *http.Request) {
-	if headerBytes(r) > limits.HeaderBytes {
+	if callhttp.HeaderBytes(r) > limits.HeaderBytes {
 		callhttp.WriteError(w, port.Refuse(port.ReasonHeaderTooLarge, 0, "the headers are over %d bytes", limits.HeaderBytes))
 		return
 	}
@@ -61,18 +61,3 @@
 	r.Body = http.MaxBytesReader(w, r.Body, limits.BodyBytes)
 	entry.ServeCaller(w, r)
 }
-
-// lineBytes is what a header line has besides its name and value.
-const lineBytes = len(": \r\n")
-
-// headerBytes is the size of the request line and headers as they came, to a
-// few bytes.
-func headerBytes(r *http.Request) int {
-	total := len(r.Method) + len(r.RequestURI) + len(r.Proto) + lineBytes
-	for name, values := range r.Header {
-		for _, value := range values {
-			total += len(name) + len(value) + lineBytes
-		}
-	}
-	return total
-}
--- a/internal/adapter/callerhttp/callerhttp_test.go
+++ b/internal/adapter/callerhttp/callerhttp_test.go
@@ -54,7 +54,7 @@
 func TestMeasuringHeadersAllocatesNothing(t *testing.T) {
 	request := httptest.NewRequest(http.MethodGet, "/tallies/1", nil)
 	request.Header.Set("Authorization", "Bearer x")
-	assert.Equal(t, testing.AllocsPerRun(100, func() { headerBytes(request) }), 0.0)
+	assert.Equal(t, testing.AllocsPerRun(100, func() { callhttp.HeaderBytes(request) }), 0.0)
 }
 
 // A caller that sends too much is told what was too large and, where that is
--- a/internal/adapter/callerhttp/idle.go
+++ b/internal/adapter/callerhttp/idle.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -70,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: accepted, fresh: true}
+	c := &conn{Conn: accepted, fresh: true, since: time.Now()}
 	l.server.mu.Lock()
 	defer l.server.mu.Unlock()
 	l.server.conns[c] = struct{}{}
@@ -120,24 +122,25 @@
 // CloseIdle ends all connections on which no request has arrived. Requests that
 // have arrived go on.
 func (s *Server) CloseIdle() error {
-	s.mu.Lock()
-	conns := make([]*conn, 0, len(s.conns))
-	for c := range s.conns {
-		conns = append(conns, c)
-	}
-	s.mu.Unlock()
 	farewell, err := callhttp.LastRefusal(port.Refuse(port.ReasonStopping, time.Second, "this node is stopping; ask another"))
 	if err != nil {
 		return err
 	}
 	var closing sync.WaitGroup
-	for _, c := range conns {
+	for _, c := range s.connections() {
 		closing.Go(func() { c.end(farewell) })
 	}
 	closing.Wait()
 	return nil
 }
 
+// connections returns those that are open now.
+func (s *Server) connections() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.conns))
+}
+
 // farewellTime is how long the farewell may take to write, and how long the
 // caller then has to read it before its late request causes a reset.
 const farewellTime = 100 * time.Millisecond
@@ -160,6 +163,9 @@
 	active     bool
 	unanswered bool
 	ended      bool
+	// since is when the connection was opened, when its last answer ended or,
+	// after that, when the first byte of a request came.
+	since time.Time
 }
 
 // NetConn returns the connection underneath.
@@ -169,6 +175,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.active = state == http.StateActive
+	if state == http.StateIdle {
+		c.since = time.Now()
+	}
 }
 
 // Read implements net.Conn.
@@ -180,6 +189,9 @@
 		return 0, errEnded
 	}
 	if count > 0 {
+		if !c.unanswered {
+			c.since = time.Now()
+		}
 		c.unanswered = true
 		c.fresh = false
 	}
@@ -204,6 +216,12 @@
 	}
 	c.ended = true
 	c.mu.Unlock()
+	c.leave(farewell)
+}
+
+// leave writes the last answer of a connection from which the server reads
+// nothing more, and ends it.
+func (c *conn) leave(farewell []byte) {
 	deadline := time.Now().Add(farewellTime)
 	_ = c.Conn.SetWriteDeadline(deadline)
 	if _, err := c.Conn.Write(farewell); err != nil {
--- a/internal/adapter/callhttp/outcome.go
+++ b/internal/adapter/callhttp/outcome.go
@@ -25,6 +25,7 @@
 	port.ReasonBadRequest:   http.StatusBadRequest,
 
 	port.ReasonHeaderTooLarge: http.StatusRequestHeaderFieldsTooLarge,
+	port.ReasonHeaderTooSlow:  http.StatusRequestTimeout,
 }
 
 // Outcome is the JSON body of an answer that is not the target's.
--- a/internal/explain/reason.go
+++ b/internal/explain/reason.go
@@ -36,7 +36,8 @@
 	port.ReasonMisdirected:    {"another target has the address now, and ran nothing", "come back; the entry node's view is old, see tamarack_view_age_seconds"},
 	port.ReasonUnreachable:    {"no byte of the request reached the target", "come back after Retry-After; see the members of the node"},
 	port.ReasonBodyTooLarge:   {"the body is over requests.max_body_bytes", "send less, or raise the setting on the nodes"},
-	port.ReasonHeaderTooLarge: {"the headers are over requests.max_header_bytes", "send less, or raise the setting on the nodes"},
+	port.ReasonHeaderTooLarge: {"the headers are over requests.max_header_bytes, or over the limit of the users' configuration", "send less, or raise the limit"},
+	port.ReasonHeaderTooSlow:  {"the headers did not come within the limit of the users' configuration", "look at the caller's link; nothing ran"},
 	port.ReasonBadRequest:     {"the request can't be sent on as it is", "correct the request"},
 	port.ReasonDuplicateCall:  {"the target's node has already taken a call of this id", "nothing to do; the first call's answer counts"},
 }
--- a/internal/port/metric.go
+++ b/internal/port/metric.go
@@ -30,6 +30,8 @@
 	// MetricLinkWait is how long a large answer waits for the VM's link, in
 	// seconds.
 	MetricLinkWait Metric = "tamarack_link_wait_seconds"
+	// MetricOverdue counts callers' connections ended for keeping the node waiting.
+	MetricOverdue Metric = "tamarack_connections_overdue_total"
 	// MetricResumed counts bodies continued from another target, by route.
 	MetricResumed Metric = "tamarack_bodies_resumed_total"
 	// MetricApplied counts versions put in force.
--- a/internal/port/refusal.go
+++ b/internal/port/refusal.go
@@ -31,6 +31,7 @@
 	ReasonDuplicateCall Reason = "duplicate-call"
 
 	ReasonHeaderTooLarge Reason = "header-too-large"
+	ReasonHeaderTooSlow  Reason = "header-too-slow"
 	// ReasonShedWithRoom: the target turned the request away although it says
 	// that it has free slots.
 	ReasonShedWithRoom Reason = "shed-with-room"
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -56,6 +56,9 @@
 		return nil, port.Refuse(port.ReasonUnknownRoute, 0, "no route for this host and path")
 	}
 	limits := picture.Table.Config.Limits
+	if limits.HeaderBytes > 0 && callhttp.HeaderBytes(r) > limits.HeaderBytes {
+		return nil, port.Refuse(port.ReasonHeaderTooLarge, 0, "the headers are over %d bytes", limits.HeaderBytes)
+	}
 	if limits.BodyBytes > 0 && r.ContentLength > limits.BodyBytes {
 		return nil, port.Refuse(port.ReasonBodyTooLarge, 0, "the body is over %d bytes", limits.BodyBytes)
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -208,6 +208,16 @@
 	return !p.stopping.Load() && picture != nil && picture.Table != nil
 }
 
+// Limits are what the configuration in force lets callers do; without one nothing
+// is bounded.
+func (p *Proxy) Limits() mesh.Limits {
+	picture := p.picture.Load()
+	if picture == nil || picture.Table == nil {
+		return mesh.Limits{}
+	}
+	return picture.Table.Config.Limits
+}
+
 // Open is how many requests are under way through this node.
 func (p *Proxy) Open() int64 { return p.open.Load() }
 
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -215,3 +215,27 @@
 	assert.Equal(t, f.ask(0, "GET", "/split/x", "").Code, http.StatusServiceUnavailable)
 	assert.Equal(t, f.arrivals(), 0)
 }
+
+// A caller sends headers over the limit of the configuration in force. It is told
+// so, and nothing reaches a target.
+func TestLimitsOfTheConfiguration(t *testing.T) {
+	f := newFleet(t, 1)
+	picture := *f.proxies[0].picture.Load()
+	config := *f.table.Config
+	config.Limits = mesh.Limits{HeaderBytes: 100, BodyBytes: 10}
+	picture.Table = mesh.NewTable(&config)
+	f.proxies[0].SetPicture(&picture)
+	for _, test := range []struct {
+		desc, path, body string
+		status           int
+	}{
+		{"within", "/once/x", "0123456789", http.StatusOK},
+		{"headers over the limit", "/once/" + strings.Repeat("x", 100), "", http.StatusRequestHeaderFieldsTooLarge},
+		{"body over the limit", "/once/x", "0123456789a", http.StatusRequestEntityTooLarge},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			assert.Equal(t, f.ask(0, "POST", test.path, test.body).Code, test.status)
+		})
+	}
+	assert.Equal(t, f.arrivals(), 1)
+}
