Grant waits by the chosen target's own speed

Cause: a request was let wait for a slot as long as the mean of all targets allowed. At a slow or cold target its answer was then late; and while no work of a route had been seen, as after a restart of all, the first requests waited for their whole target latency, and all behind them were late for seconds. Change: the wait leaves time for the work at the target that was chosen; work not yet seen is taken for a third of the target latency.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -193,6 +193,15 @@
 	return s.factor
 }
 
+// Hold is how long the target holds a request whose usual work is given.
+func (s *Stats) Hold(now time.Time, usual time.Duration) time.Duration {
+	factor := s.Factor()
+	if s.factor == 0 && now.Before(s.WarmAt) {
+		factor = coldFactor
+	}
+	return time.Duration(float64(usual) * factor)
+}
+
 // Request is what a choice needs to know of a request.
 type Request struct {
 	Work Work
@@ -206,11 +215,7 @@
 	if way == 0 {
 		way = firstRTT[s.Distance]
 	}
-	factor := s.Factor()
-	if s.factor == 0 && now.Before(s.WarmAt) {
-		factor = coldFactor
-	}
-	hold = time.Duration(float64(r.Work.Hold) * factor)
+	hold = s.Hold(now, r.Work.Hold)
 	return way + s.transfer(now, r.Work.Bytes), s.wait(now, hold), hold
 }
 
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -95,7 +95,7 @@
 
 // newFleet starts so many nodes with a target of the service "s" each. The
 // routes lead to it under "/idempotent/" and "/once/".
-func newFleet(t *testing.T, count int) *fleet {
+func newFleet(t testing.TB, count int) *fleet {
 	f := &fleet{logs: &safeBuffer{}, table: mesh.NewTable(&mesh.Config{Version: 1, Routes: []mesh.Route{
 		testRoute("/idempotent/", mesh.Idempotent), testRoute("/once/", mesh.NonIdempotent),
 	}})}
@@ -118,7 +118,7 @@
 	return f
 }
 
-func (f *fleet) start(t *testing.T, i, port int, members []*mesh.Member) {
+func (f *fleet) start(t testing.TB, i, port int, members []*mesh.Member) {
 	options := exchange.Options{DialTimeout: 150 * time.Millisecond, IdleTimeout: time.Second, SilenceTimeout: time.Second, MaxIdle: 8}
 	p := New(Config{
 		Headers: headers, FailureDomain: "a", Region: "r", Regions: map[string]string{"a": "r"},
@@ -149,14 +149,14 @@
 	}
 }
 
-func freePort(t *testing.T) int {
+func freePort(t testing.TB) int {
 	listener, err := net.Listen("tcp", "127.0.0.2:0")
 	assert.NilError(t, err)
 	defer listener.Close()
 	return listener.Addr().(*net.TCPAddr).Port
 }
 
-func serveUntilEnd(t *testing.T, listener net.Listener, handler http.Handler) {
+func serveUntilEnd(t testing.TB, listener net.Listener, handler http.Handler) {
 	server := &http.Server{Handler: handler}
 	go server.Serve(listener)
 	t.Cleanup(func() { server.Close() })
--- a/internal/proxy/flight.go
+++ b/internal/proxy/flight.go
@@ -128,8 +128,7 @@
 func (f *flight) attempt(ctx context.Context, now time.Time, member *mesh.Member) (*answer, error) {
 	p := f.proxy
 	f.tried[member.ID] = true
-	t := f.terms(now)
-	t.revision = member.Revision
+	t := f.terms(now, member)
 	f.offers++
 	r := f.request(member)
 	f.last = member.ID
--- a/internal/proxy/rank.go
+++ b/internal/proxy/rank.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tamarackquay/internal/admission"
+	"tamarackquay/internal/mesh"
 )
 
 // Ranks of requests that wait for a slot: by the route's priority, and within it
@@ -37,19 +38,40 @@
 // can't be in time any more: one in so many.
 const lateWaitPart = 2
 
-// terms are what the owner node is told. A first offer waits as long as the
-// answer can still come in time; once nodes have refused that, it waits longer.
-func (f *flight) terms(now time.Time) terms {
+// unknownWorkPart is the part of the target latency that the usual work is taken
+// for before any was seen: one in so many. It is 0.2 to 0.36 of it in the users'
+// sheets. Taken for nothing, it let the first requests after a restart wait for
+// their whole target latency, and everything behind them was late for seconds.
+const unknownWorkPart = 3
+
+// usualHold is how long a target is expected to hold a request of this route. A
+// wait that fits the mean of all targets makes the answers of a slow one late, so
+// its own speed counts; a fast one is no reason for longer waits.
+func (f *flight) usualHold(now time.Time, member *mesh.Member) (hold time.Duration, size int) {
 	p := f.proxy
 	p.mu.Lock()
-	work := *p.workOf(f.route)
-	p.mu.Unlock()
-	hold := work.Hold
+	defer p.mu.Unlock()
+	work := p.workOf(f.route)
+	usual := work.Hold
+	if usual == 0 {
+		usual = f.route.TargetLatency / unknownWorkPart
+	}
+	if stats := p.stats[member.ID]; stats != nil {
+		return max(usual, stats.Hold(now, usual)), int(work.Bytes)
+	}
+	return usual, int(work.Bytes)
+}
+
+// terms are what the owner node of a target is told. A first offer waits as long
+// as the answer can still come in time; once nodes have refused that, it waits
+// longer.
+func (f *flight) terms(now time.Time, member *mesh.Member) terms {
+	hold, size := f.usualHold(now, member)
 	left := f.deadline.Sub(now)
 	most := left - time.Duration(workMargin*float64(hold))
 	t := terms{
-		attempt: p.nextAttempt(now), route: f.route.Name, rank: f.route.Priority * ranksPerPriority,
-		budget: left, wanted: f.wanted(now), size: int(work.Bytes),
+		attempt: f.proxy.nextAttempt(now), route: f.route.Name, rank: f.route.Priority * ranksPerPriority,
+		budget: left, wanted: f.wanted(now), size: size, revision: member.Revision,
 		urgency: urgency(f.route.TargetLatency), repeatable: f.route.Kind.Repeatable(),
 	}
 	if early := t.wanted - time.Duration(workMargin*float64(hold)); early > 0 {
--- a/internal/proxy/repeat_test.go
+++ b/internal/proxy/repeat_test.go
@@ -11,9 +11,9 @@
 )
 
 // Each request of two services is turned away by its first target, and each request
-// of the first service that is sent again calls the second. Such calls count as repeats at the second
-// service, beside its own: all together stay within the budget that its requests
-// give.
+// of the first service that is sent again calls the second. Such calls count as
+// repeats at the second service, beside its own: all together stay within the
+// budget that its requests give.
 func TestRepeatsLeaveRoomForCallsOfRepeatedRuns(t *testing.T) {
 	const asked = 400
 	f := newFleet(t, 2)
