Tell of attempts that a target answered with a failure

Cause: a target's own 5xx that led to another attempt left no line, so that a request that was repeated could not be told from one that went well at once. Change: such an attempt has its line, with the target, the load believed and the status. Measured: TestTraceTellsOfAnAttemptThatTheTargetFailed red before, green after.

--- a/internal/proxy/flight.go
+++ b/internal/proxy/flight.go
@@ -87,17 +87,16 @@
 			break
 		}
 		a, err := f.attempt(ctx, now, member)
-		if err == nil && !f.failed(a) {
+		if err == nil {
 			return a, nil
 		}
+		if a != nil {
+			f.failure = a
+		}
 		if ctx.Err() != nil {
 			f.note(err)
 			break
 		}
-		if err == nil {
-			f.failure = a
-			err = &port.Unknown{Stage: "answer", Cause: errors.Errorf("the target answered with status %d", a.response.Status)}
-		}
 		if !f.mayOfferAgain(err) {
 			break
 		}
@@ -124,7 +123,8 @@
 	return a.rest == nil && f.route.Kind.Repeatable() && a.response.Status >= http.StatusInternalServerError
 }
 
-// attempt offers the request to one target and reads its answer.
+// attempt offers the request to one target and reads its answer. Where the target
+// answered that it failed, and another may be asked, the answer comes with an error.
 func (f *flight) attempt(ctx context.Context, now time.Time, member *mesh.Member) (*answer, error) {
 	p := f.proxy
 	f.tried[member.ID] = true
@@ -152,6 +152,11 @@
 		return nil, &port.Unknown{Stage: "answer", Cause: err}
 	}
 	p.noteAnswer(stats, f.route, word, way, a)
+	if f.failed(a) {
+		err := &port.Unknown{Stage: "answer", Cause: errors.Errorf("the target answered with status %d", a.response.Status)}
+		p.decisions.failedAttempt(p.ports.Clock.Now(), f, member, t.attempt, believed, err)
+		return a, err
+	}
 	return a, nil
 }
 
--- a/internal/proxy/operations_test.go
+++ b/internal/proxy/operations_test.go
@@ -107,3 +107,23 @@
 	assert.Assert(t, float64(failures) <= spent*float64(linesPerSecond[lineFailure])+1, "%d in %.1f s", failures, spent)
 	assert.Assert(t, failures == asked || strings.Contains(f.logs.String(), "lines left out"))
 }
+
+// A lookup fails at one target and is served by another. The trace of its id tells
+// of the first attempt, with the target and the status that it answered.
+func TestTraceTellsOfAnAttemptThatTheTargetFailed(t *testing.T) {
+	f := newFleet(t, 2)
+	f.proxies[0].stats["t0"].Failed(time.Now())
+	f.targets[1].serve = func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headers.Proof, "proof")
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	f.ask(0, "GET", "/idempotent/x", "")
+	failed := 0
+	for _, line := range f.traced(t) {
+		if line.Message == "attempt" && line.Fields[logfield.Target] == "t1" {
+			failed++
+			assert.Assert(t, strings.Contains(line.Fields[logfield.Error].(string), "status 500"))
+		}
+	}
+	assert.Equal(t, failed, 1)
+}
