--- a/internal/soak/cli/standins.go
+++ b/internal/soak/cli/standins.go
@@ -84,13 +84,16 @@
 	failed := make(chan error, 2)
 	go func() { failed <- http.Serve(listener, t) }()
 	go func() { failed <- http.ListenAndServe(o.control, o.orders(t, born, stop)) }()
-	go o.registration.Keep(ctx, born)
+	registered, end := context.WithCancel(context.Background())
+	defer end()
+	go o.registration.Keep(registered, born)
 	select {
 	case err := <-failed:
 		return errors.Wrap(err, "target")
 	case <-ctx.Done():
 	}
 	wait.Sleep(context.Background(), servesOn)
+	end()
 	return o.registration.Remove(context.Background())
 }
 
--- a/standin/usertarget/register.go
+++ b/standin/usertarget/register.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,6 +27,8 @@
 	// Heartbeat is the time between two renewals; the entry is removed after
 	// heartbeatsToLapse of silence.
 	Heartbeat time.Duration
+
+	draining atomic.Bool
 }
 
 const heartbeatsToLapse = 3
@@ -47,7 +50,8 @@
 // Key is the store's key of an instance.
 func Key(instance string) string { return "servers/" + instance }
 
-// Keep registers the target as ready and renews its entry until ctx ends. A store
+// Keep registers the target and renews its entry until ctx ends, also while it
+// drains. A store
 // that can't be reached is tried again; the lease says what that means.
 func (r *Registration) Keep(ctx context.Context, born time.Time) {
 	registered := false
@@ -57,7 +61,7 @@
 			registered = r.post(ctx, userstore.PathRenew, query, nil) == nil
 		}
 		if !registered {
-			registered = r.put(ctx, "ready", born) == nil
+			registered = r.put(ctx, born) == nil
 		}
 		if !wait.Sleep(ctx, r.Heartbeat) {
 			return
@@ -67,7 +71,8 @@
 
 // Drain says that the target is leaving.
 func (r *Registration) Drain(ctx context.Context, born time.Time) error {
-	return r.put(ctx, "draining", born)
+	r.draining.Store(true)
+	return r.put(ctx, born)
 }
 
 // Remove takes the entry out.
@@ -75,7 +80,11 @@
 	return r.post(ctx, userstore.PathDelete, url.Values{"key": {Key(r.Instance)}}, nil)
 }
 
-func (r *Registration) put(ctx context.Context, state string, born time.Time) error {
+func (r *Registration) put(ctx context.Context, born time.Time) error {
+	state := "ready"
+	if r.draining.Load() {
+		state = "draining"
+	}
 	e := entry{Address: r.Address, Born: born.UnixMilli()}
 	e.Info.Service, e.Info.Version, e.Info.Zone, e.Info.Slots = r.Service, "v1", r.Zone, r.Slots
 	e.Status.State, e.Status.ColdRemaining = state, "0ms"
