Let the times of following scale with the platform's bound

Cause: how long a node trusts its neighbours, how long a watch waits and how long failed reads pause were constants for changes that must be in force within 2.5 s. On a platform that wants 1.5 s a change would be late whenever its readers are lost. Change: the settings' bounds for changes and for leaving targets are decoded, and the times scale with the shorter one, by 0.4 to 2. Ruled out: a bound a time each: their order among each other is what was measured. Measured: TestChangeIsInForceWithinOtherBounds (1.5, 3, 5 s) red without the scale for 1.5 s, green with it; at 2.5 s all is as it was.

--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -164,8 +164,9 @@
 	peerAddress := func(host string) string { return net.JoinHostPort(host, strconv.Itoa(s.PeerPort)) }
 	c.follower = follow.New(follow.Config{
 		Self: peerAddress(s.IP), FailureDomain: s.FailureDomain, Region: s.Region, Regions: s.Regions,
-		PeerAddress: func(target string) string { return peerAddress(follow.HostOf(target)) },
-		Greet:       c.proxy.Greet,
+		PeerAddress:   func(target string) string { return peerAddress(follow.HostOf(target)) },
+		InForceWithin: inForceWithin(s),
+		Greet:         c.proxy.Greet,
 	}, platform.NewStore(s.StoreAddress, logger), feedws.NewClient(feedTransport()), wallClock{}, logger, c.meter, c.takeView)
 	c.callers = callerhttp.NewServer(c.proxy, callerhttp.Limits{HeaderBytes: mostHeaderBytes, BodyBytes: mostBodyBytes})
 	c.peerSide = c.newPeerSide(peerAddress)
@@ -180,6 +181,15 @@
 	}
 }
 
+// inForceWithin is the shorter of the platform's bounds for what nodes learn from
+// its store; zero where it names none.
+func inForceWithin(s platform.Settings) time.Duration {
+	if s.DrainWithin == 0 || s.ChangeWithin == 0 {
+		return max(s.DrainWithin, s.ChangeWithin)
+	}
+	return min(s.DrainWithin, s.ChangeWithin)
+}
+
 // feedDialTimeout is long enough for a lost packet to be sent again.
 const feedDialTimeout = 400 * time.Millisecond
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -66,6 +66,9 @@
 	Regions       map[string]string
 	// PeerAddress turns a target's address into its node's.
 	PeerAddress func(target string) string
+	// InForceWithin is how soon a change must be in force everywhere; zero means
+	// usualInForce.
+	InForceWithin time.Duration
 	// Greet reaches the node at an address, which gets a hint by it; nil where
 	// nobody is greeted.
 	Greet func(ctx context.Context, address string)
@@ -73,37 +76,14 @@
 
 // Times of following.
 const (
-	// watchWait is how long one watch waits. It is the longest time in which a
-	// reader that is silently cut off still seems current, and one call a
-	// second for each reader.
-	watchWait = time.Second
-	// beatInterval is how often a feed tells its age without news.
-	beatInterval = 300 * time.Millisecond
-	// staleAfter is the age from which a node doesn't trust its neighbours'
-	// word: a watch, two beats and a little. What was published just before
-	// is then in force within 2 s, under the 2.5 s that the users allow.
-	staleAfter = 1600 * time.Millisecond
-	// orphanedAfter is the same for a node whose readers' feeds have all broken,
-	// as they do at once when processes end: two beats.
-	orphanedAfter = 600 * time.Millisecond
-	// fartherAfter is the age from which a reader far from the platform reads as
-	// well, though a nearer one did until then.
-	fartherAfter = 1350 * time.Millisecond
 	// nearer is how many times shorter another reader's way to the platform
 	// must be to leave the reading to it.
 	nearer = 3
-	// stepInGap keeps the nodes of a region from stepping in all at once.
-	stepInGap = 60 * time.Millisecond
 	// coalesce is the pause of a reader after a change. A storm of changes is
 	// read in a few calls a second instead of one for each change.
 	coalesce = 150 * time.Millisecond
-	// retryFirst and retryMost bound the pause after a failed read. Readers
-	// keep to retryMostReader, so that the platform's return is noticed soon;
-	// the others must not be in a pause that is longer than what is left of the
-	// 2.5 s in which a change is to be in force.
-	retryFirst      = 200 * time.Millisecond
-	retryMostReader = 500 * time.Millisecond
-	retryMost       = time.Second
+	// retryFirst is the pause after a first failed read.
+	retryFirst = 200 * time.Millisecond
 	// tickInterval is how often roles and neighbours are looked at again.
 	tickInterval = 100 * time.Millisecond
 	// greetInterval is how often a reader greets the nodes of its region that
@@ -118,6 +98,7 @@
 // Follower keeps one view. It is safe for concurrent use.
 type Follower struct {
 	config   Config
+	pace     pace
 	platform Platform
 	feed     Feed
 	clock    port.Clock
@@ -149,7 +130,7 @@
 // under its lock after each change; it must not keep the view.
 func New(config Config, platform Platform, feed Feed, clock port.Clock, logger *log.Logger, meter port.Meter, onChange func(*mesh.View)) *Follower {
 	return &Follower{
-		config: config, platform: platform, feed: feed, clock: clock, log: logger, meter: meter, onChange: onChange,
+		config: config, pace: paceFor(config.InForceWithin), platform: platform, feed: feed, clock: clock, log: logger, meter: meter, onChange: onChange,
 		view: mesh.NewView(), changed: make(chan struct{}), feeds: map[string]int{}, broken: map[string]bool{},
 	}
 }
@@ -285,7 +266,7 @@
 }
 
 func (f *Follower) awaitNews(ctx context.Context, changed <-chan struct{}) error {
-	timer := time.NewTimer(beatInterval)
+	timer := time.NewTimer(f.pace.beat)
 	defer timer.Stop()
 	select {
 	case <-changed:
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -17,8 +17,13 @@
 const inForceWithin = 2200 * time.Millisecond
 
 func simulate(t *testing.T, play func(t *testing.T, w *world)) {
+	simulateWithin(t, usualInForce, play)
+}
+
+// simulateWithin is the same with another bound for changes.
+func simulateWithin(t *testing.T, within time.Duration, play func(t *testing.T, w *world)) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld()
+		w := newWorld(within)
 		defer w.stop()
 		time.Sleep(5 * time.Second)
 		assert.Equal(t, len(w.lagging(1)), 0, "%v", w.lagging(1))
@@ -227,3 +232,40 @@
 		})
 	}
 }
+
+// Operators of another platform want changes in force sooner or allow more time.
+// All readers are lost, or the platform turns them away, at any moment between two
+// of their reads: the change is in force within the bound all the same, with a
+// tenth of it to spare.
+func TestChangeIsInForceWithinOtherBounds(t *testing.T) {
+	for _, within := range []time.Duration{1500 * time.Millisecond, 3 * time.Second, 5 * time.Second} {
+		for _, test := range []struct {
+			desc string
+			lose func(w *world, readers []string)
+		}{
+			{"nothing is broken", func(*world, []string) {}},
+			{"all readers are refused by the platform", func(w *world, r []string) { w.refused[r[0]], w.refused[r[1]] = true, true }},
+			{"all readers are cut off from everybody", func(w *world, r []string) { w.cut[r[0]], w.cut[r[1]] = true, true }},
+		} {
+			t.Run(within.String()+" "+test.desc, func(t *testing.T) {
+				simulateWithin(t, within, func(t *testing.T, w *world) {
+					for version, phase := uint64(2), 0*time.Second; phase < within/2; version, phase = version+1, phase+within/25 {
+						time.Sleep(phase)
+						readers := w.readers()
+						w.mu.Lock()
+						test.lose(w, readers)
+						w.mu.Unlock()
+						w.publish(version)
+						time.Sleep(within * 9 / 10)
+						assert.Equal(t, len(w.lagging(version)), 0, "after %s: %v", phase, w.lagging(version))
+						w.mu.Lock()
+						clear(w.refused)
+						clear(w.cut)
+						w.mu.Unlock()
+						time.Sleep(2 * within)
+					}
+				})
+			})
+		}
+	}
+}
--- a/internal/follow/neighbours.go
+++ b/internal/follow/neighbours.go
@@ -22,10 +22,6 @@
 // with a third of the nodes turned away, all of eight are in one case of 4,000.
 const staleParents = 8
 
-// moreParentsAfter is the age of a view from which it follows so many: by then
-// the first nodes that can read have stepped in.
-const moreParentsAfter = staleAfter + 200*time.Millisecond
-
 // vms are the VMs on which targets run that take work, one for each address.
 func (f *Follower) vms() []membership.VM {
 	seen := map[string]bool{}
@@ -68,7 +64,7 @@
 		reader = reader || vm.ID == f.config.Self
 		add(vm)
 	}
-	if f.view.Age(f.clock.Now()) > moreParentsAfter {
+	if f.view.Age(f.clock.Now()) > f.pace.moreParentsAfter {
 		for _, vm := range order[:min(staleParents, len(order))] {
 			add(vm)
 		}
--- /dev/null
+++ b/internal/follow/pace.go
@@ -0,0 +1,63 @@
+package follow
+
+import "time"
+
+// usualInForce is the bound for changes that the times below were measured with.
+const usualInForce = 2500 * time.Millisecond
+
+// leastScale and mostScale bound how far the times follow another bound: below, a
+// watch would cost several calls a second; above, nothing is saved any more that
+// counts, and a departed target would be known too late.
+const (
+	leastScale = 0.4
+	mostScale  = 2
+)
+
+// pace holds the times that follow from how soon a change must be in force.
+type pace struct {
+	// watchWait is how long one watch waits. It is the longest time in which a
+	// reader that is silently cut off still seems current, and one call in that
+	// time for each reader.
+	watchWait time.Duration
+	// beat is how often a feed tells its age without news.
+	beat time.Duration
+	// staleAfter is the age from which a node doesn't trust its neighbours' word: a
+	// watch, two beats and nothing else. What was published just before is then in
+	// force four fifths into the bound.
+	staleAfter time.Duration
+	// orphanedAfter is the same for a node whose readers' feeds have all broken,
+	// as they do at once when processes end: two beats.
+	orphanedAfter time.Duration
+	// fartherAfter is the age from which a reader far from the platform reads as
+	// well, though a nearer one did until then.
+	fartherAfter time.Duration
+	// stepInGap keeps the nodes of a region from stepping in all at once.
+	stepInGap time.Duration
+	// moreParentsAfter is the age of a view from which a node follows more
+	// neighbours: by then the first nodes that can read have stepped in.
+	moreParentsAfter time.Duration
+	// retryMostReader and retryMost bound the pause after failed reads. Readers
+	// notice the platform's return soon; the others must not be in a pause that is
+	// longer than what is left of the bound.
+	retryMostReader, retryMost time.Duration
+}
+
+// paceFor returns the times for a bound.
+func paceFor(within time.Duration) pace {
+	if within == 0 {
+		within = usualInForce
+	}
+	scale := min(max(float64(within)/float64(usualInForce), leastScale), mostScale)
+	scaled := func(usual time.Duration) time.Duration { return time.Duration(scale * float64(usual)) }
+	return pace{
+		watchWait:        scaled(time.Second),
+		beat:             scaled(300 * time.Millisecond),
+		staleAfter:       scaled(1600 * time.Millisecond),
+		orphanedAfter:    scaled(600 * time.Millisecond),
+		fartherAfter:     scaled(1350 * time.Millisecond),
+		stepInGap:        scaled(60 * time.Millisecond),
+		moreParentsAfter: scaled(1800 * time.Millisecond),
+		retryMostReader:  scaled(500 * time.Millisecond),
+		retryMost:        scaled(time.Second),
+	}
+}
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -56,13 +56,13 @@
 	}
 	rank := f.rank()
 	if rank == 0 {
-		return f.clock.Now().Sub(f.nearerAt) > fartherAfter
+		return f.clock.Now().Sub(f.nearerAt) > f.pace.fartherAfter
 	}
-	stale := staleAfter
+	stale := f.pace.staleAfter
 	if f.orphaned() {
-		stale = orphanedAfter
+		stale = f.pace.orphanedAfter
 	}
-	return age > stale+time.Duration(rank)*stepInGap
+	return age > stale+time.Duration(rank)*f.pace.stepInGap
 }
 
 // retryPause waits after so many failures in a row and returns how many still
@@ -83,10 +83,10 @@
 }
 
 func (f *Follower) backoff(failures int) time.Duration {
-	most := retryMost
+	most := f.pace.retryMost
 	f.mu.Lock()
 	if f.rank() <= 1 || f.view.Table() == nil {
-		most = retryMostReader
+		most = f.pace.retryMostReader
 	}
 	f.mu.Unlock()
 	return min(retryFirst<<min(failures-1, 8), most)
@@ -99,7 +99,7 @@
 		f.countRead("list", err)
 		return true, err
 	}
-	wait := watchWait
+	wait := f.pace.watchWait
 	if !f.lostAt.IsZero() {
 		// The first answer after an outage is wanted at once: it makes the view
 		// current for all who follow.
--- a/internal/follow/world_test.go
+++ b/internal/follow/world_test.go
@@ -25,6 +25,8 @@
 // world is a platform and a fleet that follows it, on virtual time. Links can be
 // cut silently.
 type world struct {
+	// within is the nodes' bound for changes.
+	within   time.Duration
 	mu       sync.Mutex
 	revision uint64
 	// history holds all changes; what is at or before dropped is forgotten.
@@ -51,8 +53,9 @@
 
 const perDomain = 3
 
-func newWorld() *world {
+func newWorld(within time.Duration) *world {
 	w := &world{
+		within:  within,
 		targets: map[string]mesh.Target{}, changed: make(chan struct{}), revision: 1,
 		refused: map[string]bool{}, cut: map[string]bool{}, nodes: map[string]*Follower{}, stops: map[string]context.CancelFunc{}, lives: map[string]context.Context{},
 	}
@@ -76,7 +79,7 @@
 	domain := w.targets[id].FailureDomain
 	w.mu.Unlock()
 	f := New(Config{
-		Self: id, FailureDomain: domain, Region: regions[domain], Regions: regions, PeerAddress: HostOf, Greet: w.greet(id),
+		Self: id, FailureDomain: domain, Region: regions[domain], Regions: regions, PeerAddress: HostOf, Greet: w.greet(id), InForceWithin: w.within,
 	}, &link{world: w, node: id}, &link{world: w, node: id}, wallClock{},
 		&log.Logger{Level: log.FatalLevel, Writer: &log.IOWriter{Writer: io.Discard}}, metrics.New(), func(*mesh.View) {})
 	ctx, stop := context.WithCancel(context.Background())
