Let the soak overload all targets of a service

Cause: with the budget of repeats taken out the soak found nothing: one ill target of six can't use it up. Change: a fault that makes all targets of a service shed nine in ten for 5 s.

--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -44,7 +44,7 @@
 	switch e.What {
 	case Publish, Storm, ReloadNode:
 		return false
-	case BusyStore, ForgetStore:
+	case BusyStore, ForgetStore, IllService:
 		return true
 	}
 	return e.VM == vm || e.VM == all
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -33,6 +33,9 @@
 // ill is how an ill target treats its requests: most of them well.
 var ill = usertarget.Mode{Lose: 0.1, Cut: 0.1, Shed: 0.2, Fail: 0.1}
 
+// overloaded is how every target of a service behaves in IllService.
+var overloaded = usertarget.Mode{Shed: 0.9}
+
 // inject carries out a plan and returns when the last fault has ended.
 func (f *fleet) inject(ctx context.Context, plan []Fault) error {
 	begin := time.Now()
@@ -96,6 +99,9 @@
 	case KillTarget, DrainTarget:
 		return f.replaceTarget(ctx, m, fault, event)
 	}
+	if fault.Kind == IllService {
+		return f.illService(ctx, m.service, fault.For)
+	}
 	return f.illTarget(ctx, m, fault)
 }
 
@@ -219,6 +225,32 @@
 	return m.setMode(f.client, usertarget.Mode{})
 }
 
+// illService changes the targets of a service that aren't being exchanged.
+func (f *fleet) illService(ctx context.Context, service string, length time.Duration) error {
+	var held []*member
+	defer func() {
+		for _, m := range held {
+			m.replacing.Unlock()
+		}
+	}()
+	for _, m := range f.vms {
+		if m.service != service || !m.replacing.TryLock() {
+			continue
+		}
+		held = append(held, m)
+		if err := m.setMode(f.client, overloaded); err != nil {
+			return err
+		}
+	}
+	wait.Sleep(ctx, length)
+	for _, m := range held {
+		if err := m.setMode(f.client, usertarget.Mode{}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (m *member) harmLink(ctx context.Context, fault Fault) {
 	relay := m.relays[fault.Side]
 	switch fault.Kind {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -30,6 +30,9 @@
 	DrainTarget Kind = "drain-target"
 	// IllTarget makes a target lose, cut, shed or fail a part of its requests.
 	IllTarget Kind = "ill-target"
+	// IllService makes all targets of a VM's service shed nearly everything, for
+	// long enough to use up the fleet's budget of repeats.
+	IllService Kind = "ill-service"
 	// SlowTarget makes a target work several times as long.
 	SlowTarget Kind = "slow-target"
 	// DelayLink, ResetLink, OneWayLink and SilentLink harm the connections on one
@@ -91,7 +94,7 @@
 	weight int
 }{
 	{KillNode, 3}, {FreezeNode, 3}, {RestartNode, 4}, {ReloadNode, 1},
-	{KillTarget, 2}, {DrainTarget, 3}, {IllTarget, 3}, {SlowTarget, 2},
+	{KillTarget, 2}, {DrainTarget, 3}, {IllTarget, 3}, {SlowTarget, 2}, {IllService, 1},
 	{DelayLink, 2}, {ResetLink, 3}, {OneWayLink, 2}, {SilentLink, 2},
 	{BusyStore, 2}, {ForgetStore, 1}, {Publish, 4}, {Storm, 1},
 }
@@ -101,15 +104,18 @@
 	firstFault = time.Second
 	// calmEnd is kept free of faults but for the final one, so that the recovery
 	// is seen.
-	calmEnd     = 6 * time.Second
-	leastPause  = 150 * time.Millisecond
-	mostPause   = 1600 * time.Millisecond
-	leastFor    = 300 * time.Millisecond
-	mostFor     = 3 * time.Second
-	seriesOf    = 3
-	seriesPart  = 0.2
-	finalPart   = 0.3
-	finalBefore = 5 * time.Second
+	calmEnd    = 6 * time.Second
+	leastPause = 150 * time.Millisecond
+	mostPause  = 1600 * time.Millisecond
+	leastFor   = 300 * time.Millisecond
+	mostFor    = 3 * time.Second
+	// illServiceFor gives a service that sheds nine in ten twice the repeats that
+	// its budget allows, if nothing held them back.
+	illServiceFor = 5 * time.Second
+	seriesOf      = 3
+	seriesPart    = 0.2
+	finalPart     = 0.3
+	finalBefore   = 5 * time.Second
 )
 
 // MakePlan draws the faults of a run of a length over so many VMs. Faults overlap,
@@ -123,6 +129,9 @@
 	for at := firstFault; at < length-calmEnd; at += between(leastPause, mostPause) {
 		fault := Fault{At: at, For: between(leastFor, mostFor), Kind: drawKind(random), VM: random.IntN(vms)}
 		fault.Side = sides[random.IntN(len(sides))]
+		if fault.Kind == IllService {
+			fault.For = illServiceFor
+		}
 		plan = append(plan, fault)
 		if random.Float64() >= seriesPart {
 			continue
