Take the word of changed settings from the first moment on

Cause: SIGHUP ended a process that was still starting, since its handler was set up last. Change: the handler stands before anything else runs; a run of the soak in which a fleet doesn't come back keeps its logs, too. Its checks of what nodes know excuse a node no more for what becomes of its target. Measured: TestSettingsThatChangeDuringTheStart red before ('signal: hangup'), green after, at the same moment in each run.

--- a/cmd/tamarackd/main.go
+++ b/cmd/tamarackd/main.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -37,6 +39,8 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		RunE: func(*cobra.Command, []string) error {
+			// These settings are read once; see reloads.
+			signal.Reset(syscall.SIGHUP)
 			loaded, found := settings.Load(file)
 			if len(found) > 0 {
 				fmt.Fprintln(os.Stderr, found.Error())
--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -103,6 +103,17 @@
 	level       string
 }
 
+// reloads gets the platform's word that the settings have changed (SIGHUP). It is
+// set up before anything else: without a handler the signal ends the process, and
+// one that came while a node was just starting left its VM without a node.
+var reloads = notifyReload()
+
+func notifyReload() <-chan os.Signal {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	return signals
+}
+
 // sidecar holds the parts of a running process.
 type sidecar struct {
 	settings platform.Settings
@@ -323,15 +334,12 @@
 
 // watchSettings takes up changed settings, on a signal and without one.
 func (c *sidecar) watchSettings(ctx context.Context, path string) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	ticker := time.NewTicker(settingsPoll)
 	defer ticker.Stop()
 	var seen time.Time
 	for {
 		select {
-		case <-hup:
+		case <-reloads:
 			seen = time.Time{}
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -190,7 +190,7 @@
 			if !entry.Ran || entry.Instance != left.Instance || late <= 0 || r == nil {
 				continue
 			}
-			if x.undisturbed(r.VM, left.End, entry.At) && x.undisturbed(left.VM, left.End, entry.At) {
+			if x.calm(r.VM, left.End, entry.At) && x.calm(left.VM, left.End, entry.At) {
 				found = append(found, finding(Departed, r, "%s got it %s too late", entry.Instance, late)...)
 			}
 		}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -56,15 +56,25 @@
 	return !fault.planned()
 }
 
-// calm reports whether a VM was left alone from a stability window before a moment
-// to another one.
+// disturbsNode reports whether an event keeps a node itself from learning and doing
+// what it should. What becomes of its target is no excuse for that.
+func (e *Event) disturbsNode(vm int) bool {
+	switch e.What {
+	case KillTarget, DrainTarget, IllTarget, SlowTarget, IllService:
+		return false
+	}
+	return e.harms(vm)
+}
+
+// calm reports whether a VM's node was left alone from a stability window before a
+// moment to another one.
 func (h *History) calm(vm int, from, to time.Duration) bool {
 	return !slices.ContainsFunc(h.Events, func(e Event) bool {
-		return e.harms(vm) && e.Begin <= to && e.End+stability >= from
+		return e.disturbsNode(vm) && e.Begin <= to && e.End+stability >= from
 	})
 }
 
-// undisturbed is the same, but planned work doesn't count as a disturbance.
+// undisturbed reports whether nothing unplanned harmed a VM, its target included.
 func (h *History) undisturbed(vm int, from, to time.Duration) bool {
 	return !slices.ContainsFunc(h.Events, func(e Event) bool {
 		return e.unplanned() && e.harms(vm) && e.Begin <= to && e.End+stability >= from
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"os"
-	"path/filepath"
 	"slices"
 	"sync"
 	"time"
@@ -53,6 +52,10 @@
 	plan := MakePlan(o.Seed, o.Length, o.VMs)
 	records, err := f.play(ctx, o, plan)
 	if err != nil {
+		// A fleet that doesn't come back is a finding, too.
+		if keepErr := f.keepLogs(o); keepErr != nil {
+			err = errors.WithMessage(err, keepErr.Error())
+		}
 		return nil, errors.Wrapf(err, "seed %d", o.Seed)
 	}
 	history, err := f.history(records)
@@ -63,10 +66,10 @@
 	for _, r := range records {
 		result.Outcomes[r.Outcome]++
 	}
-	if len(result.Findings) > 0 && o.Keep != "" {
-		return result, f.keep(filepath.Join(o.Keep, f.seedName(o.Seed)), history)
+	if len(result.Findings) == 0 {
+		return result, nil
 	}
-	return result, nil
+	return result, f.keep(o, history)
 }
 
 // play sends the load and carries out the plan beside it.
--- /dev/null
+++ b/test/process/reload_test.go
@@ -0,0 +1,48 @@
+package process
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
+
+	"tamarackquay/standin/userfiles"
+)
+
+// The platform tells a node of changed settings while its process is still
+// starting and reads them for the first time. The process must take the signal and
+// run on; ended by it, its VM had no node. The settings are a pipe here, so that
+// the moment is the same in each run: opening it waits for the reader.
+func TestSettingsThatChangeDuringTheStart(t *testing.T) {
+	t.Parallel()
+	host := "127.130.1.1"
+	node := userfiles.Node{
+		Name: "n", IP: host, Zone: "a", Region: "r", Service: "s", Target: host + ":8628", Callers: host + ":8629",
+		Ready: host + ":8625", PeerPort: 7600, Store: host + ":8627", Zones: map[string]string{"a": "r"},
+		Bounds: userfiles.Bounds{Grace: 6 * time.Second, RepeatRatio: 0.2, RepeatFew: 10},
+	}
+	settings, err := node.Settings()
+	assert.NilError(t, err)
+	file := filepath.Join(t.TempDir(), "settings.json")
+	assert.NilError(t, unix.Mkfifo(file, 0o600))
+	command := exec.Command(filepath.Join(binaries, "tamarackd"), "sidecar")
+	command.Env = append(os.Environ(), "TAMARACKQUAY_CONFIG="+file)
+	p := startCommand(t, "node", command)
+	pipe, err := os.OpenFile(file, os.O_WRONLY, 0)
+	assert.NilError(t, err)
+	p.signal(syscall.SIGHUP)
+	time.Sleep(50 * time.Millisecond)
+	// A process that has ended reads nothing, which the next check tells better.
+	_, _ = pipe.Write(settings)
+	_ = pipe.Close()
+	select {
+	case <-p.done:
+		t.Fatalf("the process ended: %s", p.cmd.ProcessState)
+	case <-time.After(300 * time.Millisecond):
+	}
+}
