--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -234,9 +234,9 @@
 }
 
 // StopOwn ends the work for the VM's own target. The target itself may run on, and
-// its slots are missed: with nodes restarted a few at a time, refusing work from
-// the order to stop on left a fifth of a service's targets idle for four seconds
-// each, where one and a half are enough.
+// its slots are missed while it gets none: refused from the order to stop on, it
+// stood idle until its node was back, four seconds by the times of a stop, where one
+// and a half are enough.
 func (p *Proxy) StopOwn() { p.ownStopped.Store(true) }
 
 func (p *Proxy) closeWhenStopping(w http.ResponseWriter) {
