End what the soak started when it is broken off

Cause: a run ended by a signal left its nodes and targets running. Change: the signal ends the run, which ends its processes; the stand-in for the store ends with it.

--- a/cmd/tamaracksoak/main.go
+++ b/cmd/tamaracksoak/main.go
@@ -3,14 +3,20 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"tamarackquay/internal/soak/cli"
 )
 
 func main() {
-	if err := cli.NewCommand().Execute(); err != nil {
+	// A run that is broken off ends the processes that it started.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := cli.NewCommand().ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/internal/soak/cli/standins.go
+++ b/internal/soak/cli/standins.go
@@ -24,8 +24,10 @@
 		Use:   "store",
 		Short: "Stand in for the users' store",
 		Args:  cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error {
-			return errors.Wrap(http.ListenAndServe(listen, userstore.New().Handler()), "store")
+		RunE: func(command *cobra.Command, _ []string) error {
+			server := &http.Server{Addr: listen, Handler: userstore.New().Handler()}
+			defer context.AfterFunc(command.Context(), func() { _ = server.Close() })()
+			return errors.Wrap(server.ListenAndServe(), "store")
 		},
 	}
 	command.Flags().StringVar(&listen, "listen", "", "address to listen on")
