--- a/internal/soak/cli/cli.go
+++ b/internal/soak/cli/cli.go
@@ -50,6 +50,7 @@
 	keep     string
 	output   string
 	untimed  bool
+	loopback int
 }
 
 func newRunCommand() *cobra.Command {
@@ -71,6 +72,7 @@
 	flags.IntVar(&o.vms, "vms", 6, "how many VMs")
 	flags.StringVar(&o.keep, "keep", "", "folder for the history and logs of seeds with findings")
 	flags.StringVar(&o.output, "output", "text", "text or json")
+	flags.IntVar(&o.loopback, "loopback", usualLoopback, "second number of the addresses to use, for invocations side by side")
 	flags.BoolVar(&o.untimed, "untimed", false, "let the exit code tell only of promises without a bound in time, for busy machines")
 	return command
 }
@@ -81,6 +83,8 @@
 		return errors.Errorf("--parallel must be 1 to %d", mostParallel)
 	case o.vms < 4 || o.vms > mostVMs:
 		return errors.Errorf("--vms must be 4 to %d", mostVMs)
+	case o.loopback < usualLoopback || o.loopback > mostLoopback:
+		return errors.Errorf("--loopback must be %d to %d", usualLoopback, mostLoopback)
 	case o.length < leastLength:
 		return errors.Errorf("--length must be %s or more", leastLength)
 	case o.output != "text" && o.output != "json":
@@ -137,7 +141,7 @@
 		playing.Go(func() {
 			for seed := range seeds {
 				result, err := soak.Run(ctx, soak.Options{
-					Programs: programs, Seed: seed, Length: o.length, VMs: o.vms, Net16: firstNet16 + lane, Keep: o.keep,
+					Programs: programs, Seed: seed, Length: o.length, VMs: o.vms, Net16: o.loopback + lane, Keep: o.keep,
 				})
 				mu.Lock()
 				if err != nil && failed == nil {
@@ -163,9 +167,13 @@
 	return results, failed
 }
 
-// firstNet16 is the second number of the first run's loopback addresses; the
-// project's other tests use 127.0 and 127.64 to 127.127.
-const firstNet16 = 140
+// usualLoopback is the second number of the first run's loopback addresses, and
+// each run beside it has the next one; the project's other tests use 127.0, 127.64
+// to 127.127 and 127.130.
+const (
+	usualLoopback = 140
+	mostLoopback  = 250 - mostParallel
+)
 
 // shownFindings is how many findings of a seed are printed.
 const shownFindings = 10
--- a/test/process/soak_test.go
+++ b/test/process/soak_test.go
@@ -13,7 +13,7 @@
 // them by itself.
 func TestSoakInShort(t *testing.T) {
 	t.Parallel()
-	command := exec.Command(filepath.Join(binaries, "tamaracksoak"), "run", "--seed", "1", "--seeds", "2", "--parallel", "2", "--length", "14s", "--untimed")
+	command := exec.Command(filepath.Join(binaries, "tamaracksoak"), "run", "--seed", "1", "--seeds", "2", "--parallel", "2", "--length", "14s", "--untimed", "--loopback", "200")
 	output, err := command.CombinedOutput()
 	t.Logf("%s", output)
 	if err != nil {
