Let anyone replay how large answers share a link

Cause: why the answer that is due first goes first could be seen in a test's log only. Conclusion: kept; no behaviour changes.

--- a/cmd/tamarackload/main.go
+++ b/cmd/tamarackload/main.go
@@ -11,12 +11,13 @@
 
 	"tamarackquay/internal/experiment"
 	"tamarackquay/internal/experiment/admission"
+	"tamarackquay/internal/experiment/largeanswers"
 	"tamarackquay/internal/load/cli"
 	"tamarackquay/standin/target"
 )
 
 // experiments are those that 'tamarackload experiment' lists.
-var experiments = []experiment.Experiment{admission.Experiment{}}
+var experiments = []experiment.Experiment{admission.Experiment{}, largeanswers.Experiment{}}
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
