Let test runs side by side take addresses of their own

Cause: two tests used fixed loopback addresses, so that two runs of the tests at one time would have met.

--- a/internal/soak/cli/cli.go
+++ b/internal/soak/cli/cli.go
@@ -168,8 +168,8 @@
 }
 
 // usualLoopback is the second number of the first run's loopback addresses, and
-// each run beside it has the next one; the project's other tests use 127.0, 127.64
-// to 127.127 and 127.130.
+// each run beside it has the next one; the project's other tests use 127.0 and 127.64
+// to 127.127.
 const (
 	usualLoopback = 140
 	mostLoopback  = 250 - mostParallel
--- a/test/process/reload_test.go
+++ b/test/process/reload_test.go
@@ -20,7 +20,7 @@
 // the moment is the same in each run: opening it waits for the reader.
 func TestSettingsThatChangeDuringTheStart(t *testing.T) {
 	t.Parallel()
-	host := "127.130.1.1"
+	host := loopback
 	node := userfiles.Node{
 		Name: "n", IP: host, Zone: "a", Region: "r", Service: "s", Target: host + ":8628", Callers: host + ":8629",
 		Ready: host + ":8625", PeerPort: 7600, Store: host + ":8627", Zones: map[string]string{"a": "r"},
--- a/test/process/soak_test.go
+++ b/test/process/soak_test.go
@@ -1,8 +1,10 @@
 package process
 
 import (
+	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"testing"
 )
 
@@ -13,7 +15,10 @@
 // them by itself.
 func TestSoakInShort(t *testing.T) {
 	t.Parallel()
-	command := exec.Command(filepath.Join(binaries, "tamaracksoak"), "run", "--seed", "1", "--seeds", "2", "--parallel", "2", "--length", "14s", "--untimed", "--loopback", "200")
+	// Test runs beside this one take other addresses.
+	addresses := strconv.Itoa(150 + 2*(os.Getpid()%45))
+	command := exec.Command(filepath.Join(binaries, "tamaracksoak"), "run", "--seed", "1", "--seeds", "2", "--parallel", "2",
+		"--length", "14s", "--untimed", "--loopback", addresses)
 	output, err := command.CombinedOutput()
 	t.Logf("%s", output)
 	if err != nil {
