Start a node again that ended by itself, in the soak as on the platform

Traced by the kept log and the plan: the node stopped in the planned way and was started again 0.3 s later; 20 ms after that it was told of new settings, and ended by the signal before its runtime had any handler. Nothing started it again. Ruled out: the handler's place in the program (it stands first; the test of it is green); a port still in use (no line of a failed listener). Change: the soak restarts such a node, as the platform does, and a process that ends by itself is a finding, but for one that gets a signal in the first tenth of a second of its life: no program has a handler before it runs. Runs that are broken off give no result.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -31,6 +31,8 @@
 	NothingCut Promise = "nothing-cut"
 	// Budget: the fleet sends few requests more than once.
 	Budget Promise = "budget"
+	// StaysUp: no process of the system ends by itself.
+	StaysUp Promise = "stays-up"
 	// Recovered: the fleet serves again after the last fault.
 	Recovered Promise = "recovered"
 )
@@ -64,6 +66,7 @@
 			found = append(found, check(r)...)
 		}
 	}
+	found = append(found, x.ends()...)
 	found = append(found, x.departures()...)
 	found = append(found, x.repeats()...)
 	return append(found, x.recovers()...)
@@ -176,6 +179,30 @@
 	return finding(NothingCut, r, "after %s: %s", r.End-r.Begin, r.Detail)
 }
 
+// bareStart is for how long after its start a process may have no handler for
+// signals yet: the time until the runtime and the first package are set up, on a
+// machine with several times as many busy processes as processors.
+const bareStart = 100 * time.Millisecond
+
+// ends checks that no process ended by itself. One that is told of new settings in
+// the first moment of its life can't help ending: no program has a handler before
+// it runs. The platform starts it again.
+func (x *index) ends() []Finding {
+	var found []Finding
+	for _, ended := range x.Events {
+		if ended.What != NodeEnded {
+			continue
+		}
+		bare := slices.ContainsFunc(x.Events, func(e Event) bool {
+			return e.What == ReloadNode && e.VM == ended.VM && e.Begin >= ended.Started && e.Begin < ended.Started+bareStart
+		})
+		if !bare {
+			found = append(found, Finding{Promise: StaysUp, At: ended.Begin, Detail: fmt.Sprintf("the node of VM %d: %s", ended.VM, ended.Detail)})
+		}
+	}
+	return found
+}
+
 // departures checks that no target that left got work later than it may, as far
 // as the entry node and its own node were left alone.
 func (x *index) departures() []Finding {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -89,6 +89,10 @@
 			h.Events = append(h.Events, Event{What: RestartNode, VM: 0, Begin: 10 * time.Second, End: 12 * time.Second})
 			h.record("file11").Outcome = Broken
 		}, NothingCut},
+		{"a process that ends by itself", func(h *History) {
+			h.Events = append(h.Events, Event{What: NodeEnded, VM: 0, Begin: 10 * time.Second, End: 11 * time.Second, Started: time.Second},
+				Event{What: ReloadNode, VM: 0, Begin: 2 * time.Second, End: 2 * time.Second})
+		}, StaysUp},
 		{"more repeats than the budget has", func(h *History) {
 			for range repeatFew + 20 {
 				h.Entries = append(h.Entries, *h.entry("read7"))
@@ -128,6 +132,14 @@
 	assert.Equal(t, len(Check(h)), 0)
 }
 
+// A process that gets a signal before it can have a handler isn't to blame.
+func TestSignalInTheFirstMomentIsExcused(t *testing.T) {
+	h := sound()
+	h.Events = append(h.Events, Event{What: NodeEnded, VM: 0, Begin: 10 * time.Second, End: 11 * time.Second, Started: 10*time.Second - 15*time.Millisecond},
+		Event{What: ReloadNode, VM: 0, Begin: 10*time.Second - 5*time.Millisecond, End: 10 * time.Second})
+	assert.Equal(t, len(Check(h)), 0)
+}
+
 func TestPlansAreRepeatableAndEndCalm(t *testing.T) {
 	for seed := range uint64(50) {
 		plan := MakePlan(seed, 20*time.Second, 6)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,6 +38,9 @@
 	storeLog logTail
 	client   *http.Client
 
+	// closing is set when everything is ended.
+	closing atomic.Bool
+
 	mu      sync.Mutex
 	events  []Event
 	version uint64
@@ -77,6 +81,9 @@
 	Begin time.Duration `json:"begin"`
 	End   time.Duration `json:"end"`
 	Side  Side          `json:"side,omitempty"`
+	// Started is when the process that ended had been started.
+	Started time.Duration `json:"started,omitempty"`
+	Detail  string        `json:"detail,omitempty"`
 	// Version and Instance name what was published, and which target left.
 	Version  uint64 `json:"version,omitempty"`
 	Instance string `json:"instance,omitempty"`
@@ -144,8 +151,32 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	node, err := startProcess(&m.nodeLog, []string{"TAMARACKQUAY_CONFIG=" + m.settings}, f.programs.Node, "sidecar")
+	if err != nil {
+		return err
+	}
 	m.node = node
-	return err
+	go f.restartEnded(m, node, target.SinceBoot())
+	return nil
+}
+
+// restartEnded starts a node's process again that ended by itself, as the platform
+// does, and notes it. A process that the soak ended is none of its business.
+func (f *fleet) restartEnded(m *member, node *process, started time.Duration) {
+	<-node.done
+	if !m.stopping.TryLock() {
+		return
+	}
+	defer m.stopping.Unlock()
+	if current, _ := m.processes(); current != node || f.closing.Load() {
+		return
+	}
+	event := Event{What: NodeEnded, VM: m.number, Begin: target.SinceBoot(), Started: started, Detail: node.cmd.ProcessState.String()}
+	time.Sleep(downFor)
+	if err := f.startNode(m); err != nil {
+		event.Detail += "; " + err.Error()
+	}
+	event.End = target.SinceBoot()
+	f.note(event)
 }
 
 // startTarget starts a new instance at the VM's address.
@@ -166,6 +197,7 @@
 
 // close ends everything that was started.
 func (f *fleet) close() {
+	f.closing.Store(true)
 	for _, m := range f.vms {
 		for _, p := range []*process{m.node, m.target} {
 			if p != nil {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -50,6 +50,8 @@
 	Storm   Kind = "storm"
 	// KillAll ends every node's process at the same moment.
 	KillAll Kind = "kill-all"
+	// NodeEnded is in no plan: a node's process ended by itself.
+	NodeEnded Kind = "node-ended"
 )
 
 // Side is which of a VM's connections a link fault harms.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -58,6 +58,10 @@
 		}
 		return nil, errors.Wrapf(err, "seed %d", o.Seed)
 	}
+	if ctx.Err() != nil {
+		// Half a run proves nothing.
+		return nil, ctx.Err()
+	}
 	history, err := f.history(records)
 	if err != nil {
 		return nil, errors.Wrapf(err, "seed %d", o.Seed)
