Charge the calls of repeated runs to the budget of the service that they call

Cause: a service's own repeats were bounded by half of the budget, because the calls of repeated runs were at most 0.91 times as many on two sheets.

Ruled out: a smaller fixed part (it depends on the calls of a run again); telling calls by their address (callers of a VM and its target have the same one).

Change: entry nodes tell the owner that a run is a repeat. The owner's node is the entry of what its target calls, so it charges a call with the part that repeats have of the runs that may have made it (deadlines rule out callers' own requests; routes that call are learnt), and begins a repeat only where the budget has room for its calls. The window's length comes from the settings.

--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -188,7 +188,7 @@
 	return proxy.Config{
 		Headers: platform.Headers(), FailureDomain: s.FailureDomain, Region: s.Region, Regions: s.Regions,
 		TargetAddress: s.TargetAddress, PeerPort: s.PeerPort,
-		RepeatRatio: s.RepeatRatio, RepeatFew: s.RepeatFew, LinkRate: s.LinkRate, Seed: uint64(time.Now().UnixNano()),
+		RepeatRatio: s.RepeatRatio, RepeatFew: s.RepeatFew, RepeatWindow: s.RepeatWindow, LinkRate: s.LinkRate, Seed: uint64(time.Now().UnixNano()),
 	}
 }
 
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -74,6 +74,9 @@
 		tried: map[string]bool{},
 	}
 	f.deadline = now.Add(p.timeLeft(r, route) - answerMargin)
+	if wait, ok := p.callerWaits(r); ok {
+		f.callerEnds = now.Add(wait)
+	}
 	callhttp.CopyHeader(f.header, r.Header)
 	f.header[p.config.Headers.CallerService] = []string{*p.service.Load()}
 	f.service = p.pickService(picture, route)
@@ -86,13 +89,25 @@
 	if route.Timeout > 0 {
 		left = route.Timeout
 	}
-	millis, err := strconv.ParseInt(r.Header.Get(p.config.Headers.Deadline), 10, 64)
-	if err == nil && millis >= 0 && millis < left.Milliseconds() {
-		left = time.Duration(millis) * time.Millisecond
+	if wait, ok := p.callerWaits(r); ok {
+		return min(left, wait)
 	}
 	return left
 }
 
+// callerWaits is how long the caller says that it waits.
+func (p *Proxy) callerWaits(r *http.Request) (time.Duration, bool) {
+	millis, err := strconv.ParseInt(r.Header.Get(p.config.Headers.Deadline), 10, 64)
+	if err != nil || millis < 0 || millis > maxCallerWait.Milliseconds() {
+		return 0, false
+	}
+	return time.Duration(millis) * time.Millisecond, true
+}
+
+// maxCallerWait bounds what callers may say: a number that is far too large would
+// overflow a time, and its caller would count as gone.
+const maxCallerWait = 24 * time.Hour
+
 func (p *Proxy) pickService(picture *Picture, route *mesh.Route) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/proxy/flight.go
+++ b/internal/proxy/flight.go
@@ -25,6 +25,8 @@
 	service  string
 	began    time.Time
 	deadline time.Time
+	// callerEnds is when the caller stops waiting; zero when it didn't say.
+	callerEnds time.Time
 
 	id     string
 	method string
@@ -43,6 +45,8 @@
 	// full counts targets that refused for want of room.
 	full int
 
+	// repeated is the chance that a repeated run made this request as a call.
+	repeated float64
 	// granted says that the next arrival was taken out of the budget already.
 	granted bool
 
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -58,7 +58,7 @@
 		return nil, word, err
 	}
 	response.Body = &released{ReadCloser: response.Body, release: func() {
-		p.gate.Leave(t.attempt)
+		p.endRun(t.attempt)
 		p.open.Add(-1)
 	}}
 	return response, word, nil
@@ -77,12 +77,16 @@
 		return nil, p.loadWord(received, 0), refusal
 	}
 	began := p.ports.Clock.Now()
+	if refusal := p.beginRun(began, t, deadline); refusal != nil {
+		p.gate.Leave(t.attempt)
+		return nil, p.loadWord(received, 0), refusal
+	}
 	response, err := p.runOwn(ctx, t, r, deadline)
 	held := p.ports.Clock.Now().Sub(began)
 	p.noteHold(held, response, err)
 	if err != nil {
 		p.gate.Observe(err)
-		p.gate.Leave(t.attempt)
+		p.endRun(t.attempt)
 		return nil, p.loadWord(received, held), err
 	}
 	p.gate.Observe(nil)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -59,9 +59,11 @@
 	// PeerPort is where the nodes of all VMs listen for each other.
 	PeerPort int
 	// RepeatRatio and RepeatFew bound what all nodes send again together: the
-	// part of a service's requests, and so many besides, in each ten seconds.
-	RepeatRatio float64
-	RepeatFew   float64
+	// part of a service's requests, and so many besides, in each RepeatWindow; 0
+	// for the usual one.
+	RepeatRatio  float64
+	RepeatFew    float64
+	RepeatWindow time.Duration
 	// LinkRate is the speed of the VM's link in bytes a second; 0 when it is
 	// not known.
 	LinkRate float64
@@ -112,7 +114,7 @@
 	splitter mesh.Splitter
 	stats    map[string]*placement.Stats
 	work     map[string]*placement.Work
-	repeats  map[string]*retry.Window
+	repeats  *retry.Ledger
 	held     holds
 	reach    reachability
 	link     *link.Share
@@ -129,7 +131,7 @@
 		random:    rand.New(rand.NewPCG(config.Seed, 1)),
 		stats:     map[string]*placement.Stats{},
 		work:      map[string]*placement.Work{},
-		repeats:   map[string]*retry.Window{},
+		repeats:   retry.NewLedger(config.RepeatWindow),
 		reach:     newReachability(),
 		link:      link.NewShare(config.LinkRate),
 		turnComes: map[*link.Turn]chan struct{}{},
--- a/internal/proxy/repeat.go
+++ b/internal/proxy/repeat.go
@@ -7,17 +7,6 @@
 	"tamarackquay/internal/routing/retry"
 )
 
-// ownPart is the part of the fleet's budget that a service's requests may use for
-// their own repeats. Calls that a repeated run makes count as repeats at the
-// service that is called, and no node sees both: the target's node can't tell a
-// call of a first run from that of a second. Where a service turns calls away,
-// it is just the runs that call it which fail and are repeated: up to 0.91 times
-// as many as it has requests, in the users' sheets. If every service keeps to half
-// of the budget, the repeats of its callers' runs fill the other half at most. With
-// the whole of it a service of which half the targets shed got 573 repeats in 10 s
-// where 551 were allowed, and with 0.6 of it 578 of 574.
-const ownPart = 0.5
-
 // mayRepeat takes an arrival beyond the first out of the fleet's budget, unless
 // that was done when the last attempt was given up.
 func (f *flight) mayRepeat(now time.Time) bool {
@@ -34,26 +23,56 @@
 	p := f.proxy
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	ratio := ownPart * p.config.RepeatRatio
-	few := ownPart * p.config.RepeatFew / float64(max(f.picture.Nodes, 1))
-	if !p.window(f.service).Repeat(now, ratio, few) {
+	if !p.repeats.Repeat(now, f.service, p.repeatTerms(f.picture)) {
 		return false
 	}
 	p.ports.Meter.Count(port.MetricRetries, f.route.Name, 1)
 	return true
 }
 
+// repeatTerms are this node's part of the fleet's budget.
+func (p *Proxy) repeatTerms(picture *Picture) retry.Terms {
+	nodes := 1
+	if picture != nil {
+		nodes = max(picture.Nodes, 1)
+	}
+	return retry.Terms{Ratio: p.config.RepeatRatio, Few: p.config.RepeatFew / float64(nodes)}
+}
+
 func (p *Proxy) countRequest(f *flight) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.window(f.service).Request(f.began)
+	f.repeated = p.repeats.Request(f.began, f.service, f.callerEnds)
 }
 
-func (p *Proxy) window(service string) *retry.Window {
-	w := p.repeats[service]
-	if w == nil {
-		w = &retry.Window{}
-		p.repeats[service] = w
+// repeatPart is the chance that the next arrival is a repeat.
+func (f *flight) repeatPart() float64 {
+	if f.arrivals > 0 {
+		return 1
 	}
-	return w
+	return f.repeated
+}
+
+// beginRun counts a run at the VM's own target. A repeat is refused whose calls the
+// budget has no room for.
+func (p *Proxy) beginRun(now time.Time, t *terms, deadline time.Time) *port.Refusal {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	run := retry.Run{Route: t.route, Part: t.repeated, Ends: deadline}
+	if p.repeats.Begin(now, t.attempt, run, p.repeatTerms(p.picture.Load())) {
+		return nil
+	}
+	return port.Refuse(port.ReasonBusy, retryRepeat, "the budget of repeats has no room for the calls of one more")
+}
+
+// retryRepeat is when to come back where the budget of repeats is used up: the
+// oldest repeats leave it a tenth of its window later.
+const retryRepeat = time.Second
+
+// endRun gives back the slot of a run.
+func (p *Proxy) endRun(attempt string) {
+	p.mu.Lock()
+	p.repeats.End(p.ports.Clock.Now(), attempt)
+	p.mu.Unlock()
+	p.gate.Leave(attempt)
 }
--- a/internal/proxy/terms.go
+++ b/internal/proxy/terms.go
@@ -42,6 +42,9 @@
 	// revision is the platform's revision of the target's entry by which the
 	// target was chosen.
 	revision uint64
+	// repeated is the chance that the run is a repeat, so that its calls count
+	// as repeats where they arrive.
+	repeated float64
 	// repeatable says that the request may run more than once; only the entry
 	// node needs it.
 	repeatable bool
@@ -52,11 +55,11 @@
 		url.QueryEscape(t.attempt), url.QueryEscape(t.route), strconv.Itoa(t.rank),
 		callhttp.FormatMillis(t.budget), callhttp.FormatMillis(t.wait), strconv.Itoa(t.size),
 		strconv.FormatUint(t.revision, 10), strconv.Itoa(t.urgency),
-		callhttp.FormatMillis(t.wanted),
+		callhttp.FormatMillis(t.wanted), strconv.FormatFloat(t.repeated, 'f', 2, 64),
 	}, termSeparator)
 }
 
-const termCount = 9
+const termCount = 10
 
 func decodeTerms(text string) (terms, error) {
 	var t terms
@@ -74,6 +77,7 @@
 	t.revision, errs[6] = strconv.ParseUint(parts[6], 10, 64)
 	t.urgency, errs[7] = strconv.Atoi(parts[7])
 	t.wanted, errs[8] = callhttp.ParseMillis(parts[8])
+	t.repeated, errs[9] = strconv.ParseFloat(parts[9], 64)
 	for i, err := range errs {
 		if err != nil {
 			return t, errors.Wrapf(err, "term %d", i)
