Let callers that came back wait behind those that can be in time

Cause: an answer is wanted within a time from the caller's first attempt, and an entry node counted from the attempt that it saw. Refused callers come back after up to a third of their time, too late to be in time, and were ranked as new ones; any request past its target latency even got the longest wait of all.

Change: an entry node remembers the attempts that it refused or that failed, and knows a caller that comes back by what it asks for and by the moment at which it stops waiting, which is the same in each attempt. Its target latency counts from the first attempt; once that is over it waits behind those that can be in time.

--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -47,10 +47,10 @@
 // it, the time in which it is worth anything.
 func (f *flight) wanted(now time.Time) time.Duration {
 	left := f.deadline.Sub(now)
-	if early := f.began.Add(f.route.TargetLatency).Sub(now); f.route.TargetLatency > 0 && early > 0 {
-		return min(left, early)
+	if f.route.TargetLatency <= 0 || f.overdue(now) {
+		return left
 	}
-	return left
+	return min(left, f.first.Add(f.route.TargetLatency).Sub(now))
 }
 
 // firstDownload is the size that a download is taken for until one was seen, so
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -77,6 +77,7 @@
 	if wait, ok := p.callerWaits(r); ok {
 		f.callerEnds = now.Add(wait)
 	}
+	f.first = p.firstAttempt(f)
 	callhttp.CopyHeader(f.header, r.Header)
 	f.header[p.config.Headers.CallerService] = []string{*p.service.Load()}
 	f.service = p.pickService(picture, route)
@@ -119,6 +120,9 @@
 func (p *Proxy) deliver(w http.ResponseWriter, f *flight, a *answer) {
 	p.closeWhenStopping(w)
 	p.ports.Meter.Count(port.MetricAnswered, f.route.Name, 1)
+	if a.response.Status >= http.StatusInternalServerError {
+		p.rememberFailed(f)
+	}
 	now := p.ports.Clock.Now()
 	p.ports.Meter.Observe(port.MetricRequestTime, f.route.Name, now.Sub(f.began))
 	p.decisions.served(now, f, a)
@@ -140,6 +144,9 @@
 	var refusal *port.Refusal
 	known := errors.As(err, &refusal)
 	p.countEnd(f, err)
+	if f != nil {
+		p.rememberFailed(f)
+	}
 	p.decisions.ended(p.ports.Clock.Now(), r.Header.Get(p.config.Headers.RequestID), f, callerGone(r), err)
 	if callerGone(r) {
 		return
--- a/internal/proxy/flight.go
+++ b/internal/proxy/flight.go
@@ -27,6 +27,9 @@
 	deadline time.Time
 	// callerEnds is when the caller stops waiting; zero when it didn't say.
 	callerEnds time.Time
+	// first is when the caller made its first attempt, before began if it was
+	// refused or failed then. Its target latency counts from there.
+	first time.Time
 
 	id     string
 	method string
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -24,6 +24,7 @@
 	"tamarackquay/internal/mesh"
 	"tamarackquay/internal/placement"
 	"tamarackquay/internal/port"
+	"tamarackquay/internal/routing/clientretry"
 	"tamarackquay/internal/routing/retry"
 )
 
@@ -115,6 +116,7 @@
 	stats    map[string]*placement.Stats
 	work     map[string]*placement.Work
 	repeats  *retry.Ledger
+	callers  *clientretry.Memory
 	held     holds
 	reach    reachability
 	link     *link.Share
@@ -132,6 +134,7 @@
 		stats:     map[string]*placement.Stats{},
 		work:      map[string]*placement.Work{},
 		repeats:   retry.NewLedger(config.RepeatWindow),
+		callers:   clientretry.NewMemory(),
 		reach:     newReachability(),
 		link:      link.NewShare(config.LinkRate),
 		turnComes: map[*link.Turn]chan struct{}{},
--- a/internal/proxy/rank.go
+++ b/internal/proxy/rank.go
@@ -75,7 +75,7 @@
 		urgency: urgency(f.route.TargetLatency), repeatable: f.route.Kind.Repeatable(),
 		repeated: f.repeatPart(),
 	}
-	if early := t.wanted - time.Duration(workMargin*float64(hold)); early > 0 {
+	if early := t.wanted - time.Duration(workMargin*float64(hold)); early > 0 && !f.overdue(now) {
 		t.wait = early
 	} else {
 		t.rank += rankLate
--- a/internal/proxy/rank_test.go
+++ b/internal/proxy/rank_test.go
@@ -29,7 +29,7 @@
 	}
 	p.stats["t"] = stats
 	p.work["r"] = &placement.Work{Hold: usual}
-	return &flight{proxy: p, route: route, began: now, deadline: now.Add(2 * time.Second)}, member
+	return &flight{proxy: p, route: route, began: now, first: now, deadline: now.Add(2 * time.Second)}, member
 }
 
 func TestWaitLeavesTimeForTheWork(t *testing.T) {
