Weigh all bytes that leave the failure domain the same

Cause: what a byte costs came from two customers' price lists.

Ruled out: a weight by the mean size of answers at the node (it is twice as high beside a target that calls as beside one that is called); a linear weight (an ill target in the domain would be taken for large answers, however ill).

Change: what leaves the domain weighs bytes/(bytes + half), the same whichever way it leaves, with the headers of a hop and the request's own body. It stays below one: a target that is ill or surely late is never the better one.

--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -26,6 +26,7 @@
 	"tamarackquay/internal/follow"
 	"tamarackquay/internal/logfield"
 	"tamarackquay/internal/mesh"
+	"tamarackquay/internal/placement"
 	"tamarackquay/internal/port"
 	"tamarackquay/internal/proxy"
 	"tamarackquay/internal/wait"
@@ -76,8 +77,7 @@
 const sidecarCollectPercent = 60
 
 func newSidecarCommand() *cobra.Command {
-	var metricsPort int
-	var level string
+	var options sidecarOptions
 	command := &cobra.Command{
 		Use:   "sidecar",
 		Short: "Serve callers beside a target on the users' platform",
@@ -90,17 +90,24 @@
 			if len(found) > 0 {
 				return found
 			}
-			return runSidecar(path, loaded, sidecarOptions{metricsPort: metricsPort, level: level})
+			if options.halfBytes < 0 {
+				return errors.Errorf("--half-bytes is %v; a number from 0 on is wanted", options.halfBytes)
+			}
+			return runSidecar(path, loaded, options)
 		},
 	}
-	command.Flags().IntVar(&metricsPort, "metrics-port", 0, "port of the metrics page; 0 for none")
-	command.Flags().StringVar(&level, "log-level", "info", "debug, info, warn or error")
+	flags := command.Flags()
+	flags.IntVar(&options.metricsPort, "metrics-port", 0, "port of the metrics page; 0 for none")
+	flags.StringVar(&options.level, "log-level", "info", "debug, info, warn or error")
+	flags.Float64Var(&options.halfBytes, "half-bytes", placement.DefaultHalfBytes,
+		"size of an answer in bytes at which leaving the failure domain weighs half as much as a late answer; 0 if bytes don't matter")
 	return command
 }
 
 type sidecarOptions struct {
 	metricsPort int
 	level       string
+	halfBytes   float64
 }
 
 // reloads gets the platform's word that the settings have changed (SIGHUP). It is
@@ -167,7 +174,7 @@
 		settings: s, log: logger, output: output, meter: metrics.New(),
 		peers: exchange.NewPool(peerConnections), target: exchange.NewPool(targetConnections),
 	}
-	c.proxy = proxy.New(proxyConfig(s), proxy.Ports{
+	c.proxy = proxy.New(proxyConfig(s, options), proxy.Ports{
 		Clock: wallClock{}, Peers: c.peers, Target: c.target, Log: logger, Meter: c.meter,
 		ViewAge: func() time.Duration { return c.follower.Age() },
 	})
@@ -184,11 +191,12 @@
 	return c
 }
 
-func proxyConfig(s platform.Settings) proxy.Config {
+func proxyConfig(s platform.Settings, options sidecarOptions) proxy.Config {
 	return proxy.Config{
 		Headers: platform.Headers(), FailureDomain: s.FailureDomain, Region: s.Region, Regions: s.Regions,
 		TargetAddress: s.TargetAddress, PeerPort: s.PeerPort,
-		RepeatRatio: s.RepeatRatio, RepeatFew: s.RepeatFew, RepeatWindow: s.RepeatWindow, LinkRate: s.LinkRate, Seed: uint64(time.Now().UnixNano()),
+		RepeatRatio: s.RepeatRatio, RepeatFew: s.RepeatFew, RepeatWindow: s.RepeatWindow,
+		HalfBytes: options.halfBytes, LinkRate: s.LinkRate, Seed: uint64(time.Now().UnixNano()),
 	}
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -12,7 +12,7 @@
 	"tamarackquay/internal/link"
 )
 
-// Distance orders targets by the price of their bytes.
+// Distance is how far a target is from the entry node.
 type Distance uint8
 
 // The distances, nearest first.
@@ -24,12 +24,29 @@
 	distances
 )
 
-// pricePerByte is what a byte of an answer costs, as a part of what one answer
-// in time is worth. Links between regions are paid by volume: there 10 KB cost a
-// quarter of an answer and an archive of 90 KB costs two, so an archive leaves
-// its region only when nothing nearer can take it. The ratio of the two is that
-// of the users' price lists (3.6 and 3.8), the size that of their lower one.
-var pricePerByte = [distances]float64{0, 0, 5e-6, 18e-6}
+// DefaultHalfBytes is the size from which bytes weigh half where nobody sets it.
+const DefaultHalfBytes = 20e3
+
+// outside is what the bytes of a request cost that leave the failure domain, as a
+// part of what an answer in time is worth. Links between domains are shared and
+// paid for by volume, at prices that a node can't see, so all ways out weigh the
+// same and a further target is taken only for what the caller gains. It stays
+// below one: a target that is ill or surely late is never the better one, however
+// large the answer.
+func (r *Request) outside(distance Distance) float64 {
+	if distance <= SameDomain || r.HalfBytes <= 0 {
+		return 0
+	}
+	bytes := r.Work.Bytes + r.Sent + HopBytes
+	return bytes / (bytes + r.HalfBytes)
+}
+
+// HeaderBytes is about what the headers of a message between nodes take, HopBytes
+// what those of a request and its answer take.
+const (
+	HeaderBytes = 600
+	HopBytes    = 2 * HeaderBytes
+)
 
 // firstRTT is the round trip that is assumed until one was measured.
 var firstRTT = [distances]time.Duration{0, 500 * time.Microsecond, 2 * time.Millisecond, 40 * time.Millisecond}
@@ -55,7 +72,7 @@
 	failGain     = 0.15
 	failHalfLife = 3 * time.Second
 	// spreadOfWork is the spread of the logarithm of the time that requests of
-	// one route take, as the users' sheets give it (0.3 to 0.5).
+	// one route take: two in three take 0.6 to 1.65 times the median.
 	spreadOfWork = 0.5
 )
 
@@ -216,6 +233,11 @@
 	Work Work
 	// Left is the time in which the answer is still wanted.
 	Left time.Duration
+	// Sent is how many bytes the request itself has.
+	Sent float64
+	// HalfBytes is the size at which leaving the failure domain weighs half as much
+	// as a late answer; 0 if bytes don't matter.
+	HalfBytes float64
 }
 
 // expected are the parts of the time until an answer.
@@ -277,7 +299,7 @@
 
 // Cost is what sending the request to the target costs, as a part of what an
 // answer in time is worth: the chance that it is late or fails, the bytes that
-// cross paid links, and the time for which it holds a slot.
+// leave the failure domain, and the time for which it holds a slot.
 func (s *Stats) Cost(now time.Time, r *Request) float64 {
 	way, wait, hold := s.expected(now, r)
 	left := r.Left - way - wait
@@ -287,7 +309,7 @@
 	}
 	failing := s.failing * math.Exp2(-now.Sub(s.failedAt).Seconds()/failHalfLife.Seconds())
 	cost += failing
-	cost += r.Work.Bytes * pricePerByte[s.Distance]
+	cost += r.outside(s.Distance)
 	cost += slotWeight * float64(hold) / float64(max(r.Left, time.Millisecond))
 	return cost + fullWeight*s.fullness(now)
 }
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -12,7 +12,10 @@
 	p := f.proxy
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	request := &placement.Request{Work: *p.workOf(f.route), Left: f.wanted(now)}
+	request := &placement.Request{
+		Work: *p.workOf(f.route), Left: f.wanted(now),
+		Sent: float64(max(f.length, 0)), HalfBytes: p.config.HalfBytes,
+	}
 	if best := f.cheapest(now, request, false); best != nil || f.offers > 0 {
 		return best
 	}
@@ -54,9 +57,8 @@
 }
 
 // firstDownload is the size that a download is taken for until one was seen, so
-// that the first ones don't cross paid links either; the smaller of the means
-// that the users' sheets give.
-const firstDownload = 90e3
+// that the first ones don't leave the failure domain either.
+const firstDownload = 100e3
 
 // workOf must be called with the mutex held.
 func (p *Proxy) workOf(route *mesh.Route) *placement.Work {
--- a/internal/proxy/flight.go
+++ b/internal/proxy/flight.go
@@ -202,7 +202,7 @@
 		return nil, loadWord{}, refusal
 	}
 	r.Header[headerTerms] = []string{t.encode()}
-	p.countSmall(int(max(r.ContentLength, 0)) + headerBytes)
+	p.countSmall(int(max(r.ContentLength, 0)) + placement.HeaderBytes)
 	// Nodes refuse with bodies of their own, which echo nothing.
 	r.IDHeader = ""
 	address := p.peerAddress(member)
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -14,6 +14,7 @@
 	"tamarackquay/internal/adapter/exchange"
 	"tamarackquay/internal/admission"
 	"tamarackquay/internal/link"
+	"tamarackquay/internal/placement"
 	"tamarackquay/internal/port"
 )
 
@@ -254,7 +255,7 @@
 	if len(a.whole) >= link.Large && p.link.Rate() > 0 {
 		return p.passPaced(ctx, w, a, due)
 	}
-	p.countSmall(len(a.whole) + headerBytes)
+	p.countSmall(len(a.whole) + placement.HeaderBytes)
 	writeAnswer(w, a.response)
 	return copyAnswer(w, a)
 }
--- a/internal/proxy/pace.go
+++ b/internal/proxy/pace.go
@@ -36,9 +36,6 @@
 	return p.link.Wait(p.ports.Clock.Now())
 }
 
-// headerBytes is about what the headers of a message between nodes take.
-const headerBytes = 600
-
 // countSmall counts what is sent without a pace.
 func (p *Proxy) countSmall(bytes int) {
 	p.mu.Lock()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -65,6 +65,9 @@
 	RepeatRatio  float64
 	RepeatFew    float64
 	RepeatWindow time.Duration
+	// HalfBytes is the size at which leaving the failure domain weighs half as much
+	// as a late answer; 0 if bytes don't matter.
+	HalfBytes float64
 	// LinkRate is the speed of the VM's link in bytes a second; 0 when it is
 	// not known.
 	LinkRate float64
