Keep news flowing over full links: compress changes once, count bytes as life

Ruled out: the processor (the nodes served on); compression by the WebSocket (it would compress for each follower, up to a megabyte of state each); fewer followers a reader (not needed at this size, and every level adds its beat to the age).

Change: a change of the configuration is compressed once for all followers, 120 KB to 15 KB. Feeds count against the VM's link, so large answers leave room for them.

TestSlowMessageIsNoSilence fails with a bound for the whole message.

--- /dev/null
+++ b/internal/adapter/feedws/codec.go
@@ -0,0 +1,123 @@
+package feedws
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"tamarackquay/internal/mesh"
+)
+
+// message is one piece of news as it is sent. A change of the configuration is
+// compressed apart from the rest: a thousand new routes have 120 KB as CBOR and
+// 15 KB compressed. Sent whole to the 28 followers of a reader with a link of 14
+// Mbit/s they filled it for two seconds, in which all feeds went silent.
+type message struct {
+	News *mesh.News `cbor:"n"`
+	// Config is the compressed CBOR of a mesh.ConfigDelta; empty for none.
+	Config []byte `cbor:"c,omitempty"`
+}
+
+// keptDeltas is how many compressed deltas are kept: followers ask for a change at
+// about the same time, and a storm of changes has a few at a time.
+const keptDeltas = 4
+
+// encoder makes messages. It compresses a delta once for all followers. It is
+// safe for concurrent use.
+type encoder struct {
+	mu   sync.Mutex
+	kept []encodedDelta
+}
+
+// encodedDelta is a delta by its versions, which say all that it holds.
+type encodedDelta struct {
+	base, version uint64
+	raw           []byte
+}
+
+func (e *encoder) encode(news *mesh.News) ([]byte, error) {
+	m := message{News: news}
+	if news.Config != nil {
+		bare := *news
+		bare.Config = nil
+		m.News = &bare
+		var err error
+		if m.Config, err = e.delta(news.Config); err != nil {
+			return nil, err
+		}
+	}
+	raw, err := cbor.Marshal(&m)
+	return raw, errors.Wrap(err, "encode news")
+}
+
+// delta holds the mutex while it compresses, so that followers who want the same
+// delta wait for it.
+func (e *encoder) delta(d *mesh.ConfigDelta) ([]byte, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, kept := range e.kept {
+		if kept.base == d.Base && kept.version == d.Version {
+			return kept.raw, nil
+		}
+	}
+	raw, err := compress(d)
+	if err != nil {
+		return nil, err
+	}
+	if len(e.kept) == keptDeltas {
+		e.kept = e.kept[1:]
+	}
+	e.kept = append(e.kept, encodedDelta{base: d.Base, version: d.Version, raw: raw})
+	return raw, nil
+}
+
+func compress(d *mesh.ConfigDelta) ([]byte, error) {
+	var packed bytes.Buffer
+	writer, err := flate.NewWriter(&packed, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "compress news")
+	}
+	if err := cbor.NewEncoder(writer).Encode(d); err != nil {
+		return nil, errors.Wrap(err, "encode configuration")
+	}
+	if err := writer.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress news")
+	}
+	return packed.Bytes(), nil
+}
+
+// decode reads what encode wrote.
+func decode(raw []byte) (*mesh.News, error) {
+	var m message
+	if err := decoder.Unmarshal(raw, &m); err != nil {
+		return nil, errors.Wrap(err, "decode news")
+	}
+	if m.News == nil {
+		return nil, errors.New("decode news: none")
+	}
+	if len(m.Config) == 0 {
+		return m.News, nil
+	}
+	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(m.Config)), maxNews+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress configuration")
+	}
+	if len(plain) > maxNews {
+		return nil, errors.Errorf("decompress configuration: over %d bytes", maxNews)
+	}
+	m.News.Config = &mesh.ConfigDelta{}
+	return m.News, errors.Wrap(decoder.Unmarshal(plain, m.News.Config), "decode configuration")
+}
+
+// decoder bounds what a broken neighbour can make this node hold.
+var decoder = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 16, MaxMapPairs: 64, MaxNestedLevels: 12}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
--- a/internal/adapter/feedws/feedws.go
+++ b/internal/adapter/feedws/feedws.go
@@ -4,16 +4,17 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/coder/websocket"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"tamarackquay/internal/follow"
 	"tamarackquay/internal/mesh"
+	"tamarackquay/internal/wait"
 )
 
 // Path is where nodes open a feed.
@@ -26,8 +27,10 @@
 	// maxNews bounds one piece of news: a whole configuration of some ten
 	// thousand routes.
 	maxNews = 8 << 20
-	// silence ends a feed that carries nothing; its beats come several times
-	// as often.
+	// silence ends a feed on which no byte comes; its beats come several times as
+	// often. The bytes of one long message count each: a feed that was ended while
+	// a large change was on its way asked for the whole of it again, and the link
+	// that was too full for it once got fuller.
 	silence = 1200 * time.Millisecond
 	// writeTimeout ends a feed whose follower doesn't read.
 	writeTimeout = 3 * time.Second
@@ -40,8 +43,9 @@
 	Serve(ctx context.Context, host string, version uint64, send func(*mesh.News) error) error
 }
 
-// NewHandler serves feeds of the source.
-func NewHandler(source Source) http.Handler {
+// NewHandler serves feeds of the source. Sent is told of the bytes that go out.
+func NewHandler(source Source, sent func(bytes int)) http.Handler {
+	encoder := &encoder{}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		version, err := strconv.ParseUint(r.URL.Query().Get(paramVersion), 10, 64)
 		if err != nil {
@@ -55,7 +59,14 @@
 		defer conn.CloseNow()
 		// Nothing is read; this notices that the follower has gone.
 		ctx := conn.CloseRead(r.Context())
-		err = source.Serve(ctx, follow.HostOf(r.RemoteAddr), version, func(news *mesh.News) error { return write(ctx, conn, news) })
+		err = source.Serve(ctx, follow.HostOf(r.RemoteAddr), version, func(news *mesh.News) error {
+			raw, err := encoder.encode(news)
+			if err != nil {
+				return err
+			}
+			sent(len(raw))
+			return write(ctx, conn, raw)
+		})
 		if err != nil && ctx.Err() == nil {
 			// The follower sees the end and opens another feed.
 			_ = conn.Close(websocket.StatusGoingAway, "")
@@ -63,11 +74,7 @@
 	})
 }
 
-func write(ctx context.Context, conn *websocket.Conn, news *mesh.News) error {
-	raw, err := cbor.Marshal(news)
-	if err != nil {
-		return errors.Wrap(err, "encode news")
-	}
+func write(ctx context.Context, conn *websocket.Conn, raw []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	return conn.Write(ctx, websocket.MessageBinary, raw)
@@ -110,25 +117,29 @@
 	return conn, errors.Wrap(err, "open feed")
 }
 
+// read returns the next piece of news.
 func read(ctx context.Context, conn *websocket.Conn) (*mesh.News, error) {
-	ctx, cancel := context.WithTimeout(ctx, silence)
-	defer cancel()
-	_, raw, err := conn.Read(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silent := time.AfterFunc(silence, func() { cancel(errSilent) })
+	defer silent.Stop()
+	_, reader, err := conn.Reader(ctx)
 	if err != nil {
-		return nil, err
+		return nil, causeOf(ctx, err)
 	}
-	news := &mesh.News{}
-	if err := decoder.Unmarshal(raw, news); err != nil {
-		return nil, errors.Wrap(err, "decode news")
+	raw, err := io.ReadAll(&wait.Progress{From: reader, Timer: silent, Silence: silence})
+	if err != nil {
+		return nil, causeOf(ctx, err)
 	}
-	return news, nil
+	return decode(raw)
 }
 
-// decoder bounds what a broken neighbour can make this node hold.
-var decoder = func() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 16, MaxMapPairs: 64, MaxNestedLevels: 12}.DecMode()
-	if err != nil {
-		panic(err)
+var errSilent = errors.New("the feed went silent")
+
+// causeOf tells silence from other ends of a feed.
+func causeOf(ctx context.Context, err error) error {
+	if context.Cause(ctx) == errSilent {
+		return errSilent
 	}
-	return mode
-}()
+	return err
+}
--- /dev/null
+++ b/internal/adapter/feedws/feedws_test.go
@@ -0,0 +1,176 @@
+package feedws
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"tamarackquay/internal/mesh"
+)
+
+// routes makes so many routes with names that have nothing in common.
+func routes(count int) []mesh.Route {
+	random := rand.New(rand.NewPCG(1, 1))
+	var made []mesh.Route
+	for i := range count {
+		made = append(made, mesh.Route{
+			Name: fmt.Sprintf("r-%07x", random.IntN(1<<28)), Host: "calls.example", Prefix: fmt.Sprintf("/%d%d/", i, random.IntN(1e5)),
+			Kind: mesh.Idempotent, Timeout: time.Second, TargetLatency: 400 * time.Millisecond, Priority: 2, MaxAttempts: 2,
+			Shares: []mesh.Share{{Service: "s", Weight: 1}},
+		})
+	}
+	return made
+}
+
+func TestNewsComeThrough(t *testing.T) {
+	targets := []mesh.Target{{ID: "t", Service: "s", Address: "10.0.0.1:1", State: mesh.Ready, Revision: 7}}
+	delta := mesh.Diff(nil, &mesh.Config{Version: 3, Routes: routes(2), Limits: mesh.Limits{HeaderBytes: 5}})
+	for _, test := range []struct {
+		desc string
+		news mesh.News
+	}{
+		{"a beat", mesh.News{Age: time.Second, Way: time.Millisecond}},
+		{"of a view that was never current", mesh.News{Age: -1}},
+		{"targets", mesh.News{Targets: targets, Removed: []mesh.Removal{{ID: "u", Revision: 6}}}},
+		{"a configuration", mesh.News{Config: delta, Targets: targets}},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			raw, err := (&encoder{}).encode(&test.news)
+			assert.NilError(t, err)
+			got, err := decode(raw)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, *got, test.news)
+		})
+	}
+}
+
+// A thousand routes are added, and all followers of a node want them at once. Each
+// gets a tenth of the bytes, which are compressed once.
+func TestLargeChangesAreCompressedOnce(t *testing.T) {
+	news := &mesh.News{Config: mesh.Diff(nil, &mesh.Config{Version: 3, Routes: routes(1000)})}
+	plain, err := cbor.Marshal(news)
+	assert.NilError(t, err)
+	e := &encoder{}
+	first, err := e.encode(news)
+	assert.NilError(t, err)
+	assert.Assert(t, len(first)*5 < len(plain), "%d of %d bytes", len(first), len(plain))
+	_, err = e.encode(news)
+	assert.NilError(t, err)
+	assert.Equal(t, len(e.kept), 1)
+	for version := range uint64(10) {
+		_, err := e.encode(&mesh.News{Config: &mesh.ConfigDelta{Base: version, Version: version + 10}})
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, len(e.kept), keptDeltas)
+}
+
+func TestBrokenMessagesAreRefused(t *testing.T) {
+	bomb, err := compress(&mesh.ConfigDelta{Dropped: []string{strings.Repeat("x", maxNews)}})
+	assert.NilError(t, err)
+	for _, test := range []struct {
+		desc string
+		m    any
+	}{
+		{"no message", "text"},
+		{"no news", message{}},
+		{"bytes that aren't compressed", message{News: &mesh.News{}, Config: []byte{1, 2, 3}}},
+		{"a configuration that grows beyond all bounds", message{News: &mesh.News{}, Config: bomb}},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			raw, err := cbor.Marshal(test.m)
+			assert.NilError(t, err)
+			_, err = decode(raw)
+			assert.Assert(t, err != nil)
+		})
+	}
+}
+
+// slowListener is a server's side of a link that is full: its connections write a
+// few bytes at a time.
+type slowListener struct{ net.Listener }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return slowConn{conn}, err
+}
+
+type slowConn struct{ net.Conn }
+
+const slowBytes, slowPause = 2 << 10, silence / 8
+
+func (c slowConn) Write(b []byte) (int, error) {
+	written := 0
+	for written < len(b) {
+		n, err := c.Conn.Write(b[written:min(written+slowBytes, len(b))])
+		written += n
+		if err != nil {
+			return written, err
+		}
+		time.Sleep(slowPause)
+	}
+	return written, nil
+}
+
+// sourceOf hands out news once and then nothing.
+type sourceOf struct{ news *mesh.News }
+
+func (s sourceOf) Serve(ctx context.Context, _ string, _ uint64, send func(*mesh.News) error) error {
+	if err := send(s.news); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func serveFeed(t *testing.T, listener net.Listener, source Source, sent func(int)) {
+	t.Helper()
+	server := httptest.NewUnstartedServer(NewHandler(source, sent))
+	server.Listener = listener
+	server.Start()
+	t.Cleanup(server.Close)
+}
+
+var errTaken = errors.New("taken")
+
+// A large change comes over a link that is nearly full, for longer than a feed may
+// be silent. The follower takes it whole: its bytes are signs of life.
+func TestSlowMessageIsNoSilence(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	sent := 0
+	news := &mesh.News{Config: mesh.Diff(nil, &mesh.Config{Version: 3, Routes: routes(2500)})}
+	serveFeed(t, slowListener{listener}, sourceOf{news}, func(bytes int) { sent += bytes })
+	client := NewClient(&http.Transport{})
+	begin := time.Now()
+	err = client.Follow(context.Background(), listener.Addr().String(), 0, func(got *mesh.News) error {
+		assert.Equal(t, len(got.Config.Changed), 2500)
+		return errTaken
+	})
+	assert.Equal(t, err, errTaken)
+	assert.Assert(t, time.Since(begin) > silence, "the link was not slow")
+	assert.Assert(t, sent > 8*slowBytes, "%d bytes told", sent)
+}
+
+// The node that is followed hangs. The follower learns it and can look elsewhere.
+func TestSilentFeedEnds(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	serveFeed(t, listener, sourceOf{&mesh.News{}}, func(int) {})
+	taken := 0
+	err = NewClient(&http.Transport{}).Follow(context.Background(), listener.Addr().String(), 0, func(*mesh.News) error {
+		taken++
+		return nil
+	})
+	assert.Equal(t, err, errSilent)
+	assert.Equal(t, taken, 1)
+}
--- a/internal/proxy/pace.go
+++ b/internal/proxy/pace.go
@@ -36,6 +36,10 @@
 	return p.link.Wait(p.ports.Clock.Now())
 }
 
+// CountSent counts what others send over the VM's link, which large answers leave
+// room for.
+func (p *Proxy) CountSent(bytes int) { p.countSmall(bytes) }
+
 // countSmall counts what is sent without a pace.
 func (p *Proxy) countSmall(bytes int) {
 	p.mu.Lock()
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 )
 
@@ -22,3 +23,21 @@
 		return false
 	}
 }
+
+// Progress reads from a stream and puts a timer off with each byte that comes, so
+// that the timer tells silence from a long message on a full link.
+type Progress struct {
+	From  io.Reader
+	Timer *time.Timer
+	// Silence is for how long the timer is put off.
+	Silence time.Duration
+}
+
+// Read implements io.Reader.
+func (p *Progress) Read(b []byte) (int, error) {
+	n, err := p.From.Read(b)
+	if n > 0 {
+		p.Timer.Reset(p.Silence)
+	}
+	return n, err
+}
