Give no work to a target beyond its grace, and give no attempt up for a full one

A reader whose link was full took its old view for an outage of the platform, so a target whose entry was removed got its grace of 2 s; each node that heard of it began the grace anew, and the target's own node never looked whether it was over. Work reached the target 3.04 s and 3.24 s after it left; 3.0 s are allowed (DRAIN). Now the grace runs from the first word of it, and the owner node ends it.

An attempt that took long was cancelled for another target, which had no room: the target's work was wasted and the caller got 502, at a node that had just got its order to stop (LOST). Now the next target must be believed to have a free slot.

Ruled out: a shorter grace (live targets need two seconds to renew).

Tests: TestGraceRunsFromTheFirstWord, TestOwnerEndsTheGraceOfAGoneTarget and a row of TestSlowAttemptIsGivenUpOnlyForAnother fail before.

--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -112,9 +112,9 @@
 	}
 	f.revision = max(f.revision, changes.Revision)
 	news := &mesh.News{Targets: changes.Targets, Removed: changes.Removed, Way: f.platform.Way()}
-	suspect := f.settling()
+	grace := f.removalGrace()
 	for i := range news.Removed {
-		news.Removed[i].Suspect = suspect
+		news.Removed[i].Grace = grace
 	}
 	f.addConfig(news, changes.Config)
 	return !news.Empty(), f.apply(news)
@@ -134,9 +134,9 @@
 		return err
 	}
 	news := &mesh.News{Targets: listing.Targets, Way: f.platform.Way()}
-	suspect := f.settling()
+	grace := f.removalGrace()
 	f.mu.Lock()
-	news.Removed = f.view.Listed(listing.Targets, listing.Revision, suspect)
+	news.Removed = f.view.Listed(listing.Targets, listing.Revision, grace)
 	f.mu.Unlock()
 	f.addConfig(news, listing.Config)
 	f.revision = listing.Revision
@@ -150,15 +150,19 @@
 	}
 }
 
-// settling reports whether the platform is back so lately that live targets may
-// not have renewed their entries. It goes by the view's age and not by this
+// removalGrace is for how long targets stay in use whose entries are gone: for a
+// while where the platform is back so lately that live targets may not have renewed
+// them. It goes by the view's age and not by this
 // node's own readings: a node that was only ever told by its neighbours would
 // else be the one that drops every target, and tell the others.
-func (f *Follower) settling() bool {
+func (f *Follower) removalGrace() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	return f.view.Age(now) > outage || !f.returned.IsZero() && now.Sub(f.returned) < settle
+	if f.view.Age(now) > outage || !f.returned.IsZero() && now.Sub(f.returned) < settle {
+		return mesh.SuspectGrace
+	}
+	return 0
 }
 
 // noteContact tells of the platform's loss and return.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -118,7 +118,8 @@
 type Removal struct {
 	ID       string `cbor:"i"`
 	Revision uint64 `cbor:"r"`
-	// Suspect removals may come from leases that ran out while the platform
-	// was away rather than from targets that left.
-	Suspect bool `cbor:"s,omitempty"`
+	// Grace is for how long from now the target stays in use. It is above zero for
+	// removals that may come from leases which ran out while the platform was away
+	// rather than from targets that left.
+	Grace time.Duration `cbor:"g,omitempty"`
 }
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -96,16 +96,42 @@
 	view := NewView()
 	target := Target{ID: "i", Service: "s", State: Ready, Revision: 5}
 	assert.NilError(t, view.Apply(start, &News{Targets: []Target{target}}))
-	gone := view.Listed(nil, 9, true)
+	gone := view.Listed(nil, 9, SuspectGrace)
 	assert.Equal(t, len(gone), 1)
 	assert.NilError(t, view.Apply(start, &News{Removed: gone}))
 	assert.Assert(t, view.Members()["i"].Usable(start.Add(time.Second)))
-	assert.Assert(t, !view.Members()["i"].Usable(start.Add(suspectGrace)))
+	assert.Assert(t, !view.Members()["i"].Usable(start.Add(SuspectGrace)))
 	target.Revision = 12
 	assert.NilError(t, view.Apply(start.Add(time.Second), &News{Targets: []Target{target}}))
 	assert.Assert(t, view.Members()["i"].Usable(start.Add(time.Hour)))
 }
 
+// A target's entry is gone when the platform comes back, and the word passes through
+// two nodes, late. The last one uses the target no longer than the first.
+func TestGraceRunsFromTheFirstWord(t *testing.T) {
+	views := []*View{NewView(), NewView(), NewView()}
+	target := Target{ID: "i", Service: "s", State: Ready, Revision: 5}
+	for _, view := range views {
+		assert.NilError(t, view.Apply(start, &News{Targets: []Target{target}}))
+	}
+	assert.NilError(t, views[0].Apply(start, &News{Removed: views[0].Listed(nil, 9, SuspectGrace)}))
+	now := start
+	for i, view := range views[1:] {
+		now = now.Add(SuspectGrace * 2 / 5)
+		news, _ := views[i].Since(now, Position{})
+		assert.NilError(t, view.Apply(now, news))
+	}
+	last := views[2].Members()["i"]
+	assert.Assert(t, last.Usable(start.Add(SuspectGrace-time.Millisecond)))
+	assert.Assert(t, !last.Usable(start.Add(SuspectGrace)))
+	now = start.Add(SuspectGrace)
+	news, _ := views[0].Since(now, Position{})
+	view := NewView()
+	assert.NilError(t, view.Apply(start, &News{Targets: []Target{target}}))
+	assert.NilError(t, view.Apply(now, news))
+	assert.Equal(t, len(view.Members()), 0)
+}
+
 // News of a target that left cross on two paths: its old entry comes after its
 // removal. The target stays gone.
 func TestCrossedNewsReviveNobody(t *testing.T) {
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -8,11 +8,11 @@
 
 // Times of entries that were removed.
 const (
-	// suspectGrace is how long a target stays in use whose entry was gone when
+	// SuspectGrace is how long a target stays in use whose entry was gone when
 	// the platform came back. Its lease may have run out while nobody could
 	// renew it; a live target renews it within some two seconds. Dropping all
 	// at once would leave a service without targets for that time.
-	suspectGrace = 2 * time.Second
+	SuspectGrace = 2 * time.Second
 	// removalMemory is how long a removal is remembered, so that an older
 	// entry that comes late on another path doesn't revive the target.
 	removalMemory = time.Minute
@@ -260,13 +260,13 @@
 	if known == nil {
 		return
 	}
-	if !removal.Suspect || known.State == Draining {
+	if removal.Grace <= 0 || known.State == Draining {
 		delete(v.members, removal.ID)
 		return
 	}
 	// Members are handed out and read elsewhere, so they are replaced.
 	lapsed := *known
-	lapsed.UsableUntil = now.Add(suspectGrace)
+	lapsed.UsableUntil = now.Add(removal.Grace)
 	v.members[removal.ID] = &lapsed
 }
 
@@ -284,8 +284,8 @@
 }
 
 // Listed returns the removals that a whole listing of the platform at a revision
-// implies: known targets that it doesn't hold.
-func (v *View) Listed(listed []Target, revision uint64, suspect bool) []Removal {
+// implies: known targets that it doesn't hold, which stay in use for a grace.
+func (v *View) Listed(listed []Target, revision uint64, grace time.Duration) []Removal {
 	held := make(map[string]bool, len(listed))
 	for i := range listed {
 		held[listed[i].ID] = true
@@ -294,7 +294,7 @@
 	for _, id := range slices.Sorted(maps.Keys(v.members)) {
 		member := v.members[id]
 		if !held[id] && member.Revision <= revision && member.UsableUntil.IsZero() {
-			gone = append(gone, Removal{ID: id, Revision: revision, Suspect: suspect})
+			gone = append(gone, Removal{ID: id, Revision: revision, Grace: grace})
 		}
 	}
 	return gone
@@ -323,7 +323,12 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(v.removed)) {
 		if gone := v.removed[id]; gone.change > position.Change {
-			news.Removed = append(news.Removed, gone.Removal)
+			// The grace runs from the first word of it. Begun anew by each node
+			// that passes the word on, it let the last ones use a target that had
+			// left for longer than operators allow.
+			removal := gone.Removal
+			removal.Grace = max(0, removal.Grace-now.Sub(gone.at))
+			news.Removed = append(news.Removed, removal)
 		}
 	}
 	position.Change = v.change
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -284,6 +284,9 @@
 	return time.Duration(float64(ahead+1-slots) / float64(slots) * float64(hold))
 }
 
+// HasRoom reports whether the target is believed to have a free slot now.
+func (s *Stats) HasRoom(now time.Time) bool { return s.wait(now, time.Second) == 0 }
+
 // Weights of the cost beside the chance of a late answer, as parts of the worth
 // of an answer in time.
 const (
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -22,9 +22,9 @@
 // customers: its requests are ordered by rank alone.
 const meshCustomer = "mesh"
 
-// queuePerSlot bounds the requests that wait at a target: at four a slot the
-// last waits about four times the work of one, which is the longest target
-// latency that the users' sheets give.
+// queuePerSlot bounds the requests that wait at a target. Their waits are bounded
+// by time as well; a queue of so many for each slot is as long as four times the
+// work of one, behind which hardly any request can be in time.
 const queuePerSlot = 4
 
 func ownTerms(slots int) admission.Terms {
@@ -109,7 +109,12 @@
 	if expected := r.Header.Get(p.config.Headers.ExpectedTarget); expected != "" && expected != own.ID && t.revision < own.Revision {
 		return port.Refuse(port.ReasonWrongOwner, retryUnreachable, "this VM's target is another one")
 	}
-	if !own.DrainingSince.IsZero() && p.ports.Clock.Now().Sub(own.DrainingSince) > drainWork {
+	now := p.ports.Clock.Now()
+	if !own.UsableUntil.IsZero() && !now.Before(own.UsableUntil) {
+		// Entry nodes may have heard of it later than this one.
+		return port.Refuse(port.ReasonDraining, retryUnreachable, "the target's entry is gone")
+	}
+	if !own.DrainingSince.IsZero() && now.Sub(own.DrainingSince) > drainWork {
 		return port.Refuse(port.ReasonDraining, retryUnreachable, "the target drains")
 	}
 	return nil
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -11,6 +11,7 @@
 
 	"tamarackquay/internal/adapter/callhttp"
 	"tamarackquay/internal/mesh"
+	"tamarackquay/internal/placement"
 )
 
 func TestRequestReachesTheTargetUnchanged(t *testing.T) {
@@ -129,21 +130,26 @@
 }
 
 // One target hangs. The caller of an idempotent request gets its answer from
-// another one within its deadline. Where there is no other, the attempt runs on:
-// giving it up would waste the work of a target that is only slow.
+// another one within its deadline. Where there is no other, or the other is full, the
+// attempt runs on: giving it up would waste the work of a target that is only slow,
+// and leave the caller without an answer.
 func TestSlowAttemptIsGivenUpOnlyForAnother(t *testing.T) {
 	for _, test := range []struct {
 		desc  string
 		nodes int
-		want  string
+		// waiting is how many wait at the other target.
+		waiting int
+		want    string
 	}{
-		{"another target", 2, "t1 ran /idempotent/x "},
-		{"no other target", 1, "t0 ran /idempotent/x "},
+		{"another target", 2, 0, "t1 ran /idempotent/x "},
+		{"another target that is full", 2, 5, "t0 ran /idempotent/x "},
+		{"no other target", 1, 0, "t0 ran /idempotent/x "},
 	} {
 		t.Run(test.desc, func(t *testing.T) {
 			f := newFleet(t, test.nodes)
 			if test.nodes > 1 {
 				f.proxies[0].stats["t1"].Failed(time.Now())
+				f.proxies[0].stats["t1"].Heard(time.Now(), placement.Load{Running: testSlots * min(test.waiting, 1), Waiting: test.waiting, Slots: testSlots})
 			}
 			f.targets[0].serve = func(w http.ResponseWriter, r *http.Request) {
 				select {
@@ -192,6 +198,26 @@
 	assert.Assert(t, f.arrivals() <= asked+asked/5+2, "%d", f.arrivals())
 }
 
+// The entry of a target is gone from the platform, and an entry node hears of it
+// later than the target's own node. The target gets no work beyond the grace, by
+// its own node's word; the request goes elsewhere.
+func TestOwnerEndsTheGraceOfAGoneTarget(t *testing.T) {
+	f := newFleet(t, 2)
+	f.proxies[0].stats["t0"].Failed(time.Now())
+	usableUntil := func(until time.Time) {
+		picture := *f.proxies[1].picture.Load()
+		own := *picture.Own
+		own.UsableUntil = until
+		picture.Own = &own
+		f.proxies[1].SetPicture(&picture)
+	}
+	usableUntil(time.Now().Add(time.Minute))
+	assert.Equal(t, f.ask(0, "POST", "/once/x", "").Body.String(), "t1 ran /once/x ")
+	usableUntil(time.Now())
+	assert.Equal(t, f.ask(0, "POST", "/once/x", "").Body.String(), "t0 ran /once/x ")
+	assert.Equal(t, f.arrivals(), 2)
+}
+
 // The owner node of the nearest target stops. Its target, which runs on, is used
 // until the node is about to end. From then on it refuses as not run, and the
 // request goes elsewhere without an arrival.
