--- a/internal/experiment/largeanswers/largeanswers.go
+++ b/internal/experiment/largeanswers/largeanswers.go
@@ -36,8 +36,7 @@
 // Archives is the load of the users' largest archives: 280 KB over 22.4 Mbit/s.
 var Archives = Load{Link: 22.4e6 / 8, Size: 280e3, Hold: 210 * time.Millisecond, Within: 1200 * time.Millisecond, Demand: 1.5, Arrivals: 3000}
 
-// spread is that of the logarithm of sizes and of the target's times, about as the
-// users' sheets give it.
+// spread is that of the logarithm of sizes and of the target's times.
 const spread = 0.5
 
 // Order says which of the answers that are ready is sent next: the one with the
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -9,7 +9,7 @@
 
 const (
 	// Large is the size from which an answer is paced. Below it an answer takes
-	// 17 ms of the slowest link that the users' sheets name (15 Mbit/s).
+	// less than 30 ms of a link of 10 Mbit/s, and holds no other up for long.
 	Large = 32 << 10
 	// share is the part of the link that answers may take together. The rest is
 	// for acknowledgements, the headers of packets and what is not counted here.
--- a/internal/proxy/decisions.go
+++ b/internal/proxy/decisions.go
@@ -29,9 +29,9 @@
 
 var lineKindNames = [lineKinds]string{"failure", "attempt", "served"}
 
-// linesPerSecond bounds the lines of each kind. A node of the users' sheets
-// serves 10 to 50 requests a second: what fails is told line by line up to the
-// limit of what one can read, of what went well a sample is enough.
+// linesPerSecond bounds the lines of each kind. What fails is told line by line, up
+// to about what a node fails in a second of overload; of what went well a sample is
+// enough.
 var linesPerSecond = [lineKinds]rate.Limit{100, 50, 5}
 
 // decisions writes one line for each decision on a request, within a budget for
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -180,8 +180,8 @@
 }
 
 // maxBuffered is how much of an answer's body is held until its end is known.
-// A body that breaks within it can be had again from another target; most
-// archives of the users' sheets (90 KB on average, 540 KB at most) fit.
+// A body that breaks within it can be had again from another target; larger ones
+// are streamed, so that a few of them don't fill the memory of a small VM.
 const maxBuffered = 1 << 20
 
 // readAnswer reads the body up to maxBuffered.
--- a/internal/proxy/rank.go
+++ b/internal/proxy/rank.go
@@ -16,10 +16,9 @@
 
 // urgency is the place of a route among those of its priority: the shorter its
 // target latency the earlier, a step for each doubling from leastLatency on. The
-// calls that targets make for a request are wanted in a quarter of the time that
-// the request has (150 of 600 ms, 300 of 1,200 ms in the users' sheets), so they
-// go before new requests: a call that is refused wastes the work of the request
-// that it was made for, which has a slot already.
+// calls that targets make for a request are wanted in a part of the time that the
+// request has, so they go before new requests: a call that is refused wastes the
+// work of the request that it was made for, which has a slot already.
 func urgency(targetLatency time.Duration) int {
 	steps := 0
 	for limit := leastLatency; limit < targetLatency && steps < admission.MaxDepth; limit *= 2 {
@@ -28,6 +27,7 @@
 	return admission.MaxDepth - steps
 }
 
+// leastLatency is the target latency below which all are equally urgent.
 const leastLatency = 40 * time.Millisecond
 
 // workMargin is how many times the usual work must fit behind a wait: a request
@@ -39,8 +39,7 @@
 const lateWaitPart = 2
 
 // unknownWorkPart is the part of the target latency that the usual work is taken
-// for before any was seen: one in so many. It is 0.2 to 0.36 of it in the users'
-// sheets. Taken for nothing, it let the first requests after a restart wait for
+// for before any was seen: one in so many. Taken for nothing, it let the first requests after a restart wait for
 // their whole target latency, and everything behind them was late for seconds.
 const unknownWorkPart = 3
 
