--- a/internal/proxy/flight.go
+++ b/internal/proxy/flight.go
@@ -82,6 +82,11 @@
 	f.proxy.countRequest(f)
 	for f.offers < maxOffers && f.full < fullMost {
 		now := f.proxy.ports.Clock.Now()
+		if f.full > 0 && f.overdue(now) {
+			// Its place is behind all that can be in time, wherever it asks. Told
+			// at once, the caller has more time left to come back in.
+			break
+		}
 		if !f.alive(ctx, now) {
 			f.refused(port.Refuse(port.ReasonDeadline, noTargetRetry, "the time was over before a target took the request"))
 			break
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -10,8 +11,10 @@
 	"gotest.tools/v3/assert"
 
 	"tamarackquay/internal/adapter/callhttp"
+	"tamarackquay/internal/logfield"
 	"tamarackquay/internal/mesh"
 	"tamarackquay/internal/placement"
+	"tamarackquay/internal/routing/clientretry"
 )
 
 func TestRequestReachesTheTargetUnchanged(t *testing.T) {
@@ -198,6 +201,39 @@
 	assert.Assert(t, f.arrivals() <= asked+asked/5+2, "%d", f.arrivals())
 }
 
+// All targets are full. A caller who came back, too late to be in time, is refused by
+// the first one that has no room, and one who may still be in time after both.
+func TestOverdueCallersAreRefusedAtOnce(t *testing.T) {
+	for _, test := range []struct {
+		desc   string
+		waited time.Duration
+		offers float64
+	}{
+		{"a new caller", 0, 2},
+		{"one who came back in time", 50 * time.Millisecond, 2},
+		{"one who came back too late", time.Second, 1},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			f := newFleet(t, 2)
+			for _, p := range f.proxies {
+				p.gate.Configure(ownTerms(0))
+			}
+			now := time.Now()
+			attempt := &clientretry.Request{Method: "GET", Host: "h", URI: "/idempotent/x", Ends: now.Add(time.Second)}
+			f.proxies[0].callers.Failed(now, attempt, now.Add(-test.waited))
+			r := httptest.NewRequest("GET", "/idempotent/x", nil)
+			r.Host = "h"
+			r.Header.Set(headers.RequestID, nextRequest())
+			r.Header.Set(headers.Deadline, "1000")
+			w := httptest.NewRecorder()
+			f.proxies[0].ServeCaller(w, r)
+			assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+			lines := f.traced(t)
+			assert.Equal(t, lines[len(lines)-1].Fields[logfield.Offers], test.offers)
+		})
+	}
+}
+
 // The entry of a target is gone from the platform, and an entry node hears of it
 // later than the target's own node. The target gets no work beyond the grace, by
 // its own node's word; the request goes elsewhere.
