Take the callers that have connected before a listener is closed

The caller had connected in the last 3 ms before its entry node closed its listener; the kernel held the connection for a busy process and reset it with the listener.

Ruled out: a filter of the kernel that drops new connections first (a caller then waits a second to learn that it must go elsewhere); reading the length of the kernel's queue.

Change: a stopping server closes its listener once nobody has connected for 20 ms, at most 200 ms later. What is left is the moment between that look and the close.

TestStopTakesTheCallersThatHaveConnected fails before (reset by peer).

The script and its pages said that known red tests are run apart; they are left out.

--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,6 @@
 staticcheck:
 	$(GO) tool staticcheck ./...
 
-# The known red tests are run apart and printed; see scripts/test.sh.
+# The known red tests are left out and printed; see scripts/test.sh.
 unit: build
 	scripts/test.sh
--- a/internal/adapter/callerhttp/idle.go
+++ b/internal/adapter/callerhttp/idle.go
@@ -5,8 +5,10 @@
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,6 +31,9 @@
 	// served is closed when Run has accepted its last connection.
 	served chan struct{}
 
+	// stopping is set when the listener is about to be closed.
+	stopping atomic.Bool
+
 	mu       sync.Mutex
 	listener net.Listener
 	conns    map[*conn]struct{}
@@ -44,11 +49,12 @@
 	return s.Serve(&tracked{Listener: listener, server: s})
 }
 
-// StopAccepting closes the listener and waits until every connection that was
-// accepted is known to the server. Shutdown alone may overlook one that was
-// accepted at that moment: the process then ends with it open, and its caller
-// sees the end of a connection on which it has just sent a return. Callers that
-// connect from now on are refused by the kernel and know that nothing ran.
+// StopAccepting takes the callers that have connected, closes the listener and waits
+// until every connection that was accepted is known to the server. Shutdown alone
+// may overlook one that was accepted at that moment: the process then ends with it
+// open, and its caller sees the end of a connection on which it has just sent a
+// return. Callers that connect from now on are refused by the kernel and know that
+// nothing ran.
 func (s *Server) StopAccepting() error {
 	s.mu.Lock()
 	listener := s.listener
@@ -56,22 +62,52 @@
 	if listener == nil {
 		return nil
 	}
-	err := listener.Close()
+	var err error
+	if bounded, ok := listener.(deadliner); ok {
+		s.stopping.Store(true)
+		err = bounded.SetDeadline(time.Now())
+	} else {
+		err = listener.Close()
+	}
 	<-s.served
 	return err
 }
 
+// deadliner is a listener whose wait for callers can be bounded, as that of TCP.
+type deadliner interface{ SetDeadline(time.Time) error }
+
+const (
+	// lastCall is for how long nobody must have connected before the listener is
+	// closed, and mostLastCalls bounds the time for it where callers go on coming.
+	lastCall      = 20 * time.Millisecond
+	mostLastCalls = 200 * time.Millisecond
+)
+
 type tracked struct {
 	net.Listener
 	server *Server
+	// closeBy is when a stopping server closes the listener at the latest; zero
+	// until it stops. Called says that callers were waited for since the last one.
+	closeBy time.Time
+	called  bool
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. When the server stops, the kernel may hold callers
+// that have connected and were not accepted yet, for milliseconds on a busy machine.
+// Closing the listener resets their connections, on which they may have sent a
+// request by then. So it is closed once nobody has come for a moment.
 func (l *tracked) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
+	for l.server.stopping.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+		if err := l.awaitLast(); err != nil {
+			return nil, err
+		}
+		accepted, err = l.Listener.Accept()
+	}
 	if err != nil {
 		return nil, err
 	}
+	l.called = false
 	c := &conn{Conn: accepted, fresh: true, since: time.Now()}
 	l.server.mu.Lock()
 	defer l.server.mu.Unlock()
@@ -79,6 +115,19 @@
 	return c, nil
 }
 
+// awaitLast lets Accept wait for callers once more, or closes the listener.
+func (l *tracked) awaitLast() error {
+	now := time.Now()
+	if l.closeBy.IsZero() {
+		l.closeBy = now.Add(mostLastCalls)
+	}
+	if l.called || !now.Before(l.closeBy) {
+		return l.Close()
+	}
+	l.called = true
+	return l.Listener.(deadliner).SetDeadline(now.Add(lastCall))
+}
+
 // track implements http.Server.ConnState.
 func (s *Server) track(tracked net.Conn, state http.ConnState) {
 	c, ok := tracked.(*conn)
--- a/internal/adapter/callerhttp/idle_test.go
+++ b/internal/adapter/callerhttp/idle_test.go
@@ -78,3 +78,53 @@
 	assert.Equal(t, answer(busyReader).StatusCode, http.StatusOK)
 	assert.Equal(t, entry.served.Load(), int32(3))
 }
+
+// busyListener stands for a process that gets no processor time: it accepts nobody
+// until it is released.
+type busyListener struct {
+	*net.TCPListener
+	released chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l busyListener) Accept() (net.Conn, error) {
+	<-l.released
+	return l.TCPListener.Accept()
+}
+
+// Callers have connected and sent a request, and the kernel holds them for a busy
+// node that is told to stop just then. Each gets its answer: closing the listener at
+// once would reset them, and they could not know whether their request ran.
+func TestStopTakesTheCallersThatHaveConnected(t *testing.T) {
+	entry := &countingEntry{}
+	server := NewServer(entry, Limits{HeaderBytes: 1 << 10, BodyBytes: 1 << 10})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	busy := busyListener{listener.(*net.TCPListener), make(chan struct{})}
+	go func() { _ = server.Run(busy) }()
+	defer server.Close()
+	const callers = 5
+	var conns []net.Conn
+	for range callers {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		assert.NilError(t, err)
+		t.Cleanup(func() { conn.Close() })
+		_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+		assert.NilError(t, err)
+		conns = append(conns, conn)
+	}
+	stopped := make(chan error)
+	go func() { stopped <- server.StopAccepting() }()
+	time.Sleep(2 * lastCall)
+	close(busy.released)
+	assert.NilError(t, <-stopped)
+	for _, conn := range conns {
+		assert.NilError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+	}
+	assert.Equal(t, entry.served.Load(), int32(callers))
+	_, err = net.Dial("tcp", listener.Addr().String())
+	assert.Assert(t, err != nil, "a listener that is closed takes no caller")
+}
--- /dev/null
+++ b/scripts/ablation.sh
@@ -0,0 +1,37 @@
+#!/usr/bin/env bash
+# Switches one mechanism off in a scratch copy of the repository, to measure what it
+# is worth: scripts/ablation.sh NAME FOLDER. Without arguments it lists the names.
+set -euo pipefail
+
+# off NAME FILE EXPRESSION: the sed expression that switches the mechanism off.
+declare -A file expression
+off() { file[$1]=$2 expression[$1]=$3; }
+
+off callers-who-came-back internal/routing/clientretry/clientretry.go 's/<= sameEnd {/< 0 {/'
+off rank-of-the-overdue internal/proxy/rank.go 's/^\trankLate         = 1/\trankLate = 0/'
+off overdue-refused-at-once internal/proxy/flight.go 's/if f.full > 0 \&\& f.overdue(now) {/if false {/'
+off bytes-outside internal/placement/placement.go 's/^const DefaultHalfBytes = 20e3/const DefaultHalfBytes = 0/'
+off slow-attempts-given-up internal/proxy/slow.go 's/if !f.route.Kind.Repeatable() ||/if true ||/'
+off urgency-of-calls internal/proxy/rank.go 's/^\treturn admission.MaxDepth - steps/\treturn 0 * steps/'
+off room-at-each-target internal/placement/placement.go 's/^\tfullWeight = 0.05/\tfullWeight = 0/'
+off faster-target-first internal/placement/placement.go 's/^\tslotWeight = 0.05/\tslotWeight = 0/'
+off random-part-of-a-choice internal/proxy/choose.go 's/^const tieBreak = 0.02/const tieBreak = 0/'
+off ill-targets-avoided internal/placement/placement.go 's/^\tcost += failing$/\tcost += 0 * failing/'
+off cold-targets-avoided internal/placement/placement.go 's/^\tcoldFactor = 2/\tcoldFactor = 1/'
+off signs-of-life internal/proxy/reach.go 's/^\tif !doubt {/\tif true || !doubt {/'
+off away-until-probed internal/proxy/reach.go 's/return p.reach.away\[p.peerAddress(member)\]/return false/'
+off own-speed-in-waits internal/proxy/rank.go 's/if stats := p.stats\[member.ID\]; stats != nil {/if stats := p.stats[member.ID]; false {/'
+off time-behind-a-wait internal/proxy/rank.go 's/^const workMargin = 1.5/const workMargin = 1.0/'
+off repeats internal/proxy/repeat.go 's/if arrivals >= f.route.MaxAttempts {/if true {/'
+off pace-of-large-answers internal/link/link.go 's/return \&Share{rate: share \* bytesPerSecond}/return \&Share{rate: 0 * bytesPerSecond}/'
+off deadline-order-of-large-answers internal/proxy/pace.go 's/turn := \&link.Turn{Due: due}/turn := \&link.Turn{}/'
+
+if [ $# -ne 2 ]; then
+  printf '%s\n' "${!file[@]}" | sort
+  exit 0
+fi
+cd "$2"
+[ -n "${file[$1]:-}" ] || { echo "no mechanism $1"; exit 1; }
+sed -i "${expression[$1]}" "${file[$1]}"
+git diff --quiet -- "${file[$1]}" && { echo "$1: nothing changed in ${file[$1]}"; exit 1; }
+go vet ./internal/... >/dev/null || { echo "$1: doesn't build"; exit 1; }
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Runs all tests with the race detector. Tests that KNOWN-RED.txt names are run
-# apart and printed; they don't change the verdict.
+# Runs all tests with the race detector but those that KNOWN-RED.txt names, which are
+# printed after it.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 GO=${GO:-go}
