Ask a second target beside a slow one, and give up neither before one has answered

The believed room that was asked for before can be out of date.

Ruled out: asking only when the word on the room is fresh (it is a guess all the same); giving nothing up at all (targets that hang would take the whole time of a request).

Change: the second target is asked while the first works on. The first good answer goes to the caller and ends the other attempt; a refusal or failure leaves the other running.

"another target that turns out to be full" of TestSlowAttemptIsGivenUpOnlyForAnother fails before: its caller got no answer.

--- a/internal/proxy/flight.go
+++ b/internal/proxy/flight.go
@@ -50,8 +50,8 @@
 
 	// repeated is the chance that a repeated run made this request as a call.
 	repeated float64
-	// granted says that the next arrival was taken out of the budget already.
-	granted bool
+	// second says that a second target was asked beside the first.
+	second bool
 
 	// refusal lets the caller come back soonest; unknown is set once any
 	// attempt may have run, and then nothing else may be told.
@@ -95,27 +95,33 @@
 		if member == nil {
 			break
 		}
-		if f.arrivals > 0 && !f.mayRepeat(now) {
+		if f.arrivals > 0 && !f.grantRepeat(now, f.arrivals) {
 			break
 		}
 		a, err := f.attempt(ctx, now, member)
 		if err == nil {
 			return a, nil
 		}
-		if a != nil {
-			f.failure = a
-		}
 		if ctx.Err() != nil {
 			f.note(err)
 			break
 		}
-		if !f.mayOfferAgain(err) {
+		if !f.failedOnce(a, err) {
 			break
 		}
 	}
 	return f.end()
 }
 
+// failedOnce counts a failed attempt and reports whether another may follow. The
+// answer is set where the target itself said that it failed.
+func (f *flight) failedOnce(a *answer, err error) bool {
+	if a != nil {
+		f.failure = a
+	}
+	return f.mayOfferAgain(err)
+}
+
 // end is what the caller gets when no attempt was answered well.
 func (f *flight) end() (*answer, error) {
 	switch {
@@ -135,43 +141,6 @@
 	return a.rest == nil && f.route.Kind.Repeatable() && a.response.Status >= http.StatusInternalServerError
 }
 
-// attempt offers the request to one target and reads its answer. Where the target
-// answered that it failed, and another may be asked, the answer comes with an error.
-func (f *flight) attempt(ctx context.Context, now time.Time, member *mesh.Member) (*answer, error) {
-	p := f.proxy
-	f.tried[member.ID] = true
-	t := f.terms(now, member)
-	f.offers++
-	r := f.request(member)
-	f.last = member.ID
-	stats, believed := p.begin(now, member)
-	defer p.finish(stats)
-	ctx, cancel := context.WithDeadline(ctx, f.deadline)
-	over := f.giveUpWhenSlow(now, stats, cancel)
-	response, word, err := p.send(ctx, member, &t, r, now)
-	over()
-	if err != nil {
-		cancel()
-		p.noteFailure(stats, word, err)
-		p.decisions.failedAttempt(p.ports.Clock.Now(), f, member, t.attempt, believed, err)
-		return nil, err
-	}
-	way := p.ports.Clock.Now().Sub(now) - word.spent
-	a, err := f.read(response, cancel)
-	if err != nil {
-		p.noteFailure(stats, word, err)
-		p.decisions.failedAttempt(p.ports.Clock.Now(), f, member, t.attempt, believed, err)
-		return nil, &port.Unknown{Stage: "answer", Cause: err}
-	}
-	p.noteAnswer(stats, f.route, word, way, a)
-	if f.failed(a) {
-		err := &port.Unknown{Stage: "answer", Cause: errors.Errorf("the target answered with status %d", a.response.Status)}
-		p.decisions.failedAttempt(p.ports.Clock.Now(), f, member, t.attempt, believed, err)
-		return a, err
-	}
-	return a, nil
-}
-
 // read buffers the answer and checks that a target made it.
 func (f *flight) read(response *exchangeResponse, cancel func()) (*answer, error) {
 	response.Body = &released{ReadCloser: response.Body, release: cancel}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -133,20 +133,23 @@
 }
 
 // One target hangs. The caller of an idempotent request gets its answer from
-// another one within its deadline. Where there is no other, or the other is full, the
-// attempt runs on: giving it up would waste the work of a target that is only slow,
-// and leave the caller without an answer.
+// another one within its deadline. Where there is no other, the other is full, or it
+// refuses though it was believed to have room, the attempt runs on: giving it up would
+// waste the work of a target that is only slow, and leave the caller without an answer.
 func TestSlowAttemptIsGivenUpOnlyForAnother(t *testing.T) {
 	for _, test := range []struct {
 		desc  string
 		nodes int
 		// waiting is how many wait at the other target.
 		waiting int
+		// refuses says that the other target's node has no room after all.
+		refuses bool
 		want    string
 	}{
-		{"another target", 2, 0, "t1 ran /idempotent/x "},
-		{"another target that is full", 2, 5, "t0 ran /idempotent/x "},
-		{"no other target", 1, 0, "t0 ran /idempotent/x "},
+		{"another target", 2, 0, false, "t1 ran /idempotent/x "},
+		{"another target that is full", 2, 5, false, "t0 ran /idempotent/x "},
+		{"another target that turns out to be full", 2, 0, true, "t0 ran /idempotent/x "},
+		{"no other target", 1, 0, false, "t0 ran /idempotent/x "},
 	} {
 		t.Run(test.desc, func(t *testing.T) {
 			f := newFleet(t, test.nodes)
@@ -154,6 +157,9 @@
 				f.proxies[0].stats["t1"].Failed(time.Now())
 				f.proxies[0].stats["t1"].Heard(time.Now(), placement.Load{Running: testSlots * min(test.waiting, 1), Waiting: test.waiting, Slots: testSlots})
 			}
+			if test.refuses {
+				f.proxies[1].gate.Configure(ownTerms(0))
+			}
 			f.targets[0].serve = func(w http.ResponseWriter, r *http.Request) {
 				select {
 				case <-time.After(time.Second):
--- a/internal/proxy/repeat.go
+++ b/internal/proxy/repeat.go
@@ -7,15 +7,8 @@
 	"tamarackquay/internal/routing/retry"
 )
 
-// mayRepeat takes an arrival beyond the first out of the fleet's budget, unless
-// that was done when the last attempt was given up.
-func (f *flight) mayRepeat(now time.Time) bool {
-	granted := f.granted
-	f.granted = false
-	return granted || f.grantRepeat(now, f.arrivals)
-}
-
-// grantRepeat asks the budget for one more arrival after so many.
+// grantRepeat takes one more arrival after so many out of the fleet's budget, or
+// reports false when there is none left.
 func (f *flight) grantRepeat(now time.Time, arrivals int) bool {
 	if arrivals >= f.route.MaxAttempts {
 		return false
@@ -47,7 +40,7 @@
 
 // repeatPart is the chance that the next arrival is a repeat.
 func (f *flight) repeatPart() float64 {
-	if f.arrivals > 0 {
+	if f.arrivals > 0 || f.second {
 		return 1
 	}
 	return f.repeated
--- a/internal/proxy/slow.go
+++ b/internal/proxy/slow.go
@@ -2,69 +2,109 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"tamarackquay/internal/mesh"
 	"tamarackquay/internal/placement"
 )
 
 // A target that hangs, or whose answer was lost, would use up all the time of a
-// request that another target could still answer. So an attempt is given up
-// after slowFactor times the usual work, but only if another target has room for
-// it and the fleet's budget grants another attempt: work that was begun is wasted
-// otherwise, and the caller left without an answer. Of requests whose work is
-// log-normal with a spread of 0.5, 3 in 1,000 take four times the mean.
+// request that another target could still answer. So a second one is asked after
+// slowFactor times the usual work, where it is believed to have room and the fleet's
+// budget grants another attempt. The first runs on meanwhile: given up for a target
+// that then had no room, its work was wasted and the caller got no answer at all. Of
+// requests whose work is log-normal with a spread of 0.5, 3 in 1,000 take four times
+// the mean.
 const slowFactor = 4
 
-// giveUpWhenSlow cancels an attempt that takes far longer than usual. The
-// returned function must be called when the attempt is over. A node that stops
-// gives up nothing that a target works on.
-func (f *flight) giveUpWhenSlow(now time.Time, stats *placement.Stats, cancel context.CancelFunc) (over func()) {
-	if !f.route.Kind.Repeatable() || f.arrivals+1 >= f.route.MaxAttempts || !f.body.IsKept() {
-		return func() {}
+// attempt offers the request to a target, and to a second one if that is slow, and
+// returns the first good answer. Where a target answered that it failed, and another
+// may be asked, the answer comes with an error.
+func (f *flight) attempt(ctx context.Context, now time.Time, member *mesh.Member) (*answer, error) {
+	first := f.begin(ctx, now, member)
+	if !f.mayAskSecond() {
+		return f.settle(first.run())
+	}
+	ended := make(chan outcome, 2)
+	go func() { ended <- first.run() }()
+	timer := time.NewTimer(f.slowAfter(now, first.stats))
+	defer timer.Stop()
+	select {
+	case o := <-ended:
+		return f.settle(o)
+	case <-first.answering:
+		return f.settle(<-ended)
+	case <-timer.C:
+	}
+	second := f.beginSecond(ctx)
+	if second == nil {
+		return f.settle(<-ended)
 	}
+	go func() { ended <- second.run() }()
+	return f.settleEither(first, second, ended)
+}
+
+func (f *flight) mayAskSecond() bool {
+	return f.route.Kind.Repeatable() && f.arrivals+1 < f.route.MaxAttempts && f.body.IsKept()
+}
+
+// slowAfter is the time after which an attempt takes far longer than usual.
+func (f *flight) slowAfter(now time.Time, stats *placement.Stats) time.Duration {
 	p := f.proxy
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	usual := stats.Expected(now, &placement.Request{Work: *p.workOf(f.route)}, slowFactor)
-	p.mu.Unlock()
-	attempt := &slowAttempt{}
-	timer := time.AfterFunc(max(usual, f.route.TargetLatency), func() {
-		attempt.mu.Lock()
-		defer attempt.mu.Unlock()
-		now := p.ports.Clock.Now()
-		if attempt.over || p.stopping.Load() || f.offers >= maxOffers || f.full >= fullMost || !f.hasRoomElsewhere(now) {
-			return
-		}
-		if f.grantRepeat(now, f.arrivals+1) {
-			f.granted = true
-			cancel()
-		}
-	})
-	return func() {
-		timer.Stop()
-		attempt.mu.Lock()
-		defer attempt.mu.Unlock()
-		attempt.over = true
-	}
+	return max(usual, f.route.TargetLatency)
 }
 
-// hasRoomElsewhere reports whether the target that would be asked next is believed
-// to have a free slot.
-func (f *flight) hasRoomElsewhere(now time.Time) bool {
+// beginSecond begins an attempt beside one that is slow; nil where there is no room
+// for it. A node that stops begins none.
+func (f *flight) beginSecond(ctx context.Context) *attempt {
+	p := f.proxy
+	now := p.ports.Clock.Now()
+	if p.stopping.Load() || f.offers >= maxOffers || f.full >= fullMost {
+		return nil
+	}
 	next := f.choose(now)
-	if next == nil {
-		return false
+	if next == nil || !p.hasRoom(now, next) || !f.grantRepeat(now, f.arrivals+1) {
+		return nil
 	}
-	p := f.proxy
+	f.second = true
+	return f.begin(ctx, now, next)
+}
+
+func (p *Proxy) hasRoom(now time.Time, member *mesh.Member) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	stats := p.stats[next.ID]
+	stats := p.stats[member.ID]
 	return stats != nil && stats.HasRoom(now)
 }
 
-// slowAttempt keeps the timer of an attempt from touching the flight after the
-// attempt is over: until then nothing else does.
-type slowAttempt struct {
-	mu   sync.Mutex
-	over bool
+var errSlow = errors.New("another target answered first")
+
+// settleEither waits for the first good answer of two attempts. One that fails is
+// counted, and the other one's end is that of both.
+func (f *flight) settleEither(first, second *attempt, ended chan outcome) (*answer, error) {
+	o := <-ended
+	a, err := f.settle(o)
+	if err != nil {
+		f.failedOnce(a, err)
+		return f.settle(<-ended)
+	}
+	other := first
+	if o.attempt == first {
+		other = second
+	} else {
+		f.proxy.noteFailure(first.stats, loadWord{}, errSlow)
+	}
+	other.cancel()
+	go func() {
+		if late := <-ended; late.answer != nil && late.answer.rest != nil {
+			// It is read no further, which ends the connection.
+			_ = late.answer.rest.Close()
+		}
+	}()
+	return a, nil
 }
