Weigh a target's failures squared, and drop the weight of the faster target

Change: the part of failures counts squared; slotWeight is gone.

A new row of TestCheaperTarget fails before; "sound before ill" stays as it was.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -290,9 +290,6 @@
 // Weights of the cost beside the chance of a late answer, as parts of the worth
 // of an answer in time.
 const (
-	// slotWeight is the weight of the time for which a slot is held: among
-	// targets that are all in time, the faster one keeps room for others.
-	slotWeight = 0.05
 	// lateWeight orders targets that would all be late by how late.
 	lateWeight = 0.3
 	// fullWeight keeps some room at each target: one that is nearly full is
@@ -302,7 +299,7 @@
 
 // Cost is what sending the request to the target costs, as a part of what an
 // answer in time is worth: the chance that it is late or fails, the bytes that
-// leave the failure domain, and the time for which it holds a slot.
+// leave the failure domain, and how full the target is.
 func (s *Stats) Cost(now time.Time, r *Request) float64 {
 	way, wait, hold := s.expected(now, r)
 	left := r.Left - way - wait
@@ -310,10 +307,13 @@
 	if left < hold {
 		cost += lateWeight * float64(hold-left) / float64(max(r.Left, hold, time.Millisecond))
 	}
+	// Squared, since a small part of failures is mostly chance and costs less than as
+	// many answers: another target may be asked, and the caller asks again. Weighed
+	// in full, a target that lost a part of its answers got no work at all, and the
+	// others more than they could do in time.
 	failing := s.failing * math.Exp2(-now.Sub(s.failedAt).Seconds()/failHalfLife.Seconds())
-	cost += failing
+	cost += failing * failing
 	cost += r.outside(s.Distance)
-	cost += slotWeight * float64(hold) / float64(max(r.Left, time.Millisecond))
 	return cost + fullWeight*s.fullness(now)
 }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -27,6 +27,7 @@
 	full := Load{Running: 12, Waiting: 36, Slots: 12, Hold: 160 * time.Millisecond}
 	busy := Load{Running: 12, Waiting: 6, Slots: 12, Hold: 130 * time.Millisecond}
 	ill := Load{Running: 2, Slots: 12, Hold: 160 * time.Millisecond, Failing: 0.5}
+	shaky := Load{Running: 2, Slots: 12, Hold: 160 * time.Millisecond, Failing: 0.25}
 	choked := Load{Running: 2, Slots: 12, Hold: 130 * time.Millisecond, LinkWait: 2 * time.Second, LinkRate: 1.6e6}
 	slow := target(SameDomain, idle)
 	for range 50 {
@@ -47,6 +48,7 @@
 		{"the faster way out of the domain", archive, target(SameRegion, idle), target(OtherRegion, idle)},
 		{"a lookup stays in its domain while it can", lookup, target(SameDomain, busy), target(SameRegion, idle)},
 		{"sound before ill", lookup, target(SameRegion, idle), target(SameDomain, ill)},
+		{"one that fails a few times in its domain", lookup, target(SameDomain, shaky), target(SameRegion, idle)},
 		{"as fast as others before five times slower", lookup, target(SameRegion, idle), slow},
 		{"warm before cold", lookup, target(SameDomain, idle), cold},
 		{"an archive avoids a choked link", archive, target(SameRegion, idle), target(SameDomain, choked)},
