Say how calls are charged, and allow for deadlines that a busy node counts late

A node of 0.16 cores may read a message tens of milliseconds after it came, and counts its deadline from then; a call of a run that is nearly over would then pass for a caller's own request. The slack is 50 ms in place of 10.

--- a/internal/routing/retry/ledger.go
+++ b/internal/routing/retry/ledger.go
@@ -16,13 +16,13 @@
 // of all nodes add up, since each counts only the requests that it took itself;
 // the few are divided among the nodes.
 //
-// A call that a repeated run makes is a repeat at the service that is called. Its
-// node took the run, as owner of the target, and takes the call, as its entry, so
-// it can charge the one for the other: a request that runs at the VM's own target
-// may have made is charged with the part of those runs that are repeats, and a
-// repeated run is begun only where the budget has room for the calls that it will
-// make. Without that, the calls of repeated runs came on top of a budget that was
-// used up: services whose targets turned work away got more repeats than allowed.
+// A call that a repeated run makes is a repeat at the service that is called. The
+// node beside the target sees both, the run as its owner and the call as its entry.
+// A request that may be a call is charged with the part that repeats have of the
+// runs which may have made it, and a repeated run is begun only where the budget has
+// room for the calls that it will make. Without that, the calls of repeated runs came
+// on top of a budget that was used up: services whose targets turned work away got
+// more repeats than allowed.
 //
 // A Ledger is not safe for concurrent use.
 type Ledger struct {
@@ -68,9 +68,9 @@
 	return part
 }
 
-// deadlineSlack is how much later than its run a call may seem to end: deadlines
-// are told in whole milliseconds and counted from when each message arrives.
-const deadlineSlack = 10 * time.Millisecond
+// deadlineSlack is how much later than its run a call may seem to end: deadlines are
+// counted from when each message arrives, which a busy node notices late.
+const deadlineSlack = 50 * time.Millisecond
 
 // charge divides what may be a call among the runs that may have made it, and
 // returns the part that repeats have of it.
