--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -40,6 +40,7 @@
 	err error
 }
 
+// begin chooses the terms of an attempt and counts it; run must follow.
 func (f *flight) begin(ctx context.Context, now time.Time, member *mesh.Member) *attempt {
 	f.tried[member.ID] = true
 	a := &attempt{flight: f, member: member, terms: f.terms(now, member), request: f.request(member), began: now, answering: make(chan struct{})}
--- a/internal/proxy/rank.go
+++ b/internal/proxy/rank.go
@@ -39,8 +39,9 @@
 const lateWaitPart = 2
 
 // unknownWorkPart is the part of the target latency that the usual work is taken
-// for before any was seen: one in so many. Taken for nothing, it let the first requests after a restart wait for
-// their whole target latency, and everything behind them was late for seconds.
+// for before any was seen: one in so many. Taken for nothing, it let the first
+// requests after a restart wait for their whole target latency, and everything
+// behind them was late for seconds.
 const unknownWorkPart = 3
 
 // usualHold is how long a target is expected to hold a request of this route. A
