--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -12,43 +12,22 @@
 	"syscall"
 	"time"
 
-	"github.com/labstack/echo/v4"
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"tamarackquay/internal/adapter/callerhttp"
-	"tamarackquay/internal/adapter/callhttp"
 	"tamarackquay/internal/adapter/exchange"
 	"tamarackquay/internal/adapter/feedws"
 	"tamarackquay/internal/adapter/logout"
 	"tamarackquay/internal/adapter/metrics"
 	"tamarackquay/internal/follow"
 	"tamarackquay/internal/logfield"
-	"tamarackquay/internal/mesh"
 	"tamarackquay/internal/placement"
-	"tamarackquay/internal/port"
 	"tamarackquay/internal/proxy"
-	"tamarackquay/internal/wait"
 	"tamarackquay/platform"
 )
 
-// Times of the sidecar.
-const (
-	// settingsPoll is how often the settings file is looked at: it may change
-	// without a signal.
-	settingsPoll = 500 * time.Millisecond
-	// proxyTick is how often requests are started that time alone made room for.
-	proxyTick = 100 * time.Millisecond
-	// housekeeping is how often idle connections are closed and gauges set.
-	housekeeping = time.Second
-	// takeOut is how long after the order to stop callers may still come: the
-	// platform asks once a second and takes a node out after two misses.
-	takeOut = 2500 * time.Millisecond
-	// killMargin is kept from the end of the grace time.
-	killMargin = 700 * time.Millisecond
-)
-
 // Connections to other nodes and to the VM's own target.
 var (
 	peerConnections = exchange.Options{
@@ -218,188 +197,3 @@
 	dialer := &net.Dialer{Timeout: feedDialTimeout}
 	return &http.Transport{DialContext: dialer.DialContext}
 }
-
-// newPeerSide serves other nodes: feeds, and requests for the VM's own target.
-func (c *sidecar) newPeerSide(peerAddress func(host string) string) *http.Server {
-	e := echo.New()
-	e.HideBanner = true
-	e.GET(feedws.Path, echo.WrapHandler(feedws.NewHandler(c.follower, c.proxy.CountSent)))
-	hint := func(r *http.Request) { c.follower.Hint(peerAddress(follow.HostOf(r.RemoteAddr))) }
-	e.GET(proxy.PingPath, func(context echo.Context) error {
-		hint(context.Request())
-		return context.NoContent(http.StatusNoContent)
-	})
-	e.Any("/*", func(context echo.Context) error {
-		hint(context.Request())
-		c.proxy.ServePeer(context.Response(), context.Request())
-		return nil
-	})
-	return &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout, ConnContext: callhttp.ConnContext}
-}
-
-func (c *sidecar) listen(options sidecarOptions, failed chan<- error) error {
-	s := c.settings
-	readiness := echo.New()
-	readiness.HideBanner = true
-	readiness.GET("/ready", c.ready)
-	servers := []struct {
-		name, address string
-		run           func(net.Listener) error
-	}{
-		{"callers", s.Callers, c.callers.Run},
-		{"peers", net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), c.peerSide.Serve},
-		{"readiness", s.Readiness, (&http.Server{Handler: readiness, ReadHeaderTimeout: readHeaderTimeout}).Serve},
-	}
-	for _, server := range servers {
-		listener, err := net.Listen("tcp", server.address)
-		if err != nil {
-			return errors.Wrap(err, server.name)
-		}
-		go serve(server.run, listener, failed)
-	}
-	if options.metricsPort > 0 {
-		return c.listenMetrics(options.metricsPort, failed)
-	}
-	return nil
-}
-
-func (c *sidecar) listenMetrics(port int, failed chan<- error) error {
-	e := echo.New()
-	e.HideBanner = true
-	e.GET("/metrics", func(context echo.Context) error {
-		c.meter.Write(context.Response())
-		return nil
-	})
-	listener, err := net.Listen("tcp", net.JoinHostPort(c.settings.IP, strconv.Itoa(port)))
-	if err != nil {
-		return errors.Wrap(err, "metrics")
-	}
-	go serve((&http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout}).Serve, listener, failed)
-	return nil
-}
-
-func (c *sidecar) ready(context echo.Context) error {
-	if c.proxy.Ready() {
-		return context.NoContent(http.StatusOK)
-	}
-	return context.NoContent(http.StatusServiceUnavailable)
-}
-
-// takeView makes the picture that requests are routed by.
-func (c *sidecar) takeView(view *mesh.View) {
-	picture := &proxy.Picture{Table: view.Table(), Services: view.Takers(), Own: view.At(c.settings.TargetAddress)}
-	hosts := map[string]bool{}
-	for _, member := range view.Members() {
-		hosts[follow.HostOf(member.Address)] = true
-	}
-	picture.Nodes = len(hosts)
-	c.meter.Set(port.MetricConfigVersion, "", float64(view.Version()))
-	for service, members := range picture.Services {
-		c.meter.Set(port.MetricTargetsUsable, service, float64(len(members)))
-	}
-	c.proxy.SetPicture(picture)
-}
-
-func (c *sidecar) tick(ctx context.Context) {
-	sweep := time.Now()
-	for wait.Sleep(ctx, proxyTick) {
-		c.proxy.Tick()
-		if now := time.Now(); now.Sub(sweep) > housekeeping {
-			sweep = now
-			c.keepHouse(now)
-		}
-	}
-}
-
-// keepHouse closes idle connections and brings metrics and the log up to date.
-func (c *sidecar) keepHouse(now time.Time) {
-	c.peers.CloseIdle(now)
-	c.target.CloseIdle(now)
-	c.closeOverdue(now)
-	c.proxy.TellLeftOut()
-	if lines := c.output.TakeDropped(); lines > 0 {
-		c.meter.Count(port.MetricLinesDropped, "output", int(lines))
-		c.log.Warn().Str(logfield.Kind, "output").Int64(logfield.Lines, lines).Msg("lines dropped")
-	}
-	running, waiting := c.proxy.Counts()
-	c.meter.Set(port.MetricSlotsRunning, "", float64(running))
-	c.meter.Set(port.MetricQueueWaiting, "", float64(waiting))
-	c.meter.Set(port.MetricRequestsOpen, "", float64(c.proxy.Open()))
-	c.meter.Set(port.MetricLinkWait, "", c.proxy.LinkWait().Seconds())
-	c.meter.Set(port.MetricViewAge, "", c.follower.Age().Seconds())
-}
-
-// closeOverdue ends the connections of callers that keep this node waiting for
-// longer than the configuration allows.
-func (c *sidecar) closeOverdue(now time.Time) {
-	limits := c.proxy.Limits()
-	ended, err := c.callers.CloseOverdue(now, callerhttp.Waits{Header: limits.HeaderTimeout, Idle: limits.IdleTimeout})
-	if err != nil {
-		c.log.Warn().Err(err).Msg("overdue connections are left open")
-	}
-	c.meter.Count(port.MetricOverdue, "", ended)
-}
-
-// watchSettings takes up changed settings, on a signal and without one.
-func (c *sidecar) watchSettings(ctx context.Context, path string) {
-	ticker := time.NewTicker(settingsPoll)
-	defer ticker.Stop()
-	var seen time.Time
-	for {
-		select {
-		case <-reloads:
-			seen = time.Time{}
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-		info, err := os.Stat(path)
-		if err != nil || info.ModTime().Equal(seen) {
-			continue
-		}
-		seen = info.ModTime()
-		c.reload(path)
-	}
-}
-
-// reload takes up what may change while the process runs: the service of the
-// VM's target.
-func (c *sidecar) reload(path string) {
-	loaded, found := platform.LoadSettings(path)
-	if len(found) > 0 {
-		c.log.Error().Err(found).Msg("changed settings are not taken up")
-		return
-	}
-	c.log.Info().Str(logfield.Service, loaded.Service).Msg("settings loaded")
-	c.proxy.SetService(loaded.Service)
-}
-
-// stop is the graceful shutdown. The node says that it isn't ready, serves on
-// until the platform sends no more callers, gives its target no more work then,
-// and ends connections politely once their last answer is out.
-func (c *sidecar) stop() {
-	begin := time.Now()
-	c.log.Info().Int64("open", c.proxy.Open()).Msg("stopping")
-	endsBy := begin.Add(c.settings.Grace - killMargin)
-	c.proxy.Stop(endsBy)
-	wait.Sleep(context.Background(), takeOut)
-	c.proxy.StopOwn()
-	if err := c.callers.StopAccepting(); err != nil {
-		c.log.Warn().Err(err).Msg("callers' listener")
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), endsBy)
-	defer cancel()
-	for c.proxy.Open() > 0 && wait.Sleep(ctx, stopPoll) {
-	}
-	if err := c.callers.CloseIdle(); err != nil {
-		c.log.Warn().Err(err).Msg("idle connections closed without an answer")
-	}
-	for _, server := range []*http.Server{c.callers.Server, c.peerSide} {
-		if err := server.Shutdown(ctx); err != nil {
-			c.log.Warn().Err(err).Msg("listener closed late")
-		}
-	}
-}
-
-// stopPoll is how often a stopping node looks whether requests still run.
-const stopPoll = 20 * time.Millisecond
--- /dev/null
+++ b/cmd/tamarackd/sidecar_listen.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	"tamarackquay/internal/adapter/callhttp"
+	"tamarackquay/internal/adapter/feedws"
+	"tamarackquay/internal/follow"
+	"tamarackquay/internal/proxy"
+)
+
+// newPeerSide serves other nodes: feeds, and requests for the VM's own target.
+func (c *sidecar) newPeerSide(peerAddress func(host string) string) *http.Server {
+	e := echo.New()
+	e.HideBanner = true
+	e.GET(feedws.Path, echo.WrapHandler(feedws.NewHandler(c.follower, c.proxy.CountSent)))
+	hint := func(r *http.Request) { c.follower.Hint(peerAddress(follow.HostOf(r.RemoteAddr))) }
+	e.GET(proxy.PingPath, func(context echo.Context) error {
+		hint(context.Request())
+		return context.NoContent(http.StatusNoContent)
+	})
+	e.Any("/*", func(context echo.Context) error {
+		hint(context.Request())
+		c.proxy.ServePeer(context.Response(), context.Request())
+		return nil
+	})
+	return &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout, ConnContext: callhttp.ConnContext}
+}
+
+func (c *sidecar) listen(options sidecarOptions, failed chan<- error) error {
+	s := c.settings
+	readiness := echo.New()
+	readiness.HideBanner = true
+	readiness.GET("/ready", c.ready)
+	servers := []struct {
+		name, address string
+		run           func(net.Listener) error
+	}{
+		{"callers", s.Callers, c.callers.Run},
+		{"peers", net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), c.peerSide.Serve},
+		{"readiness", s.Readiness, (&http.Server{Handler: readiness, ReadHeaderTimeout: readHeaderTimeout}).Serve},
+	}
+	for _, server := range servers {
+		listener, err := net.Listen("tcp", server.address)
+		if err != nil {
+			return errors.Wrap(err, server.name)
+		}
+		go serve(server.run, listener, failed)
+	}
+	if options.metricsPort > 0 {
+		return c.listenMetrics(options.metricsPort, failed)
+	}
+	return nil
+}
+
+func (c *sidecar) listenMetrics(port int, failed chan<- error) error {
+	e := echo.New()
+	e.HideBanner = true
+	e.GET("/metrics", func(context echo.Context) error {
+		c.meter.Write(context.Response())
+		return nil
+	})
+	listener, err := net.Listen("tcp", net.JoinHostPort(c.settings.IP, strconv.Itoa(port)))
+	if err != nil {
+		return errors.Wrap(err, "metrics")
+	}
+	go serve((&http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout}).Serve, listener, failed)
+	return nil
+}
+
+func (c *sidecar) ready(context echo.Context) error {
+	if c.proxy.Ready() {
+		return context.NoContent(http.StatusOK)
+	}
+	return context.NoContent(http.StatusServiceUnavailable)
+}
