Let the test fleet take the ports that it listens on

The fleet looked for a free port, gave it back and listened on it later; another process took it in between.

Ruled out: a fault of what is tested (nothing of it ran yet).

Change: the fleet keeps the listener that found the port, and tries another port where the same one is taken on a further address. No check changes.

--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -100,7 +100,7 @@
 		testRoute("/idempotent/", mesh.Idempotent), testRoute("/once/", mesh.NonIdempotent),
 	}})}
 	members := make([]*mesh.Member, count)
-	port := freePort(t)
+	peers := listenOnOnePort(t, count)
 	for i := range count {
 		target := &testTarget{id: fmt.Sprint("t", i)}
 		target.serve = target.runs
@@ -113,16 +113,16 @@
 		}}
 	}
 	for i := range count {
-		f.start(t, i, port, members)
+		f.start(t, i, peers[i], members)
 	}
 	return f
 }
 
-func (f *fleet) start(t testing.TB, i, port int, members []*mesh.Member) {
+func (f *fleet) start(t testing.TB, i int, peers net.Listener, members []*mesh.Member) {
 	options := exchange.Options{DialTimeout: 150 * time.Millisecond, IdleTimeout: time.Second, SilenceTimeout: time.Second, MaxIdle: 8}
 	p := New(Config{
 		Headers: headers, FailureDomain: "a", Region: "r", Regions: map[string]string{"a": "r"},
-		TargetAddress: members[i].Address, PeerPort: port, RepeatRatio: 0.2, RepeatFew: 100, Seed: uint64(i),
+		TargetAddress: members[i].Address, PeerPort: peers.Addr().(*net.TCPAddr).Port, RepeatRatio: 0.2, RepeatFew: 100, Seed: uint64(i),
 	}, Ports{
 		Clock: wallClock{}, Peers: exchange.NewPool(options), Target: exchange.NewPool(options),
 		Log: &log.Logger{
@@ -132,9 +132,7 @@
 	})
 	p.SetService("caller-service")
 	p.SetPicture(&Picture{Table: f.table, Services: map[string][]*mesh.Member{"s": members}, Own: members[i], Nodes: len(members)})
-	listener, err := net.Listen("tcp", net.JoinHostPort(fmt.Sprintf("127.0.0.%d", i+2), strconv.Itoa(port)))
-	assert.NilError(t, err)
-	serveUntilEnd(t, listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	serveUntilEnd(t, peers, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != PingPath {
 			p.ServePeer(w, r)
 		}
@@ -149,11 +147,38 @@
 	}
 }
 
-func freePort(t testing.TB) int {
-	listener, err := net.Listen("tcp", "127.0.0.2:0")
-	assert.NilError(t, err)
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port
+// listenOnOnePort listens on the same port of so many loopback addresses. A port that
+// is free on the first may be taken on another by a process beside this one, so other
+// ports are tried then.
+func listenOnOnePort(t testing.TB, count int) []net.Listener {
+	const tries = 20
+	var failed error
+	for range tries {
+		listeners, err := tryOnePort(count)
+		if err == nil {
+			return listeners
+		}
+		failed = err
+	}
+	assert.NilError(t, failed)
+	return nil
+}
+
+func tryOnePort(count int) ([]net.Listener, error) {
+	var listeners []net.Listener
+	port := "0"
+	for i := range count {
+		listener, err := net.Listen("tcp", net.JoinHostPort(fmt.Sprintf("127.0.0.%d", i+2), port))
+		if err != nil {
+			for _, open := range listeners {
+				_ = open.Close()
+			}
+			return nil, err
+		}
+		listeners = append(listeners, listener)
+		port = strconv.Itoa(listener.Addr().(*net.TCPAddr).Port)
+	}
+	return listeners, nil
 }
 
 func serveUntilEnd(t testing.TB, listener net.Listener, handler http.Handler) {
