Wait for a node's last words before a test of its mesh ends

Cause: the last run of the whole script beside four soaks was red once: TestPausedNodeRefreshesBeforeItJudges, "main bubble goroutine has exited but blocked goroutines remain". The trace shows the leaving node's planned stop, which waits for its work until a minute is over, in the half millisecond in which its farewell is on its way, while the test was over at the same moment of virtual time. The checks had passed.

Ruled out: a fault of the stop (it ends by itself); what changed lately (none of it runs in that test).

Change: the test waits until the stop is over. No check changes.

--- a/internal/node/member_test.go
+++ b/internal/node/member_test.go
@@ -85,10 +85,16 @@
 	return true
 }
 
-// leave begins the planned stop of a node that still has work to finish.
-func (mn *meshNode) leave() {
+// leave begins the planned stop of a node that still has work to finish, and returns
+// what is closed once the stop is over.
+func (mn *meshNode) leave() <-chan struct{} {
 	mn.running.Add(1)
-	go mn.Stop(context.Background())
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		mn.Stop(context.Background())
+	}()
+	return left
 }
 
 // replace starts a node anew in the place of one that was killed.
@@ -268,7 +274,7 @@
 		time.Sleep(sleeper.pauseAfter())
 		assert.Check(t, sleeper.PausedFor(time.Now()) > 0, "requests can see the pause before the loop wakes")
 		assert.Check(t, sleeper.mayServe() != nil, "a request that wakes before the control loop is refused")
-		leaving.leave()
+		left := leaving.leave()
 		time.Sleep(time.Minute)
 		m.until(3*time.Second, "refresh", func() bool { return !slices.Contains(sleeper.targets(), leaving.vm.ID) })
 		took := m.until(10*time.Second, "return", func() bool { return m.complete(m.nodes, 23) })
@@ -276,6 +282,7 @@
 		t.Logf("complete %s after the wake", took)
 		assert.Check(t, len(gaps) == 1 && gaps[0] > 50*time.Second, "%v", gaps)
 		leaving.running.Add(-1)
+		<-left
 	})
 }
 
