Tell late news and graces in the log lines of targets

Cause: the line of a target that is dropped and of one that stays in use for a grace were the same, and no line said how late news were; a target that was used 3.05 s after it had left could not be put down to either. Each message of a feed says when it was sent, counted from the feed's beginning, so that the clocks of two nodes needn't agree. Decisions are unchanged.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -28,6 +28,8 @@
 	Config   *mesh.Config
 	Targets  []mesh.Target
 	Revision uint64
+	// Answered is when the platform began to answer.
+	Answered time.Time
 }
 
 // Changes are what the platform reports after a revision.
@@ -36,6 +38,8 @@
 	Targets  []mesh.Target
 	Removed  []mesh.Removal
 	Revision uint64
+	// Answered is when the platform began to answer.
+	Answered time.Time
 }
 
 // Platform reads what operators and targets publish. Each call is paid for.
@@ -144,20 +148,22 @@
 	running.Wait()
 }
 
-// apply takes news and tells everyone who waits for a change.
-func (f *Follower) apply(news *mesh.News) error {
+// apply takes news and tells everyone who waits for a change. Late is for how long
+// they were on their way.
+func (f *Follower) apply(news *mesh.News, late time.Duration) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before, version := f.view.Change(), f.view.Version()
 	members := f.statesOf(news)
 	now := f.clock.Now()
-	outdated := f.view.Age(now) > outage
+	age := f.view.Age(now)
+	outdated := age > outage
 	err := f.view.Apply(now, news)
 	if outdated && f.view.Age(now) <= outage {
 		f.returned = now
 	}
 	if f.view.Change() != before {
-		f.tellStates(members)
+		f.tellStates(members, age, late)
 		if f.view.Version() != version {
 			f.log.Info().Uint64(logfield.Version, f.view.Version()).Uint64(logfield.Before, version).
 				Int(logfield.Routes, len(f.view.Table().Config.Routes)).Msg("configuration in force")
@@ -169,39 +175,6 @@
 	return err
 }
 
-// stateGone is the state of a target that the view doesn't hold.
-const stateGone mesh.TargetState = 0
-
-var stateNames = map[mesh.TargetState]string{mesh.Ready: "ready", mesh.Draining: "draining", stateGone: "gone"}
-
-// statesOf returns the states of the targets that the news are about.
-func (f *Follower) statesOf(news *mesh.News) map[string]mesh.TargetState {
-	states := map[string]mesh.TargetState{}
-	for i := range news.Targets {
-		states[news.Targets[i].ID] = f.stateOf(news.Targets[i].ID)
-	}
-	for i := range news.Removed {
-		states[news.Removed[i].ID] = f.stateOf(news.Removed[i].ID)
-	}
-	return states
-}
-
-func (f *Follower) stateOf(id string) mesh.TargetState {
-	if member := f.view.Members()[id]; member != nil && member.UsableUntil.IsZero() {
-		return member.State
-	}
-	return stateGone
-}
-
-// tellStates logs which of the targets are in another state than before.
-func (f *Follower) tellStates(before map[string]mesh.TargetState) {
-	for id, state := range before {
-		if now := f.stateOf(id); now != state {
-			f.log.Info().Str(logfield.Target, id).Str(logfield.State, stateNames[now]).Str(logfield.Before, stateNames[state]).Msg("target")
-		}
-	}
-}
-
 // noteNearer keeps the word of a reader that is much nearer to the platform.
 func (f *Follower) noteNearer(news *mesh.News) {
 	if news.Age < 0 || news.Way == 0 || news.Way*nearer > f.platform.Way() {
@@ -246,13 +219,16 @@
 	defer f.countFeed(host, -1)
 	position := mesh.Position{}
 	first := true
+	began := f.clock.Now()
 	for {
 		f.mu.Lock()
 		if first && f.view.Table() != nil && f.view.Version() == version {
 			position.Config = f.view.Table().Config
 		}
 		first = false
-		news, next := f.view.Since(f.clock.Now(), position)
+		now := f.clock.Now()
+		news, next := f.view.Since(now, position)
+		news.Sent = now.Sub(began)
 		changed := f.changed
 		f.mu.Unlock()
 		if err := send(news); err != nil {
--- a/internal/follow/neighbours.go
+++ b/internal/follow/neighbours.go
@@ -164,7 +164,9 @@
 		f.mu.Lock()
 		version := f.view.Version()
 		f.mu.Unlock()
+		var way transit
 		err := f.feed.Follow(ctx, address, version, func(news *mesh.News) error {
+			late := way.late(news.Sent, f.clock.Now())
 			if lost {
 				lost = false
 				f.setBroken(address, false)
@@ -172,7 +174,7 @@
 			}
 			f.noteNearer(news)
 			f.greetIfLost(ctx, address, news)
-			return f.apply(news)
+			return f.apply(news, late)
 		})
 		if ctx.Err() != nil {
 			return
--- a/internal/follow/world_test.go
+++ b/internal/follow/world_test.go
@@ -254,7 +254,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.reads++
-	listing := &Listing{Config: w.config, Revision: w.revision}
+	listing := &Listing{Config: w.config, Revision: w.revision, Answered: time.Now()}
 	for _, target := range w.targets {
 		listing.Targets = append(listing.Targets, target)
 	}
@@ -284,7 +284,7 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-			return &Changes{Revision: after}, l.gate(ctx)
+			return &Changes{Revision: after, Answered: time.Now()}, l.gate(ctx)
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
@@ -293,7 +293,7 @@
 }
 
 func (w *world) since(after uint64) *Changes {
-	changes := &Changes{Revision: after}
+	changes := &Changes{Revision: after, Answered: time.Now()}
 	for _, news := range w.history {
 		// The age of recorded news holds its revision.
 		if revision := uint64(news.Age); revision > after {
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -80,6 +80,9 @@
 	// knew it.
 	Age time.Duration `cbor:"a"`
 	Way time.Duration `cbor:"w,omitempty"`
+	// Sent is when the message was made, counted from the beginning of its feed by
+	// the sender's steady clock; zero where the sender doesn't say.
+	Sent time.Duration `cbor:"s,omitempty"`
 }
 
 // Empty reports whether the news tell nothing but their age.
