Show that late news keep a target in use that left

Symptom: users saw requests reach a target 3.05 s after its departure was confirmed, 3 s are allowed.

--- /dev/null
+++ b/internal/follow/late_test.go
@@ -0,0 +1,89 @@
+package follow
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tamarackquay/internal/mesh"
+)
+
+// leftWithin is the platform's bound for the time after which no work reaches a
+// target that left.
+const leftWithin = 3 * time.Second
+
+// stillUsed returns the nodes that would give work to the target.
+func (w *world) stillUsed(target string) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var found []string
+	for id, f := range w.nodes {
+		f.mu.Lock()
+		member := f.view.Members()[target]
+		if member != nil && member.Usable(time.Now()) {
+			found = append(found, id)
+		}
+		f.mu.Unlock()
+	}
+	return found
+}
+
+// Users saw two lookups reach a target 3.05 s after the platform had confirmed that
+// it left; 3 s are allowed. Links were full: the removal of its entry came to the
+// nodes that read the platform in one answer with a change of 1,800 routes.
+func TestLateAnswerKeepsNoTargetThatLeft(t *testing.T) {
+	simulateWithin(t, leftWithin, func(t *testing.T, w *world) {
+		w.mu.Lock()
+		w.answering = 2200 * time.Millisecond
+		w.mu.Unlock()
+		for i, target := range []string{"a1-0", "a2-1", "b1-2", "b2-0"} {
+			time.Sleep(10*time.Second + time.Duration(i)*300*time.Millisecond)
+			w.remove(target)
+			time.Sleep(leftWithin)
+			used := w.stillUsed(target)
+			assert.Equal(t, len(used), 0, "%s, by %v", target, used)
+		}
+	})
+}
+
+// The link of each reader gets full: its news arrive later and later, up to 4 s, but
+// never stop. A target leaves. Nodes must not take such news for fresh.
+func TestLateFeedsKeepNoTargetThatLeft(t *testing.T) {
+	simulateWithin(t, leftWithin, func(t *testing.T, w *world) {
+		const filling, longest = 8 * time.Second, 4 * time.Second
+		began := time.Now()
+		w.mu.Lock()
+		w.queued = func(string) time.Duration {
+			return min(longest, time.Since(began)/(filling/longest))
+		}
+		w.mu.Unlock()
+		time.Sleep(filling)
+		w.remove("a1-0")
+		time.Sleep(leftWithin)
+		used := w.stillUsed("a1-0")
+		assert.Equal(t, len(used), 0, "%v", used)
+	})
+}
+
+// A target drains, and the word of it comes late to its own node, which gives work
+// that was on its way for one second after the target drained, not after the word.
+func TestDrainingCountsFromItsFirstWord(t *testing.T) {
+	const late = 700 * time.Millisecond
+	simulateWithin(t, leftWithin, func(t *testing.T, w *world) {
+		w.mu.Lock()
+		w.queued = func(string) time.Duration { return late }
+		w.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		target := mesh.Target{ID: "a1-0", Service: "s", Address: "a1-0:80", FailureDomain: "a1", Slots: 1, State: mesh.Draining}
+		w.put(target)
+		drained := time.Now()
+		time.Sleep(3 * late)
+		for id, f := range w.nodes {
+			f.mu.Lock()
+			since := f.view.Members()["a1-0"].DrainingSince
+			f.mu.Unlock()
+			assert.Assert(t, since.Sub(drained) < late/2, "%s: %s", id, since.Sub(drained))
+		}
+	})
+}
--- a/internal/follow/world_test.go
+++ b/internal/follow/world_test.go
@@ -14,6 +14,7 @@
 
 	"tamarackquay/internal/adapter/metrics"
 	"tamarackquay/internal/mesh"
+	"tamarackquay/internal/wait"
 )
 
 type wallClock struct{}
@@ -40,6 +41,11 @@
 	// nobody and are reached by nobody.
 	refused map[string]bool
 	cut     map[string]bool
+	// answering is for how long an answer of the platform is on its way.
+	answering time.Duration
+	// queued is for how long messages wait at the link of a node before they leave
+	// it; nil where none is full.
+	queued func(node string) time.Duration
 	// quiet nodes greet nobody.
 	quiet bool
 	nodes map[string]*Follower
@@ -252,13 +258,24 @@
 	}
 	w := l.world
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.reads++
 	listing := &Listing{Config: w.config, Revision: w.revision, Answered: time.Now()}
 	for _, target := range w.targets {
 		listing.Targets = append(listing.Targets, target)
 	}
-	return listing, nil
+	w.mu.Unlock()
+	return listing, l.receive(ctx)
+}
+
+// receive waits until an answer of the platform is here whole.
+func (l *link) receive(ctx context.Context) error {
+	l.world.mu.Lock()
+	answering := l.world.answering
+	l.world.mu.Unlock()
+	if !wait.Sleep(ctx, answering) {
+		return ctx.Err()
+	}
+	return l.gate(ctx)
 }
 
 func (l *link) Watch(ctx context.Context, after uint64, wait time.Duration) (*Changes, error) {
@@ -279,7 +296,7 @@
 		changed := w.changed
 		w.mu.Unlock()
 		if changes.Revision > after {
-			return changes, l.gate(ctx)
+			return changes, l.receive(ctx)
 		}
 		select {
 		case <-changed:
@@ -320,15 +337,45 @@
 	}
 	defer context.AfterFunc(life, cancel)()
 	silence := time.AfterFunc(1200*time.Millisecond, cancel)
+	queue := make(chan queuedNews, 64)
+	var delivering sync.WaitGroup
+	defer delivering.Wait()
+	defer close(queue)
+	delivering.Go(func() {
+		for q := range queue {
+			if !wait.Sleep(ctx, time.Until(q.due)) {
+				continue
+			}
+			silence.Reset(1200 * time.Millisecond)
+			if take(q.news) != nil {
+				cancel()
+			}
+		}
+	})
 	return other.Serve(ctx, l.node, version, func(news *mesh.News) error {
 		if w.isCut(l.node, address) {
 			return nil
 		}
-		silence.Reset(1200 * time.Millisecond)
-		return take(news)
+		queue <- queuedNews{news: news, due: time.Now().Add(w.queueAt(address))}
+		return nil
 	})
 }
 
+// queuedNews is a message that waits at a full link.
+type queuedNews struct {
+	news *mesh.News
+	due  time.Time
+}
+
+func (w *world) queueAt(node string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.queued == nil {
+		return 0
+	}
+	return w.queued(node)
+}
+
 func (w *world) isCut(a, b string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
