Take a platform for away only when a read of it failed

Callers saw requests reach a target over 3 s after it had left.

Cause: a removal that is read while the view is older than 2.5 s was taken for a lease that ran out in an outage of the platform, and the target stayed in use 2 s longer. A view gets as old when its news come late: with a change of 1,800 routes the answer to a reader takes seconds on a full link, and the removal is in it.

Ruled out: a shorter grace (live targets need 2 s to renew); the reader's own failed reads alone (a node that was only ever told would drop every target after an outage, TestNodeThatNeverReadDropsNobody).

Change: an outage is an old view and a read that failed since it was current. Nodes tell of failed reads on their feeds, as an age.

Why it holds: a platform that is away fails the reads of all who try, and nodes try from 1.6 s on, before any lease can run out; a late answer is no failed read.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -93,9 +93,8 @@
 	// greetInterval is how often a reader greets the nodes of its region that
 	// don't follow it.
 	greetInterval = 500 * time.Millisecond
-	// outage is the age of a view from which removals may be leases that ran out
-	// while nobody could renew them, and settle for how long after it.
-	outage = 2500 * time.Millisecond
+	// settle is for how long after an outage of the platform removals may be leases
+	// that ran out in it.
 	settle = 2500 * time.Millisecond
 )
 
@@ -157,9 +156,9 @@
 	members := f.statesOf(news)
 	now := f.clock.Now()
 	age := f.view.Age(now)
-	outdated := age > outage
+	outage := f.view.Outage(now)
 	err := f.view.Apply(now, news)
-	if outdated && f.view.Age(now) <= outage {
+	if outage && !f.view.Outage(now) {
 		f.returned = now
 	}
 	if f.view.Change() != before {
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -152,14 +152,14 @@
 
 // removalGrace is for how long targets stay in use whose entries are gone: for a
 // while where the platform is back so lately that live targets may not have renewed
-// them. It goes by the view's age and not by this
-// node's own readings: a node that was only ever told by its neighbours would
-// else be the one that drops every target, and tell the others.
+// them. Failed reads of neighbours count like this node's own: a node that was only
+// ever told by its neighbours would else be the one that drops every target, and tell
+// the others.
 func (f *Follower) removalGrace() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	if f.view.Age(now) > outage || !f.returned.IsZero() && now.Sub(f.returned) < settle {
+	if f.view.Outage(now) || !f.returned.IsZero() && now.Sub(f.returned) < settle {
 		return mesh.SuspectGrace
 	}
 	return 0
@@ -169,6 +169,9 @@
 func (f *Follower) noteContact(err error) {
 	now := f.clock.Now()
 	if err != nil {
+		f.mu.Lock()
+		f.view.NoteFailedRead(now)
+		f.mu.Unlock()
 		if f.lostAt.IsZero() {
 			f.lostAt = now
 			f.log.Warn().Err(err).Uint64(logfield.Revision, f.revision).Msg("platform lost")
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -207,3 +207,31 @@
 	assert.Equal(t, len(takers), 1)
 	assert.Equal(t, takers[0].ID, "new")
 }
+
+// A view gets old because its news are late, not because the platform is away. Only
+// the word of a failed read makes an outage of it.
+func TestOldViewIsNoOutage(t *testing.T) {
+	for _, test := range []struct {
+		desc        string
+		age, failed time.Duration
+		want        bool
+	}{
+		{"late news", 4 * time.Second, 0, false},
+		{"a failed read, and leases still run", time.Second, 500 * time.Millisecond, false},
+		{"a failed read, and leases have run out", 4 * time.Second, time.Second, true},
+		{"a read failed before the view was current", 4 * time.Second, 5 * time.Second, false},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			view := NewView()
+			assert.NilError(t, view.Apply(start, &News{Age: test.age}))
+			if test.failed > 0 {
+				view.NoteFailedRead(start.Add(-test.failed))
+			}
+			assert.Equal(t, view.Outage(start), test.want)
+			news, _ := view.Since(start, Position{})
+			neighbour := NewView()
+			assert.NilError(t, neighbour.Apply(start, news))
+			assert.Equal(t, neighbour.Outage(start), test.want, "told by a neighbour")
+		})
+	}
+}
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -13,6 +13,8 @@
 	// renew it; a live target renews it within some two seconds. Dropping all
 	// at once would leave a service without targets for that time.
 	SuspectGrace = 2 * time.Second
+	// lapseAfter is how long the platform must be away at least for a lease to run out.
+	lapseAfter = 2500 * time.Millisecond
 	// removalMemory is how long a removal is remembered, so that an older
 	// entry that comes late on another path doesn't revive the target.
 	removalMemory = time.Minute
@@ -63,6 +65,9 @@
 	verified time.Time
 	// way is the round trip to the platform of the node that verified it.
 	way time.Duration
+	// failed is the latest time at which a node's read of the platform is known to
+	// have failed.
+	failed time.Time
 }
 
 // NewView returns the view of a process that knows nothing.
@@ -80,6 +85,9 @@
 	// knew it.
 	Age time.Duration `cbor:"a"`
 	Way time.Duration `cbor:"w,omitempty"`
+	// Failed is how long ago a read of the platform failed last, as far as the sender
+	// knows; zero when none has since its view was current.
+	Failed time.Duration `cbor:"f,omitempty"`
 	// Sent is when the message was made, counted from the beginning of its feed by
 	// the sender's steady clock; zero where the sender doesn't say.
 	Sent time.Duration `cbor:"s,omitempty"`
@@ -118,6 +126,21 @@
 	}
 }
 
+// NoteFailedRead keeps that a read of the platform failed at a time.
+func (v *View) NoteFailedRead(at time.Time) {
+	if at.After(v.failed) {
+		v.failed = at
+	}
+}
+
+// Outage reports whether the platform has been away for so long that leases may have
+// run out: no node had its word for that time, and a read of it failed. Age alone tells
+// nothing: news get old on a full link as well, and a target that left would then stay
+// in use for the grace of a lapsed one.
+func (v *View) Outage(now time.Time) bool {
+	return v.Age(now) > lapseAfter && v.failed.After(v.verified)
+}
+
 // Members returns all known targets by id. The map belongs to the view.
 func (v *View) Members() map[string]*Member { return v.members }
 
@@ -152,6 +175,9 @@
 		v.remove(now, removal)
 	}
 	v.forget(now)
+	if news.Failed > 0 {
+		v.NoteFailedRead(now.Add(-news.Failed))
+	}
 	if err == nil && news.Age >= 0 {
 		v.verify(now.Add(-news.Age), news.Way)
 	}
@@ -313,6 +339,9 @@
 // Since returns what the neighbour lacks, and its position after that.
 func (v *View) Since(now time.Time, position Position) (*News, Position) {
 	news := &News{Age: v.Age(now), Way: v.way}
+	if v.failed.After(v.verified) {
+		news.Failed = max(1, now.Sub(v.failed))
+	}
 	if v.table != nil && v.configChange > position.Change && v.table.Config != position.Config {
 		news.Config = Diff(position.Config, v.table.Config)
 		position.Config = v.table.Config
