Date news by when they were sent, not by when they arrived

Callers saw requests reach a target over 3 s after it had left.

Cause: the age of a view, the second in which a draining target still gets work, the grace of a lapsed one and the cold time of a new one counted from the arrival of the news at each node. The time on the way was in none of them: on a full link news of several seconds looked fresh, so nobody stepped in for the reader whose feeds were late, and each step from the platform to a target's own node lengthened its use.

Ruled out: wall clocks (they differ between VMs and jump); a fixed allowance a hop (a full link is later than any that could be borne on a calm one).

Change: an answer of the platform is dated by its header, a message of a feed by the quickest one of that feed, the first by the request for it. A target's draining is passed on with how long ago it began.

Why it holds: a message can't be sent later than it is dated, so ages only err towards old, by what the quickest message took; an old view makes its node read for itself.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -147,9 +147,8 @@
 	running.Wait()
 }
 
-// apply takes news and tells everyone who waits for a change. Late is for how long
-// they were on their way.
-func (f *Follower) apply(news *mesh.News, late time.Duration) error {
+// apply takes news that were sent at a time and tells everyone who waits for a change.
+func (f *Follower) apply(news *mesh.News, sent time.Time) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before, version := f.view.Change(), f.view.Version()
@@ -157,12 +156,12 @@
 	now := f.clock.Now()
 	age := f.view.Age(now)
 	outage := f.view.Outage(now)
-	err := f.view.Apply(now, news)
+	err := f.view.Apply(sent, news)
 	if outage && !f.view.Outage(now) {
 		f.returned = now
 	}
 	if f.view.Change() != before {
-		f.tellStates(members, age, late)
+		f.tellStates(members, age, now.Sub(sent))
 		if f.view.Version() != version {
 			f.log.Info().Uint64(logfield.Version, f.view.Version()).Uint64(logfield.Before, version).
 				Int(logfield.Routes, len(f.view.Table().Config.Routes)).Msg("configuration in force")
@@ -175,13 +174,13 @@
 }
 
 // noteNearer keeps the word of a reader that is much nearer to the platform.
-func (f *Follower) noteNearer(news *mesh.News) {
+func (f *Follower) noteNearer(news *mesh.News, sent time.Time) {
 	if news.Age < 0 || news.Way == 0 || news.Way*nearer > f.platform.Way() {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if at := f.clock.Now().Add(-news.Age); at.After(f.nearerAt) {
+	if at := sent.Add(-news.Age); at.After(f.nearerAt) {
 		f.nearerAt = at
 	}
 }
--- a/internal/follow/late_test.go
+++ b/internal/follow/late_test.go
@@ -51,8 +51,8 @@
 	})
 }
 
-// The link of each reader gets full: its news arrive later and later, up to 4 s, but
-// never stop. A target leaves. Nodes must not take such news for fresh.
+// Guards against taking news for fresh that come later and later over a full link, but
+// never stop: nobody would step in for the reader, and a target that left stays in use.
 func TestLateFeedsKeepNoTargetThatLeft(t *testing.T) {
 	simulateWithin(t, leftWithin, func(t *testing.T, w *world) {
 		const filling, longest = 8 * time.Second, 4 * time.Second
@@ -70,8 +70,8 @@
 	})
 }
 
-// A target drains, and the word of it comes late to its own node, which gives work
-// that was on its way for one second after the target drained, not after the word.
+// Guards against counting the draining of a target from the arrival of a late word: its
+// own node would give it work for longer than the platform allows.
 func TestDrainingCountsFromItsFirstWord(t *testing.T) {
 	const late = 700 * time.Millisecond
 	simulateWithin(t, leftWithin, func(t *testing.T, w *world) {
--- a/internal/follow/neighbours.go
+++ b/internal/follow/neighbours.go
@@ -164,17 +164,17 @@
 		f.mu.Lock()
 		version := f.view.Version()
 		f.mu.Unlock()
-		var way transit
+		feed := transit{opened: f.clock.Now()}
 		err := f.feed.Follow(ctx, address, version, func(news *mesh.News) error {
-			late := way.late(news.Sent, f.clock.Now())
+			sent := feed.sentAt(news.Sent, f.clock.Now())
 			if lost {
 				lost = false
 				f.setBroken(address, false)
 				f.log.Info().Str(logfield.Neighbour, address).Msg("neighbour regained")
 			}
-			f.noteNearer(news)
+			f.noteNearer(news, sent)
 			f.greetIfLost(ctx, address, news)
-			return f.apply(news, late)
+			return f.apply(news, sent)
 		})
 		if ctx.Err() != nil {
 			return
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -117,7 +117,7 @@
 		news.Removed[i].Grace = grace
 	}
 	f.addConfig(news, changes.Config)
-	return !news.Empty(), f.apply(news, f.clock.Now().Sub(changes.Answered))
+	return !news.Empty(), f.apply(news, changes.Answered)
 }
 
 func (f *Follower) countRead(what string, err error) {
@@ -140,7 +140,7 @@
 	f.mu.Unlock()
 	f.addConfig(news, listing.Config)
 	f.revision = listing.Revision
-	return f.apply(news, f.clock.Now().Sub(listing.Answered))
+	return f.apply(news, listing.Answered)
 }
 
 // addConfig adds a configuration as a step from what is in force.
--- a/internal/follow/transit.go
+++ b/internal/follow/transit.go
@@ -2,22 +2,31 @@
 
 import "time"
 
-// transit tells how late the messages of one feed are, against the quickest one
-// that came on it. The clocks of the two nodes needn't agree.
+// transit dates the messages of one feed by when they were sent. The clocks of the
+// two nodes needn't agree: the quickest message tells when the feed began.
 type transit struct {
-	// began is when the feed began, reckoned from its quickest message.
+	// opened is when this node asked for the feed.
+	opened time.Time
+	// heard is set by the first message.
+	heard bool
+	// began is when the feed began, reckoned from its quickest message but the first.
 	began time.Time
 }
 
-// late returns for how much longer than the quickest a message was on its way that
-// was sent so long after the feed began; zero where the sender doesn't say.
-func (t *transit) late(sent time.Duration, arrived time.Time) time.Duration {
+// sentAt returns when a message was sent, at the earliest, that arrives now; sent is
+// the sender's word, counted from the feed's beginning, and zero where it doesn't say.
+func (t *transit) sentAt(sent time.Duration, now time.Time) time.Time {
+	if !t.heard {
+		// It may be long on its way: it brings all that the sender knows.
+		t.heard = true
+		return t.opened
+	}
 	if sent == 0 {
-		return 0
+		return now
 	}
-	began := arrived.Add(-sent)
+	began := now.Add(-sent)
 	if t.began.IsZero() || began.Before(t.began) {
 		t.began = began
 	}
-	return began.Sub(t.began)
+	return t.began.Add(sent)
 }
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -27,7 +27,7 @@
 	WarmAt time.Time
 	// UsableUntil is set for a suspect removal; zero for entries that stand.
 	UsableUntil time.Time
-	// DrainingSince is when this node learned that it drains.
+	// DrainingSince is when the first node learned that it drains.
 	DrainingSince time.Time
 	change        uint64
 }
@@ -161,25 +161,28 @@
 	return takers
 }
 
-// Apply takes news. It returns ErrBase if the configuration builds on a version
-// that the view doesn't hold; the rest is taken all the same.
-func (v *View) Apply(now time.Time, news *News) error {
+// Apply takes news that were sent at a time, from which all times in them count. Counted
+// from their arrival, each step from the platform to the last node would lengthen the
+// use of a target that left, and old news would look fresh. It returns ErrBase if the
+// configuration builds on a version that the view doesn't hold; the rest is taken all
+// the same.
+func (v *View) Apply(sent time.Time, news *News) error {
 	var err error
 	if news.Config != nil {
 		err = v.applyConfig(news.Config)
 	}
 	for i := range news.Targets {
-		v.applyTarget(now, &news.Targets[i])
+		v.applyTarget(sent, &news.Targets[i])
 	}
 	for _, removal := range news.Removed {
-		v.remove(now, removal)
+		v.remove(sent, removal)
 	}
-	v.forget(now)
+	v.forget(sent)
 	if news.Failed > 0 {
-		v.NoteFailedRead(now.Add(-news.Failed))
+		v.NoteFailedRead(sent.Add(-news.Failed))
 	}
 	if err == nil && news.Age >= 0 {
-		v.verify(now.Add(-news.Age), news.Way)
+		v.verify(sent.Add(-news.Age), news.Way)
 	}
 	return err
 }
@@ -220,7 +223,7 @@
 	return nil
 }
 
-func (v *View) applyTarget(now time.Time, target *Target) {
+func (v *View) applyTarget(sent time.Time, target *Target) {
 	if gone, ok := v.removed[target.ID]; ok && gone.Revision >= target.Revision {
 		return
 	}
@@ -231,10 +234,10 @@
 	v.change++
 	next := &Member{Target: *target, change: v.change}
 	if target.Cold > 0 {
-		next.WarmAt = now.Add(target.Cold)
+		next.WarmAt = sent.Add(target.Cold)
 	}
 	if target.State == Draining {
-		next.DrainingSince = now
+		next.DrainingSince = sent.Add(-target.Draining)
 		if known != nil && known.State == Draining {
 			next.DrainingSince = known.DrainingSince
 		}
@@ -276,7 +279,7 @@
 	return target.Started != 0 && target.Started < known.Started
 }
 
-func (v *View) remove(now time.Time, removal Removal) {
+func (v *View) remove(sent time.Time, removal Removal) {
 	known := v.members[removal.ID]
 	if known != nil && known.Revision > removal.Revision {
 		return
@@ -285,7 +288,7 @@
 		return
 	}
 	v.change++
-	v.removed[removal.ID] = removed{Removal: removal, at: now, change: v.change}
+	v.removed[removal.ID] = removed{Removal: removal, at: sent, change: v.change}
 	if known == nil {
 		return
 	}
@@ -295,7 +298,7 @@
 	}
 	// Members are handed out and read elsewhere, so they are replaced.
 	lapsed := *known
-	lapsed.UsableUntil = now.Add(removal.Grace)
+	lapsed.UsableUntil = sent.Add(removal.Grace)
 	v.members[removal.ID] = &lapsed
 }
 
@@ -350,6 +353,9 @@
 		if member := v.members[id]; member.change > position.Change && member.UsableUntil.IsZero() {
 			target := member.Target
 			target.Cold = max(0, member.WarmAt.Sub(now))
+			if target.State == Draining {
+				target.Draining = now.Sub(member.DrainingSince)
+			}
 			news.Targets = append(news.Targets, target)
 		}
 	}
