Let late work for a draining target end within what is left of the bound

Callers' requests could reach a draining target past the bound where its own node learned of it late.

Cause: a target's node gave it work for one second after it learned that it drains, whatever the platform's bound. News that come as late as they may, after the loss of all readers, are in force four fifths into the bound.

Ruled out: no late work at all (entry nodes hear up to 0.3 s after the target's own node, and each refusal costs a round trip).

Change: the time follows from the bound, a fifth of it, beside the other times of following.

TestDrainingTargetGetsNoWorkBeyondTheBound fails before (up to 150 ms late with one second for a bound of 2.5 s, scaled with it; more for shorter bounds); TestOwnerEndsTheWorkOfADrainingTarget plays the owner.

--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -175,7 +175,8 @@
 		Headers: platform.Headers(), FailureDomain: s.FailureDomain, Region: s.Region, Regions: s.Regions,
 		TargetAddress: s.TargetAddress, PeerPort: s.PeerPort,
 		RepeatRatio: s.RepeatRatio, RepeatFew: s.RepeatFew, RepeatWindow: s.RepeatWindow,
-		HalfBytes: options.halfBytes, LinkRate: s.LinkRate, Seed: uint64(time.Now().UnixNano()),
+		HalfBytes: options.halfBytes, LinkRate: s.LinkRate,
+		DrainWork: follow.DrainWork(inForceWithin(s)), Seed: uint64(time.Now().UnixNano()),
 	}
 }
 
--- a/internal/follow/late_test.go
+++ b/internal/follow/late_test.go
@@ -97,3 +97,61 @@
 		}
 	})
 }
+
+// Guards against work that reaches a draining target beyond the bound where its own node
+// learned of it as late as news may come: all readers are lost just before.
+func TestDrainingTargetGetsNoWorkBeyondTheBound(t *testing.T) {
+	for _, within := range []time.Duration{1500 * time.Millisecond, usualInForce, leftWithin, 5 * time.Second} {
+		for _, test := range []struct {
+			desc string
+			lose func(w *world, readers []string)
+		}{
+			{"nothing is broken", func(*world, []string) {}},
+			{"all readers are refused by the platform", func(w *world, r []string) { w.refused[r[0]], w.refused[r[1]] = true, true }},
+			{"all readers are cut off from everybody", func(w *world, r []string) { w.cut[r[0]], w.cut[r[1]] = true, true }},
+		} {
+			t.Run(within.String()+" "+test.desc, func(t *testing.T) {
+				simulateWithin(t, within, func(t *testing.T, w *world) {
+					for phase := 0 * time.Second; phase < within/2; phase += within / 10 {
+						time.Sleep(2*within + phase)
+						w.mu.Lock()
+						clear(w.refused)
+						clear(w.cut)
+						w.mu.Unlock()
+						time.Sleep(4 * within)
+						readers := w.readers()
+						w.mu.Lock()
+						test.lose(w, readers)
+						target := w.targets["a1-0"]
+						w.mu.Unlock()
+						target.State = mesh.Draining
+						w.put(target)
+						drained := time.Now()
+						time.Sleep(within)
+						w.assertWorkEnds(t, "a1-0", drained.Add(within), DrainWork(within))
+						target.State = mesh.Ready
+						w.put(target)
+					}
+				})
+			})
+		}
+	}
+}
+
+// assertWorkEnds checks that every node would give a draining target its last work
+// before a time.
+func (w *world) assertWorkEnds(t *testing.T, target string, end time.Time, drainWork time.Duration) {
+	t.Helper()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, f := range w.nodes {
+		if w.cut[id] {
+			continue
+		}
+		f.mu.Lock()
+		member := f.view.Members()[target]
+		f.mu.Unlock()
+		assert.Check(t, member != nil && member.State == mesh.Draining, "%s doesn't know", id)
+		assert.Check(t, !member.DrainingSince.Add(drainWork).After(end), "%s: %s late", id, member.DrainingSince.Add(drainWork).Sub(end))
+	}
+}
--- a/internal/follow/pace.go
+++ b/internal/follow/pace.go
@@ -40,8 +40,15 @@
 	// notice the platform's return soon; the others must not be in a pause that is
 	// longer than what is left of the bound.
 	retryMostReader, retryMost time.Duration
+	// drainWork is for how long a draining target gets work that was on its way: what
+	// is left of the bound when its own node learned of it as late as any may.
+	drainWork time.Duration
 }
 
+// DrainWork is for how long after a target drains its own node may still give it work
+// that was on its way, where changes must be in force within a time.
+func DrainWork(inForceWithin time.Duration) time.Duration { return paceFor(inForceWithin).drainWork }
+
 // paceFor returns the times for a bound.
 func paceFor(within time.Duration) pace {
 	if within == 0 {
@@ -59,5 +66,6 @@
 		moreParentsAfter: scaled(1800 * time.Millisecond),
 		retryMostReader:  scaled(500 * time.Millisecond),
 		retryMost:        scaled(time.Second),
+		drainWork:        scaled(500 * time.Millisecond),
 	}
 }
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -28,6 +28,9 @@
 	Proof: "X-Proof", DidNotRun: "X-Did-Not-Run", Load: "X-Load",
 }
 
+// testDrainWork is the fleet's setting; a request is much quicker.
+const testDrainWork = time.Minute
+
 type wallClock struct{}
 
 func (wallClock) Now() time.Time { return time.Now() }
@@ -122,7 +125,7 @@
 	options := exchange.Options{DialTimeout: 150 * time.Millisecond, IdleTimeout: time.Second, SilenceTimeout: time.Second, MaxIdle: 8}
 	p := New(Config{
 		Headers: headers, FailureDomain: "a", Region: "r", Regions: map[string]string{"a": "r"},
-		TargetAddress: members[i].Address, PeerPort: peers.Addr().(*net.TCPAddr).Port, RepeatRatio: 0.2, RepeatFew: 100, Seed: uint64(i),
+		TargetAddress: members[i].Address, PeerPort: peers.Addr().(*net.TCPAddr).Port, RepeatRatio: 0.2, RepeatFew: 100, DrainWork: testDrainWork, Seed: uint64(i),
 	}, Ports{
 		Clock: wallClock{}, Peers: exchange.NewPool(options), Target: exchange.NewPool(options),
 		Log: &log.Logger{
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -41,10 +41,6 @@
 	retryUnreachable = 500 * time.Millisecond
 	// retryStopping is when a caller may come back to a node that stops.
 	retryStopping = 500 * time.Millisecond
-	// drainWork is for how long after the news of its draining a target still
-	// gets work that was on its way. The platform allows some seconds, and a
-	// node elsewhere hears of it a moment later than this one.
-	drainWork = time.Second
 	// leastBudget is the least time for which work is begun.
 	leastBudget = 5 * time.Millisecond
 )
@@ -114,7 +110,7 @@
 		// Entry nodes may have heard of it later than this one.
 		return port.Refuse(port.ReasonDraining, retryUnreachable, "the target's entry is gone")
 	}
-	if !own.DrainingSince.IsZero() && now.Sub(own.DrainingSince) > drainWork {
+	if !own.DrainingSince.IsZero() && now.Sub(own.DrainingSince) > p.config.DrainWork {
 		return port.Refuse(port.ReasonDraining, retryUnreachable, "the target drains")
 	}
 	return nil
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -71,7 +71,10 @@
 	// LinkRate is the speed of the VM's link in bytes a second; 0 when it is
 	// not known.
 	LinkRate float64
-	Seed     uint64
+	// DrainWork is for how long after it drains a target still gets work that was on
+	// its way; entry nodes may hear of it a moment later than the target's own node.
+	DrainWork time.Duration
+	Seed      uint64
 }
 
 // Ports are the proxy's ways to the world.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -240,6 +240,30 @@
 	}
 }
 
+// Guards against late work for a target whose own node has known for long that it drains.
+func TestOwnerEndsTheWorkOfADrainingTarget(t *testing.T) {
+	for _, test := range []struct {
+		desc  string
+		since time.Duration
+		want  string
+	}{
+		{"just now", 0, "t1 ran /once/x "},
+		{"for longer than late work is given", testDrainWork + time.Millisecond, "t0 ran /once/x "},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			f := newFleet(t, 2)
+			f.proxies[0].stats["t0"].Failed(time.Now())
+			picture := *f.proxies[1].picture.Load()
+			own := *picture.Own
+			own.State, own.DrainingSince = mesh.Draining, time.Now().Add(-test.since)
+			picture.Own = &own
+			f.proxies[1].SetPicture(&picture)
+			assert.Equal(t, f.ask(0, "POST", "/once/x", "").Body.String(), test.want)
+			assert.Equal(t, f.arrivals(), 1)
+		})
+	}
+}
+
 // The entry of a target is gone from the platform, and an entry node hears of it
 // later than the target's own node. The target gets no work beyond the grace, by
 // its own node's word; the request goes elsewhere.
