Give no late work to a target that is first heard of as draining

Cause: a node that has just started dated the draining of a target from its own first listing, though the target may have drained for seconds: its own node gave it work for the time that late work gets. Change: without a word since when, it counts as drained long ago; neighbours tell when. TestDrainingIsDated fails before on its last row. The tests' ways to lose readers stand once.

--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -239,14 +239,7 @@
 // tenth of it to spare.
 func TestChangeIsInForceWithinOtherBounds(t *testing.T) {
 	for _, within := range []time.Duration{1500 * time.Millisecond, 3 * time.Second, 5 * time.Second} {
-		for _, test := range []struct {
-			desc string
-			lose func(w *world, readers []string)
-		}{
-			{"nothing is broken", func(*world, []string) {}},
-			{"all readers are refused by the platform", func(w *world, r []string) { w.refused[r[0]], w.refused[r[1]] = true, true }},
-			{"all readers are cut off from everybody", func(w *world, r []string) { w.cut[r[0]], w.cut[r[1]] = true, true }},
-		} {
+		for _, test := range losses {
 			t.Run(within.String()+" "+test.desc, func(t *testing.T) {
 				simulateWithin(t, within, func(t *testing.T, w *world) {
 					for version, phase := uint64(2), 0*time.Second; phase < within/2; version, phase = version+1, phase+within/10 {
--- a/internal/follow/world_test.go
+++ b/internal/follow/world_test.go
@@ -221,6 +221,16 @@
 	return found
 }
 
+// losses are ways in which both readers may be lost, and none.
+var losses = []struct {
+	desc string
+	lose func(w *world, readers []string)
+}{
+	{"nothing is broken", func(*world, []string) {}},
+	{"all readers are refused by the platform", func(w *world, r []string) { w.refused[r[0]], w.refused[r[1]] = true, true }},
+	{"all readers are cut off from everybody", func(w *world, r []string) { w.cut[r[0]], w.cut[r[1]] = true, true }},
+}
+
 // link is one node's way to the platform and to other nodes.
 type link struct {
 	world *world
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -235,3 +235,28 @@
 		})
 	}
 }
+
+// Guards against late work for a target that drained long before a fresh node first
+// heard of it.
+func TestDrainingIsDated(t *testing.T) {
+	ready := Target{ID: "i", State: Ready, Revision: 5}
+	draining := Target{ID: "i", State: Draining, Revision: 6}
+	told := draining
+	told.Draining = time.Second
+	for _, test := range []struct {
+		desc  string
+		news  []Target
+		since time.Duration
+	}{
+		{"it was ready before", []Target{ready, draining}, 0},
+		{"a neighbour tells since when", []Target{ready, told}, time.Second},
+		{"unknown before, a neighbour tells since when", []Target{told}, time.Second},
+		{"unknown before", []Target{draining}, removalMemory},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			view := NewView()
+			assert.NilError(t, view.Apply(start, &News{Targets: test.news}))
+			assert.Equal(t, start.Sub(view.Members()["i"].DrainingSince), test.since)
+		})
+	}
+}
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -237,15 +237,24 @@
 		next.WarmAt = sent.Add(target.Cold)
 	}
 	if target.State == Draining {
-		next.DrainingSince = sent.Add(-target.Draining)
-		if known != nil && known.State == Draining {
-			next.DrainingSince = known.DrainingSince
-		}
+		next.DrainingSince = drainingSince(sent, known, target)
 	}
 	delete(v.removed, target.ID)
 	v.members[target.ID] = next
 }
 
+// drainingSince returns when a target began to drain, at the latest. One that is first
+// heard of as draining, without a word since when, may have drained for long.
+func drainingSince(sent time.Time, known *Member, target *Target) time.Time {
+	switch {
+	case known != nil && known.State == Draining:
+		return known.DrainingSince
+	case known == nil && target.Draining == 0:
+		return sent.Add(-removalMemory)
+	}
+	return sent.Add(-target.Draining)
+}
+
 // At returns the target of the latest start at an address, or nil.
 func (v *View) At(address string) *Member { return v.latest()[address] }
 
