Gate the ledgers' test on answers, not on how fast they come

Cause: TestLedgerAgreesWithCallers wants over 50 answers and served callers for 1.2 s of wall time, so its verdict followed the speed of the machine. Change: each case waits for 26 answers before its fault and for 26 more after it, and checks the same bound of over 50; a fleet that serves nobody after the fault is red, which it wasn't before if it had served enough until then.

--- a/test/process/faults_test.go
+++ b/test/process/faults_test.go
@@ -19,6 +19,8 @@
 // hang and lie. Whatever happens, the ledgers of the targets agree with what
 // each caller was told.
 func TestLedgerAgreesWithCallers(t *testing.T) {
+	// leastAnswered is how many answers there must be before the fault, and after it.
+	const leastAnswered = 26
 	const deadline = 2 * time.Second
 	const settle = 400 * time.Millisecond
 	cases := []struct {
@@ -80,8 +82,10 @@
 			}
 			stop := b.load(12, "a-archive", "a-tally", "b-archive", "b-tally")
 			time.Sleep(settle)
+			b.waitAnswered(leastAnswered)
 			c.fault(f)
 			time.Sleep(settle)
+			b.waitAnswered(leastAnswered)
 			stop()
 			counts := b.check()
 			assert.Check(t, counts[answered] > 50)
--- a/test/process/ledger_test.go
+++ b/test/process/ledger_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/anishathalye/porcupine"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"tamarackquay/standin/target"
 )
@@ -224,6 +225,31 @@
 	}
 }
 
+// waitAnswered waits until so many more requests are answered, and fails the test if
+// that takes implausibly long: how fast a fleet serves depends on the machine.
+func (b *book) waitAnswered(more int) {
+	b.fleet.t.Helper()
+	wanted := b.answered() + more
+	poll.WaitOn(b.fleet.t, func(poll.LogT) poll.Result {
+		if got := b.answered(); got < wanted {
+			return poll.Continue("%d of %d answered", got, wanted)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Minute))
+}
+
+func (b *book) answered() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	count := 0
+	for _, made := range b.filings {
+		if made.outcome == answered {
+			count++
+		}
+	}
+	return count
+}
+
 const loadArchiveBytes = 300_000
 
 // next makes a caller's request number i. A caller that can't connect to an
