Call an update an update, a round trip a round trip

Cause: names and comments of following spoke of news, ways and words, which a reader of the field doesn't expect; a few comments told how a value came about. Change: mesh.News is mesh.Update, Way is RTT, and the comments say so; the wire keeps its keys. No change of logic; the tests of mesh, follow, feedws, proxy, platform pass, two renamed with what they speak of.

--- a/internal/adapter/feedws/codec.go
+++ b/internal/adapter/feedws/codec.go
@@ -12,12 +12,11 @@
 	"tamarackquay/internal/mesh"
 )
 
-// message is one piece of news as it is sent. A change of the configuration is
-// compressed apart from the rest: a thousand new routes have 120 KB as CBOR and
-// 15 KB compressed. Sent whole to the 28 followers of a reader with a link of 14
-// Mbit/s they filled it for two seconds, in which all feeds went silent.
+// message is one update as it is sent. A change of the configuration is compressed
+// apart from the rest: sent plain to every follower, a large one fills a small link
+// until the feeds time out.
 type message struct {
-	News *mesh.News `cbor:"n"`
+	Update *mesh.Update `cbor:"n"`
 	// Config is the compressed CBOR of a mesh.ConfigDelta; empty for none.
 	Config []byte `cbor:"c,omitempty"`
 }
@@ -39,19 +38,19 @@
 	raw           []byte
 }
 
-func (e *encoder) encode(news *mesh.News) ([]byte, error) {
-	m := message{News: news}
-	if news.Config != nil {
-		bare := *news
+func (e *encoder) encode(update *mesh.Update) ([]byte, error) {
+	m := message{Update: update}
+	if update.Config != nil {
+		bare := *update
 		bare.Config = nil
-		m.News = &bare
+		m.Update = &bare
 		var err error
-		if m.Config, err = e.delta(news.Config); err != nil {
+		if m.Config, err = e.delta(update.Config); err != nil {
 			return nil, err
 		}
 	}
 	raw, err := cbor.Marshal(&m)
-	return raw, errors.Wrap(err, "encode news")
+	return raw, errors.Wrap(err, "encode update")
 }
 
 // delta holds the mutex while it compresses, so that followers who want the same
@@ -79,38 +78,38 @@
 	var packed bytes.Buffer
 	writer, err := flate.NewWriter(&packed, flate.BestSpeed)
 	if err != nil {
-		return nil, errors.Wrap(err, "compress news")
+		return nil, errors.Wrap(err, "compress update")
 	}
 	if err := cbor.NewEncoder(writer).Encode(d); err != nil {
 		return nil, errors.Wrap(err, "encode configuration")
 	}
 	if err := writer.Close(); err != nil {
-		return nil, errors.Wrap(err, "compress news")
+		return nil, errors.Wrap(err, "compress update")
 	}
 	return packed.Bytes(), nil
 }
 
 // decode reads what encode wrote.
-func decode(raw []byte) (*mesh.News, error) {
+func decode(raw []byte) (*mesh.Update, error) {
 	var m message
 	if err := decoder.Unmarshal(raw, &m); err != nil {
-		return nil, errors.Wrap(err, "decode news")
+		return nil, errors.Wrap(err, "decode update")
 	}
-	if m.News == nil {
-		return nil, errors.New("decode news: none")
+	if m.Update == nil {
+		return nil, errors.New("decode update: none")
 	}
 	if len(m.Config) == 0 {
-		return m.News, nil
+		return m.Update, nil
 	}
-	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(m.Config)), maxNews+1))
+	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(m.Config)), maxUpdate+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "decompress configuration")
 	}
-	if len(plain) > maxNews {
-		return nil, errors.Errorf("decompress configuration: over %d bytes", maxNews)
+	if len(plain) > maxUpdate {
+		return nil, errors.Errorf("decompress configuration: over %d bytes", maxUpdate)
 	}
-	m.News.Config = &mesh.ConfigDelta{}
-	return m.News, errors.Wrap(decoder.Unmarshal(plain, m.News.Config), "decode configuration")
+	m.Update.Config = &mesh.ConfigDelta{}
+	return m.Update, errors.Wrap(decoder.Unmarshal(plain, m.Update.Config), "decode configuration")
 }
 
 // decoder bounds what a broken neighbour can make this node hold.
--- a/internal/adapter/feedws/feedws.go
+++ b/internal/adapter/feedws/feedws.go
@@ -1,5 +1,5 @@
-// Package feedws carries the news of one node to another as CBOR over a
-// WebSocket. The one who follows opens the connection; news flow one way.
+// Package feedws carries the updates of one node to another as CBOR over a
+// WebSocket. The follower opens the connection; updates flow one way.
 package feedws
 
 import (
@@ -24,13 +24,12 @@
 const paramVersion = "version"
 
 const (
-	// maxNews bounds one piece of news: a whole configuration of some ten
+	// maxUpdate bounds one update: a whole configuration of some ten
 	// thousand routes.
-	maxNews = 8 << 20
-	// silence ends a feed on which no byte comes; its beats come several times as
-	// often. The bytes of one long message count each: a feed that was ended while
-	// a large change was on its way asked for the whole of it again, and the link
-	// that was too full for it once got fuller.
+	maxUpdate = 8 << 20
+	// silence ends a feed on which no byte comes; its heartbeats come several times
+	// as often. Each byte counts: a feed that timed out within a large update would
+	// ask for the whole of it again, over a link that is full already.
 	silence = 1200 * time.Millisecond
 	// writeTimeout ends a feed whose follower doesn't read.
 	writeTimeout = 3 * time.Second
@@ -38,9 +37,9 @@
 	openTimeout = time.Second
 )
 
-// Source hands out news.
+// Source hands out updates.
 type Source interface {
-	Serve(ctx context.Context, host string, version uint64, send func(*mesh.News) error) error
+	Serve(ctx context.Context, host string, version uint64, send func(*mesh.Update) error) error
 }
 
 // NewHandler serves feeds of the source. Sent is told of the bytes that go out.
@@ -59,8 +58,8 @@
 		defer conn.CloseNow()
 		// Nothing is read; this notices that the follower has gone.
 		ctx := conn.CloseRead(r.Context())
-		err = source.Serve(ctx, follow.HostOf(r.RemoteAddr), version, func(news *mesh.News) error {
-			raw, err := encoder.encode(news)
+		err = source.Serve(ctx, follow.HostOf(r.RemoteAddr), version, func(update *mesh.Update) error {
+			raw, err := encoder.encode(update)
 			if err != nil {
 				return err
 			}
@@ -91,19 +90,19 @@
 }
 
 // Follow implements follow.Feed.
-func (c *Client) Follow(ctx context.Context, address string, version uint64, take func(*mesh.News) error) error {
+func (c *Client) Follow(ctx context.Context, address string, version uint64, take func(*mesh.Update) error) error {
 	conn, err := c.open(ctx, address, version)
 	if err != nil {
 		return err
 	}
 	defer conn.CloseNow()
-	conn.SetReadLimit(maxNews)
+	conn.SetReadLimit(maxUpdate)
 	for {
-		news, err := read(ctx, conn)
+		update, err := read(ctx, conn)
 		if err != nil {
 			return err
 		}
-		if err := take(news); err != nil {
+		if err := take(update); err != nil {
 			return err
 		}
 	}
@@ -117,8 +116,8 @@
 	return conn, errors.Wrap(err, "open feed")
 }
 
-// read returns the next piece of news.
-func read(ctx context.Context, conn *websocket.Conn) (*mesh.News, error) {
+// read returns the next update.
+func read(ctx context.Context, conn *websocket.Conn) (*mesh.Update, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silent := time.AfterFunc(silence, func() { cancel(errSilent) })
--- a/internal/adapter/feedws/feedws_test.go
+++ b/internal/adapter/feedws/feedws_test.go
@@ -32,24 +32,24 @@
 	return made
 }
 
-func TestNewsComeThrough(t *testing.T) {
+func TestUpdatesComeThrough(t *testing.T) {
 	targets := []mesh.Target{{ID: "t", Service: "s", Address: "10.0.0.1:1", State: mesh.Ready, Revision: 7}}
 	delta := mesh.Diff(nil, &mesh.Config{Version: 3, Routes: routes(2), Limits: mesh.Limits{HeaderBytes: 5}})
 	for _, test := range []struct {
-		desc string
-		news mesh.News
+		desc   string
+		update mesh.Update
 	}{
-		{"a beat", mesh.News{Age: time.Second, Way: time.Millisecond}},
-		{"of a view that was never current", mesh.News{Age: -1}},
-		{"targets", mesh.News{Targets: targets, Removed: []mesh.Removal{{ID: "u", Revision: 6}}}},
-		{"a configuration", mesh.News{Config: delta, Targets: targets}},
+		{"a beat", mesh.Update{Age: time.Second, RTT: time.Millisecond}},
+		{"of a view that was never current", mesh.Update{Age: -1}},
+		{"targets", mesh.Update{Targets: targets, Removed: []mesh.Removal{{ID: "u", Revision: 6}}}},
+		{"a configuration", mesh.Update{Config: delta, Targets: targets}},
 	} {
 		t.Run(test.desc, func(t *testing.T) {
-			raw, err := (&encoder{}).encode(&test.news)
+			raw, err := (&encoder{}).encode(&test.update)
 			assert.NilError(t, err)
 			got, err := decode(raw)
 			assert.NilError(t, err)
-			assert.DeepEqual(t, *got, test.news)
+			assert.DeepEqual(t, *got, test.update)
 		})
 	}
 }
@@ -57,34 +57,34 @@
 // A thousand routes are added, and all followers of a node want them at once. Each
 // gets a tenth of the bytes, which are compressed once.
 func TestLargeChangesAreCompressedOnce(t *testing.T) {
-	news := &mesh.News{Config: mesh.Diff(nil, &mesh.Config{Version: 3, Routes: routes(1000)})}
-	plain, err := cbor.Marshal(news)
+	update := &mesh.Update{Config: mesh.Diff(nil, &mesh.Config{Version: 3, Routes: routes(1000)})}
+	plain, err := cbor.Marshal(update)
 	assert.NilError(t, err)
 	e := &encoder{}
-	first, err := e.encode(news)
+	first, err := e.encode(update)
 	assert.NilError(t, err)
 	assert.Assert(t, len(first)*5 < len(plain), "%d of %d bytes", len(first), len(plain))
-	_, err = e.encode(news)
+	_, err = e.encode(update)
 	assert.NilError(t, err)
 	assert.Equal(t, len(e.kept), 1)
 	for version := range uint64(10) {
-		_, err := e.encode(&mesh.News{Config: &mesh.ConfigDelta{Base: version, Version: version + 10}})
+		_, err := e.encode(&mesh.Update{Config: &mesh.ConfigDelta{Base: version, Version: version + 10}})
 		assert.NilError(t, err)
 	}
 	assert.Equal(t, len(e.kept), keptDeltas)
 }
 
 func TestBrokenMessagesAreRefused(t *testing.T) {
-	bomb, err := compress(&mesh.ConfigDelta{Dropped: []string{strings.Repeat("x", maxNews)}})
+	bomb, err := compress(&mesh.ConfigDelta{Dropped: []string{strings.Repeat("x", maxUpdate)}})
 	assert.NilError(t, err)
 	for _, test := range []struct {
 		desc string
 		m    any
 	}{
 		{"no message", "text"},
-		{"no news", message{}},
-		{"bytes that aren't compressed", message{News: &mesh.News{}, Config: []byte{1, 2, 3}}},
-		{"a configuration that grows beyond all bounds", message{News: &mesh.News{}, Config: bomb}},
+		{"no update", message{}},
+		{"bytes that aren't compressed", message{Update: &mesh.Update{}, Config: []byte{1, 2, 3}}},
+		{"a configuration that grows beyond all bounds", message{Update: &mesh.Update{}, Config: bomb}},
 	} {
 		t.Run(test.desc, func(t *testing.T) {
 			raw, err := cbor.Marshal(test.m)
@@ -121,11 +121,11 @@
 	return written, nil
 }
 
-// sourceOf hands out news once and then nothing.
-type sourceOf struct{ news *mesh.News }
+// sourceOf hands out an update once and then nothing.
+type sourceOf struct{ update *mesh.Update }
 
-func (s sourceOf) Serve(ctx context.Context, _ string, _ uint64, send func(*mesh.News) error) error {
-	if err := send(s.news); err != nil {
+func (s sourceOf) Serve(ctx context.Context, _ string, _ uint64, send func(*mesh.Update) error) error {
+	if err := send(s.update); err != nil {
 		return err
 	}
 	<-ctx.Done()
@@ -148,11 +148,11 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	sent := 0
-	news := &mesh.News{Config: mesh.Diff(nil, &mesh.Config{Version: 3, Routes: routes(2500)})}
-	serveFeed(t, slowListener{listener}, sourceOf{news}, func(bytes int) { sent += bytes })
+	update := &mesh.Update{Config: mesh.Diff(nil, &mesh.Config{Version: 3, Routes: routes(2500)})}
+	serveFeed(t, slowListener{listener}, sourceOf{update}, func(bytes int) { sent += bytes })
 	client := NewClient(&http.Transport{})
 	begin := time.Now()
-	err = client.Follow(context.Background(), listener.Addr().String(), 0, func(got *mesh.News) error {
+	err = client.Follow(context.Background(), listener.Addr().String(), 0, func(got *mesh.Update) error {
 		assert.Equal(t, len(got.Config.Changed), 2500)
 		return errTaken
 	})
@@ -165,9 +165,9 @@
 func TestSilentFeedEnds(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	serveFeed(t, listener, sourceOf{&mesh.News{}}, func(int) {})
+	serveFeed(t, listener, sourceOf{&mesh.Update{}}, func(int) {})
 	taken := 0
-	err = NewClient(&http.Transport{}).Follow(context.Background(), listener.Addr().String(), 0, func(*mesh.News) error {
+	err = NewClient(&http.Transport{}).Follow(context.Background(), listener.Addr().String(), 0, func(*mesh.Update) error {
 		taken++
 		return nil
 	})
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -1,7 +1,7 @@
 // Package follow keeps a node's view of the mesh current. A few nodes of each
 // region read the platform; the others follow them, and readers of different
-// regions follow each other. When the word of its neighbours gets old, a node
-// reads the platform itself, so that no loss of readers leaves anybody behind.
+// regions follow each other. When the updates of its neighbours get old, a node
+// reads the platform itself, so that the loss of all readers leaves no node behind.
 package follow
 
 import (
@@ -49,16 +49,16 @@
 	// none when the wait is over. It returns ErrHistoryGone if the platform
 	// can't tell.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (*Changes, error)
-	// Way is the shortest round trip to the platform that was seen; zero before
+	// RTT is the shortest round trip to the platform that was seen; zero before
 	// the first.
-	Way() time.Duration
+	RTT() time.Duration
 }
 
-// Feed receives the news of another node.
+// Feed receives the updates of another node.
 type Feed interface {
-	// Follow hands every piece of news to take until the feed breaks or ctx
+	// Follow hands every update to take until the feed breaks or ctx
 	// ends. The version is that of the configuration which is held already.
-	Follow(ctx context.Context, address string, version uint64, take func(*mesh.News) error) error
+	Follow(ctx context.Context, address string, version uint64, take func(*mesh.Update) error) error
 }
 
 // Config is what a follower is told about its node.
@@ -80,7 +80,7 @@
 
 // Times of following.
 const (
-	// nearer is how many times shorter another reader's way to the platform
+	// nearer is how many times shorter another reader's round trip to the platform
 	// must be to leave the reading to it.
 	nearer = 3
 	// coalesce is the pause of a reader after a change. A storm of changes is
@@ -147,21 +147,21 @@
 	running.Wait()
 }
 
-// apply takes news that were sent at a time and tells everyone who waits for a change.
-func (f *Follower) apply(news *mesh.News, sent time.Time) error {
+// apply takes an update that was sent at a time and wakes everyone who waits for a change.
+func (f *Follower) apply(update *mesh.Update, sent time.Time) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before, version := f.view.Change(), f.view.Version()
-	members := f.statesOf(news)
+	members := f.statesOf(update)
 	now := f.clock.Now()
 	age := f.view.Age(now)
 	outage := f.view.Outage(now)
-	err := f.view.Apply(sent, news)
+	err := f.view.Apply(sent, update)
 	if outage && !f.view.Outage(now) {
 		f.returned = now
 	}
 	if f.view.Change() != before {
-		f.tellStates(members, age, now.Sub(sent))
+		f.logTransitions(members, age, now.Sub(sent))
 		if f.view.Version() != version {
 			f.log.Info().Uint64(logfield.Version, f.view.Version()).Uint64(logfield.Before, version).
 				Int(logfield.Routes, len(f.view.Table().Config.Routes)).Msg("configuration in force")
@@ -173,14 +173,14 @@
 	return err
 }
 
-// noteNearer keeps the word of a reader that is much nearer to the platform.
-func (f *Follower) noteNearer(news *mesh.News, sent time.Time) {
-	if news.Age < 0 || news.Way == 0 || news.Way*nearer > f.platform.Way() {
+// noteNearer keeps the update of a reader that is much nearer to the platform.
+func (f *Follower) noteNearer(update *mesh.Update, sent time.Time) {
+	if update.Age < 0 || update.RTT == 0 || update.RTT*nearer > f.platform.RTT() {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if at := sent.Add(-news.Age); at.After(f.nearerAt) {
+	if at := sent.Add(-update.Age); at.After(f.nearerAt) {
 		f.nearerAt = at
 	}
 }
@@ -210,9 +210,9 @@
 	return f.view.Age(f.clock.Now())
 }
 
-// Serve hands the neighbour on a host the news that it lacks until ctx ends or
+// Serve hands the neighbour on a host the updates that it lacks until ctx ends or
 // send fails.
-func (f *Follower) Serve(ctx context.Context, host string, version uint64, send func(*mesh.News) error) error {
+func (f *Follower) Serve(ctx context.Context, host string, version uint64, send func(*mesh.Update) error) error {
 	f.countFeed(host, 1)
 	defer f.countFeed(host, -1)
 	position := mesh.Position{}
@@ -225,21 +225,21 @@
 		}
 		first = false
 		now := f.clock.Now()
-		news, next := f.view.Since(now, position)
-		news.Sent = now.Sub(began)
+		update, next := f.view.Since(now, position)
+		update.Sent = now.Sub(began)
 		changed := f.changed
 		f.mu.Unlock()
-		if err := send(news); err != nil {
+		if err := send(update); err != nil {
 			return err
 		}
 		position = next
-		if err := f.awaitNews(ctx, changed); err != nil {
+		if err := f.awaitChange(ctx, changed); err != nil {
 			return err
 		}
 	}
 }
 
-func (f *Follower) awaitNews(ctx context.Context, changed <-chan struct{}) error {
+func (f *Follower) awaitChange(ctx context.Context, changed <-chan struct{}) error {
 	timer := time.NewTimer(f.pace.beat)
 	defer timer.Stop()
 	select {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -209,7 +209,7 @@
 // The platform was away for long, and every node has tried it again and again.
 // It is back, the readers tell the others, and are then stopped just before a
 // change. The others step in at once: the pauses between their tries, which had
-// grown to seconds, ended when they had news.
+// grown to seconds, ended when they had updates.
 func TestPausesEndWithTheOutage(t *testing.T) {
 	for outage := 6 * time.Second; outage <= 12*time.Second; outage += 500 * time.Millisecond {
 		t.Run(outage.String(), func(t *testing.T) {
--- a/internal/follow/greet.go
+++ b/internal/follow/greet.go
@@ -25,8 +25,8 @@
 
 // greetIfLost greets a reader that has restarted and knows nothing, where this
 // node does: all readers of a region may restart at once.
-func (f *Follower) greetIfLost(ctx context.Context, address string, news *mesh.News) {
-	if f.config.Greet == nil || news.Age >= 0 || f.Age() < 0 {
+func (f *Follower) greetIfLost(ctx context.Context, address string, update *mesh.Update) {
+	if f.config.Greet == nil || update.Age >= 0 || f.Age() < 0 {
 		return
 	}
 	f.config.Greet(ctx, address)
--- a/internal/follow/late_test.go
+++ b/internal/follow/late_test.go
@@ -52,8 +52,9 @@
 	})
 }
 
-// Guards against taking news for fresh that come later and later over a full link, but
-// never stop: nobody would step in for the reader, and a target that left stays in use.
+// Guards against taking updates for fresh that come later and later over a full link,
+// but never stop: nobody would step in for the reader, and a target that left stays in
+// use.
 func TestLateFeedsKeepNoTargetThatLeft(t *testing.T) {
 	simulateWithin(t, leftWithin, func(t *testing.T, w *world) {
 		const filling, longest = 8 * time.Second, 4 * time.Second
@@ -99,7 +100,7 @@
 }
 
 // Guards against work that reaches a draining target beyond the bound where its own node
-// learned of it as late as news may come: all readers are lost just before.
+// learned of it as late as updates may come: all readers are lost just before.
 func TestDrainingTargetGetsNoWorkBeyondTheBound(t *testing.T) {
 	for _, within := range []time.Duration{1500 * time.Millisecond, usualInForce, leftWithin, 5 * time.Second} {
 		for _, test := range losses {
--- a/internal/follow/neighbours.go
+++ b/internal/follow/neighbours.go
@@ -165,16 +165,16 @@
 		version := f.view.Version()
 		f.mu.Unlock()
 		feed := transit{opened: f.clock.Now()}
-		err := f.feed.Follow(ctx, address, version, func(news *mesh.News) error {
-			sent := feed.sentAt(news.Sent, f.clock.Now())
+		err := f.feed.Follow(ctx, address, version, func(update *mesh.Update) error {
+			sent := feed.sentAt(update.Sent, f.clock.Now())
 			if lost {
 				lost = false
 				f.setBroken(address, false)
 				f.log.Info().Str(logfield.Neighbour, address).Msg("neighbour regained")
 			}
-			f.noteNearer(news, sent)
-			f.greetIfLost(ctx, address, news)
-			return f.apply(news, sent)
+			f.noteNearer(update, sent)
+			f.greetIfLost(ctx, address, update)
+			return f.apply(update, sent)
 		})
 		if ctx.Err() != nil {
 			return
--- a/internal/follow/pace.go
+++ b/internal/follow/pace.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// usualInForce is the bound for changes that the times below were measured with.
+// usualInForce is the bound for changes to which the times below belong; they scale with
+// the bound in force.
 const usualInForce = 2500 * time.Millisecond
 
 // leastScale and mostScale bound how far the times follow another bound: below, a
@@ -19,7 +20,7 @@
 	// reader that is silently cut off still seems current, and one call in that
 	// time for each reader.
 	watchWait time.Duration
-	// beat is how often a feed tells its age without news.
+	// beat is how often a feed tells its age without a change.
 	beat time.Duration
 	// staleAfter is the age from which a node doesn't trust its neighbours' word: a
 	// watch, two beats and nothing else. What was published just before is then in
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -66,7 +66,7 @@
 }
 
 // retryPause waits after so many failures in a row and returns how many still
-// count. It ends when this node needn't read any more: neighbours have news, so
+// count. It ends when this node needn't read any more: neighbours have updates, so
 // the platform is back, and the next time that the view gets old must not find
 // this node in a pause of seconds.
 func (f *Follower) retryPause(ctx context.Context, failures int) int {
@@ -111,13 +111,13 @@
 		return false, err
 	}
 	f.revision = max(f.revision, changes.Revision)
-	news := &mesh.News{Targets: changes.Targets, Removed: changes.Removed, Way: f.platform.Way()}
+	update := &mesh.Update{Targets: changes.Targets, Removed: changes.Removed, RTT: f.platform.RTT()}
 	grace := f.removalGrace()
-	for i := range news.Removed {
-		news.Removed[i].Grace = grace
+	for i := range update.Removed {
+		update.Removed[i].Grace = grace
 	}
-	f.addConfig(news, changes.Config)
-	return !news.Empty(), f.apply(news, changes.Answered)
+	f.addConfig(update, changes.Config)
+	return !update.Empty(), f.apply(update, changes.Answered)
 }
 
 func (f *Follower) countRead(what string, err error) {
@@ -133,20 +133,20 @@
 	if err != nil {
 		return err
 	}
-	news := &mesh.News{Targets: listing.Targets, Way: f.platform.Way()}
+	update := &mesh.Update{Targets: listing.Targets, RTT: f.platform.RTT()}
 	grace := f.removalGrace()
 	f.mu.Lock()
-	news.Removed = f.view.Listed(listing.Targets, listing.Revision, grace)
+	update.Removed = f.view.Listed(listing.Targets, listing.Revision, grace)
 	f.mu.Unlock()
-	f.addConfig(news, listing.Config)
+	f.addConfig(update, listing.Config)
 	f.revision = listing.Revision
-	return f.apply(news, listing.Answered)
+	return f.apply(update, listing.Answered)
 }
 
 // addConfig adds a configuration as a step from what is in force.
-func (f *Follower) addConfig(news *mesh.News, config *mesh.Config) {
+func (f *Follower) addConfig(update *mesh.Update, config *mesh.Config) {
 	if config != nil {
-		news.Config = mesh.Diff(nil, config)
+		update.Config = mesh.Diff(nil, config)
 	}
 }
 
--- a/internal/follow/states.go
+++ b/internal/follow/states.go
@@ -7,8 +7,8 @@
 	"tamarackquay/internal/mesh"
 )
 
-// standing is what this node makes of a target.
-type standing struct {
+// targetStatus is the state of a target in the view.
+type targetStatus struct {
 	state string
 	// usableUntil is set for a target that stays in use though its entry is gone.
 	usableUntil time.Time
@@ -23,34 +23,34 @@
 	stateGone   = "gone"
 )
 
-// statesOf returns where the targets stand that the news are about.
-func (f *Follower) statesOf(news *mesh.News) map[string]standing {
-	states := map[string]standing{}
-	for i := range news.Targets {
-		states[news.Targets[i].ID] = f.stateOf(news.Targets[i].ID)
+// statesOf returns the states of the targets in an update.
+func (f *Follower) statesOf(update *mesh.Update) map[string]targetStatus {
+	states := map[string]targetStatus{}
+	for i := range update.Targets {
+		states[update.Targets[i].ID] = f.stateOf(update.Targets[i].ID)
 	}
-	for i := range news.Removed {
-		states[news.Removed[i].ID] = f.stateOf(news.Removed[i].ID)
+	for i := range update.Removed {
+		states[update.Removed[i].ID] = f.stateOf(update.Removed[i].ID)
 	}
 	return states
 }
 
-func (f *Follower) stateOf(id string) standing {
+func (f *Follower) stateOf(id string) targetStatus {
 	member := f.view.Members()[id]
 	switch {
 	case member == nil:
-		return standing{state: stateGone}
+		return targetStatus{state: stateGone}
 	case !member.UsableUntil.IsZero():
-		return standing{state: stateLapsed, usableUntil: member.UsableUntil}
+		return targetStatus{state: stateLapsed, usableUntil: member.UsableUntil}
 	case member.State == mesh.Draining:
-		return standing{state: stateDraining}
+		return targetStatus{state: stateDraining}
 	}
-	return standing{state: stateReady}
+	return targetStatus{state: stateReady}
 }
 
-// tellStates logs which of the targets stand otherwise than before. Age is how old
-// the view was, late for how long the news were on their way.
-func (f *Follower) tellStates(before map[string]standing, age, late time.Duration) {
+// logTransitions logs the targets whose state has changed. Age is how old the view was,
+// late how long the update was in transit.
+func (f *Follower) logTransitions(before map[string]targetStatus, age, late time.Duration) {
 	now := f.clock.Now()
 	for id, was := range before {
 		is := f.stateOf(id)
--- a/internal/follow/transit.go
+++ b/internal/follow/transit.go
@@ -17,7 +17,7 @@
 // the sender's word, counted from the feed's beginning, and zero where it doesn't say.
 func (t *transit) sentAt(sent time.Duration, now time.Time) time.Time {
 	if !t.heard {
-		// It may be long on its way: it brings all that the sender knows.
+		// It carries the sender's whole view and may be long in transit.
 		t.heard = true
 		return t.opened
 	}
--- a/internal/follow/world_test.go
+++ b/internal/follow/world_test.go
@@ -31,7 +31,7 @@
 	mu       sync.Mutex
 	revision uint64
 	// history holds all changes; what is at or before dropped is forgotten.
-	history []mesh.News
+	history []mesh.Update
 	dropped uint64
 	config  *mesh.Config
 	targets map[string]mesh.Target
@@ -41,7 +41,7 @@
 	// nobody and are reached by nobody.
 	refused map[string]bool
 	cut     map[string]bool
-	// answering is for how long an answer of the platform is on its way.
+	// answering is how long an answer of the platform is in transit.
 	answering time.Duration
 	// queued is for how long messages wait at the link of a node before they leave
 	// it; nil where none is full.
@@ -104,8 +104,8 @@
 	w.running.Wait()
 }
 
-func (w *world) record(news mesh.News) {
-	w.history = append(w.history, news)
+func (w *world) record(update mesh.Update) {
+	w.history = append(w.history, update)
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
@@ -115,7 +115,7 @@
 	defer w.mu.Unlock()
 	w.revision++
 	w.config = &mesh.Config{Version: version}
-	w.record(mesh.News{Config: mesh.Diff(nil, w.config), Age: time.Duration(w.revision)})
+	w.record(mesh.Update{Config: mesh.Diff(nil, w.config), Age: time.Duration(w.revision)})
 }
 
 func (w *world) put(target mesh.Target) {
@@ -124,7 +124,7 @@
 	w.revision++
 	target.Revision = w.revision
 	w.targets[target.ID] = target
-	w.record(mesh.News{Targets: []mesh.Target{target}, Age: time.Duration(w.revision)})
+	w.record(mesh.Update{Targets: []mesh.Target{target}, Age: time.Duration(w.revision)})
 }
 
 func (w *world) remove(id string) {
@@ -132,7 +132,7 @@
 	defer w.mu.Unlock()
 	w.revision++
 	delete(w.targets, id)
-	w.record(mesh.News{Removed: []mesh.Removal{{ID: id, Revision: w.revision}}, Age: time.Duration(w.revision)})
+	w.record(mesh.Update{Removed: []mesh.Removal{{ID: id, Revision: w.revision}}, Age: time.Duration(w.revision)})
 }
 
 // greet gives the node at an address a hint of who greets.
@@ -254,8 +254,8 @@
 	return nil
 }
 
-// Way implements Platform: region a is near the platform.
-func (l *link) Way() time.Duration {
+// RTT implements Platform: region a is near the platform.
+func (l *link) RTT() time.Duration {
 	if l.node[0] == 'a' {
 		return time.Millisecond
 	}
@@ -321,21 +321,21 @@
 
 func (w *world) since(after uint64) *Changes {
 	changes := &Changes{Revision: after, Answered: time.Now()}
-	for _, news := range w.history {
-		// The age of recorded news holds its revision.
-		if revision := uint64(news.Age); revision > after {
+	for _, update := range w.history {
+		// The age of a recorded update holds its revision.
+		if revision := uint64(update.Age); revision > after {
 			changes.Revision = revision
-			changes.Targets = append(changes.Targets, news.Targets...)
-			changes.Removed = append(changes.Removed, news.Removed...)
-			if news.Config != nil {
-				changes.Config, _ = news.Config.Apply(nil)
+			changes.Targets = append(changes.Targets, update.Targets...)
+			changes.Removed = append(changes.Removed, update.Removed...)
+			if update.Config != nil {
+				changes.Config, _ = update.Config.Apply(nil)
 			}
 		}
 	}
 	return changes
 }
 
-func (l *link) Follow(ctx context.Context, address string, version uint64, take func(*mesh.News) error) error {
+func (l *link) Follow(ctx context.Context, address string, version uint64, take func(*mesh.Update) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w := l.world
@@ -347,7 +347,7 @@
 	}
 	defer context.AfterFunc(life, cancel)()
 	silence := time.AfterFunc(1200*time.Millisecond, cancel)
-	queue := make(chan queuedNews, 64)
+	queue := make(chan queuedUpdate, 64)
 	var delivering sync.WaitGroup
 	defer delivering.Wait()
 	defer close(queue)
@@ -357,24 +357,24 @@
 				continue
 			}
 			silence.Reset(1200 * time.Millisecond)
-			if take(q.news) != nil {
+			if take(q.update) != nil {
 				cancel()
 			}
 		}
 	})
-	return other.Serve(ctx, l.node, version, func(news *mesh.News) error {
+	return other.Serve(ctx, l.node, version, func(update *mesh.Update) error {
 		if w.isCut(l.node, address) {
 			return nil
 		}
-		queue <- queuedNews{news: news, due: time.Now().Add(w.queueAt(address))}
+		queue <- queuedUpdate{update: update, due: time.Now().Add(w.queueAt(address))}
 		return nil
 	})
 }
 
-// queuedNews is a message that waits at a full link.
-type queuedNews struct {
-	news *mesh.News
-	due  time.Time
+// queuedUpdate is a message that waits at a full link.
+type queuedUpdate struct {
+	update *mesh.Update
+	due    time.Time
 }
 
 func (w *world) queueAt(node string) time.Duration {
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -70,7 +70,7 @@
 			}
 			next := rapid.IntRange(last[from]+1, 5).Draw(t, "to")
 			before := view.Version()
-			err := view.Apply(start, &News{Config: Diff(versions[last[from]], versions[next])})
+			err := view.Apply(start, &Update{Config: Diff(versions[last[from]], versions[next])})
 			last[from] = next
 			if err != nil {
 				t.Fatal("every base was held", err)
@@ -95,14 +95,14 @@
 func TestLapsedTargetsStayAWhile(t *testing.T) {
 	view := NewView()
 	target := Target{ID: "i", Service: "s", State: Ready, Revision: 5}
-	assert.NilError(t, view.Apply(start, &News{Targets: []Target{target}}))
+	assert.NilError(t, view.Apply(start, &Update{Targets: []Target{target}}))
 	gone := view.Listed(nil, 9, SuspectGrace)
 	assert.Equal(t, len(gone), 1)
-	assert.NilError(t, view.Apply(start, &News{Removed: gone}))
+	assert.NilError(t, view.Apply(start, &Update{Removed: gone}))
 	assert.Assert(t, view.Members()["i"].Usable(start.Add(time.Second)))
 	assert.Assert(t, !view.Members()["i"].Usable(start.Add(SuspectGrace)))
 	target.Revision = 12
-	assert.NilError(t, view.Apply(start.Add(time.Second), &News{Targets: []Target{target}}))
+	assert.NilError(t, view.Apply(start.Add(time.Second), &Update{Targets: []Target{target}}))
 	assert.Assert(t, view.Members()["i"].Usable(start.Add(time.Hour)))
 }
 
@@ -112,52 +112,52 @@
 	views := []*View{NewView(), NewView(), NewView()}
 	target := Target{ID: "i", Service: "s", State: Ready, Revision: 5}
 	for _, view := range views {
-		assert.NilError(t, view.Apply(start, &News{Targets: []Target{target}}))
+		assert.NilError(t, view.Apply(start, &Update{Targets: []Target{target}}))
 	}
-	assert.NilError(t, views[0].Apply(start, &News{Removed: views[0].Listed(nil, 9, SuspectGrace)}))
+	assert.NilError(t, views[0].Apply(start, &Update{Removed: views[0].Listed(nil, 9, SuspectGrace)}))
 	now := start
 	for i, view := range views[1:] {
 		now = now.Add(SuspectGrace * 2 / 5)
-		news, _ := views[i].Since(now, Position{})
-		assert.NilError(t, view.Apply(now, news))
+		update, _ := views[i].Since(now, Position{})
+		assert.NilError(t, view.Apply(now, update))
 	}
 	last := views[2].Members()["i"]
 	assert.Assert(t, last.Usable(start.Add(SuspectGrace-time.Millisecond)))
 	assert.Assert(t, !last.Usable(start.Add(SuspectGrace)))
 	now = start.Add(SuspectGrace)
-	news, _ := views[0].Since(now, Position{})
+	update, _ := views[0].Since(now, Position{})
 	view := NewView()
-	assert.NilError(t, view.Apply(start, &News{Targets: []Target{target}}))
-	assert.NilError(t, view.Apply(now, news))
+	assert.NilError(t, view.Apply(start, &Update{Targets: []Target{target}}))
+	assert.NilError(t, view.Apply(now, update))
 	assert.Equal(t, len(view.Members()), 0)
 }
 
-// News of a target that left cross on two paths: its old entry comes after its
+// Updates on a target that left cross on two paths: its old entry comes after its
 // removal. The target stays gone.
-func TestCrossedNewsReviveNobody(t *testing.T) {
+func TestCrossedUpdatesReviveNobody(t *testing.T) {
 	view := NewView()
 	target := Target{ID: "i", State: Ready, Revision: 5}
-	assert.NilError(t, view.Apply(start, &News{Targets: []Target{target}}))
-	assert.NilError(t, view.Apply(start, &News{Removed: []Removal{{ID: "i", Revision: 7}}}))
-	assert.NilError(t, view.Apply(start, &News{Targets: []Target{target}}))
+	assert.NilError(t, view.Apply(start, &Update{Targets: []Target{target}}))
+	assert.NilError(t, view.Apply(start, &Update{Removed: []Removal{{ID: "i", Revision: 7}}}))
+	assert.NilError(t, view.Apply(start, &Update{Targets: []Target{target}}))
 	assert.Equal(t, len(view.Members()), 0)
 }
 
 // A neighbour is told each change once and nothing that it holds already.
 func TestNeighbourGetsOnlyWhatItLacks(t *testing.T) {
 	view := NewView()
-	assert.NilError(t, view.Apply(start, &News{Config: Diff(nil, config(1, route("a", "h", "/a/"))), Targets: []Target{{ID: "i", State: Ready, Revision: 1}}}))
-	news, position := view.Since(start, Position{})
-	assert.Equal(t, len(news.Config.Changed), 1)
-	assert.Equal(t, len(news.Targets), 1)
-	news, position = view.Since(start, position)
-	assert.Assert(t, news.Empty())
+	assert.NilError(t, view.Apply(start, &Update{Config: Diff(nil, config(1, route("a", "h", "/a/"))), Targets: []Target{{ID: "i", State: Ready, Revision: 1}}}))
+	update, position := view.Since(start, Position{})
+	assert.Equal(t, len(update.Config.Changed), 1)
+	assert.Equal(t, len(update.Targets), 1)
+	update, position = view.Since(start, position)
+	assert.Assert(t, update.Empty())
 	next := config(2, route("a", "h", "/a/"), route("b", "h", "/b/"))
-	assert.NilError(t, view.Apply(start, &News{Config: Diff(position.Config, next)}))
-	news, _ = view.Since(start, position)
-	assert.Equal(t, news.Config.Base, uint64(1))
-	assert.Equal(t, len(news.Config.Changed), 1)
-	assert.Equal(t, len(news.Targets), 0)
+	assert.NilError(t, view.Apply(start, &Update{Config: Diff(position.Config, next)}))
+	update, _ = view.Since(start, position)
+	assert.Equal(t, update.Config.Base, uint64(1))
+	assert.Equal(t, len(update.Config.Changed), 1)
+	assert.Equal(t, len(update.Targets), 0)
 }
 
 // A fleet has lost its power and is back: each address has the entry of the
@@ -165,7 +165,7 @@
 // work goes to the old ones, nor to a target whose address another service has.
 func TestOldEntryOfAnAddressTakesNoWork(t *testing.T) {
 	view := NewView()
-	assert.NilError(t, view.Apply(start, &News{Targets: []Target{
+	assert.NilError(t, view.Apply(start, &Update{Targets: []Target{
 		{ID: "old", Service: "s", Address: "a:1", State: Ready, Revision: 5},
 		{ID: "new", Service: "s", Address: "a:1", State: Ready, Revision: 8},
 		{ID: "other", Service: "s", Address: "b:1", State: Ready, Revision: 6},
@@ -187,11 +187,11 @@
 		{ID: "i", Service: "s", Address: "a:1", State: Ready, Started: 200, Revision: 8},
 		{ID: "i", Service: "s", Address: "a:1", State: Draining, Started: 100, Revision: 9},
 	} {
-		assert.NilError(t, view.Apply(start, &News{Targets: []Target{entry}}))
+		assert.NilError(t, view.Apply(start, &Update{Targets: []Target{entry}}))
 	}
 	assert.Equal(t, len(view.Takers()["s"]), 1)
 	drains := Target{ID: "i", Service: "s", Address: "a:1", State: Draining, Started: 200, Revision: 10}
-	assert.NilError(t, view.Apply(start, &News{Targets: []Target{drains}}))
+	assert.NilError(t, view.Apply(start, &Update{Targets: []Target{drains}}))
 	assert.Equal(t, len(view.Takers()["s"]), 0)
 }
 
@@ -199,7 +199,7 @@
 // its address before reaches the platform after that. Work goes to the new one.
 func TestLateWordOfAnEarlierStartTakesNoAddress(t *testing.T) {
 	view := NewView()
-	assert.NilError(t, view.Apply(start, &News{Targets: []Target{
+	assert.NilError(t, view.Apply(start, &Update{Targets: []Target{
 		{ID: "old", Service: "s", Address: "a:1", State: Ready, Started: 100, Revision: 9},
 		{ID: "new", Service: "s", Address: "a:1", State: Ready, Started: 200, Revision: 8},
 	}}))
@@ -208,7 +208,7 @@
 	assert.Equal(t, takers[0].ID, "new")
 }
 
-// A view gets old because its news are late, not because the platform is away. Only
+// A view gets old because its updates are late, not because the platform is away. Only
 // the word of a failed read makes an outage of it.
 func TestOldViewIsNoOutage(t *testing.T) {
 	for _, test := range []struct {
@@ -216,21 +216,21 @@
 		age, failed time.Duration
 		want        bool
 	}{
-		{"late news", 4 * time.Second, 0, false},
+		{"late update", 4 * time.Second, 0, false},
 		{"a failed read, and leases still run", time.Second, 500 * time.Millisecond, false},
 		{"a failed read, and leases have run out", 4 * time.Second, time.Second, true},
 		{"a read failed before the view was current", 4 * time.Second, 5 * time.Second, false},
 	} {
 		t.Run(test.desc, func(t *testing.T) {
 			view := NewView()
-			assert.NilError(t, view.Apply(start, &News{Age: test.age}))
+			assert.NilError(t, view.Apply(start, &Update{Age: test.age}))
 			if test.failed > 0 {
 				view.NoteFailedRead(start.Add(-test.failed))
 			}
 			assert.Equal(t, view.Outage(start), test.want)
-			news, _ := view.Since(start, Position{})
+			update, _ := view.Since(start, Position{})
 			neighbour := NewView()
-			assert.NilError(t, neighbour.Apply(start, news))
+			assert.NilError(t, neighbour.Apply(start, update))
 			assert.Equal(t, neighbour.Outage(start), test.want, "told by a neighbour")
 		})
 	}
@@ -244,9 +244,9 @@
 	told := draining
 	told.Draining = time.Second
 	for _, test := range []struct {
-		desc  string
-		news  []Target
-		since time.Duration
+		desc   string
+		update []Target
+		since  time.Duration
 	}{
 		{"it was ready before", []Target{ready, draining}, 0},
 		{"a neighbour tells since when", []Target{ready, told}, time.Second},
@@ -255,7 +255,7 @@
 	} {
 		t.Run(test.desc, func(t *testing.T) {
 			view := NewView()
-			assert.NilError(t, view.Apply(start, &News{Targets: test.news}))
+			assert.NilError(t, view.Apply(start, &Update{Targets: test.update}))
 			assert.Equal(t, start.Sub(view.Members()["i"].DrainingSince), test.since)
 		})
 	}
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -48,7 +48,7 @@
 	change uint64
 }
 
-// View is what a node knows of the mesh. News come on several paths, in any
+// View is what a node knows of the mesh. Updates come on several paths, in any
 // order and more than once; the highest version or revision wins, so a view
 // never goes back. It is not safe for concurrent use.
 type View struct {
@@ -63,8 +63,8 @@
 	// verified is the latest time at which the platform is known to have held
 	// nothing newer.
 	verified time.Time
-	// way is the round trip to the platform of the node that verified it.
-	way time.Duration
+	// rtt is the round trip to the platform of the node that verified it.
+	rtt time.Duration
 	// failed is the latest time at which a node's read of the platform is known to
 	// have failed.
 	failed time.Time
@@ -75,16 +75,16 @@
 	return &View{members: map[string]*Member{}, removed: map[string]removed{}}
 }
 
-// News is what one message or one read of the platform tells.
-type News struct {
+// Update is what one message or one read of the platform tells.
+type Update struct {
 	Config  *ConfigDelta `cbor:"c,omitempty"`
 	Targets []Target     `cbor:"t,omitempty"`
 	Removed []Removal    `cbor:"r,omitempty"`
 	// Age is how long ago the sender's view was known to be current; negative
-	// when it never was. Way is the round trip to the platform of the node that
+	// when it never was. RTT is the round trip to the platform of the node that
 	// knew it.
 	Age time.Duration `cbor:"a"`
-	Way time.Duration `cbor:"w,omitempty"`
+	RTT time.Duration `cbor:"w,omitempty"`
 	// Failed is how long ago a read of the platform failed last, as far as the sender
 	// knows; zero when none has since its view was current.
 	Failed time.Duration `cbor:"f,omitempty"`
@@ -93,8 +93,8 @@
 	Sent time.Duration `cbor:"s,omitempty"`
 }
 
-// Empty reports whether the news tell nothing but their age.
-func (n *News) Empty() bool { return n.Config == nil && len(n.Targets) == 0 && len(n.Removed) == 0 }
+// Empty reports whether the update tells nothing but its age.
+func (u *Update) Empty() bool { return u.Config == nil && len(u.Targets) == 0 && len(u.Removed) == 0 }
 
 // Table returns the routes in force, nil before the first configuration.
 func (v *View) Table() *Table { return v.table }
@@ -119,10 +119,10 @@
 	return max(0, now.Sub(v.verified))
 }
 
-func (v *View) verify(at time.Time, way time.Duration) {
+func (v *View) verify(at time.Time, rtt time.Duration) {
 	if at.After(v.verified) {
 		v.verified = at
-		v.way = way
+		v.rtt = rtt
 	}
 }
 
@@ -135,7 +135,7 @@
 
 // Outage reports whether the platform has been away for so long that leases may have
 // run out: no node had its word for that time, and a read of it failed. Age alone tells
-// nothing: news get old on a full link as well, and a target that left would then stay
+// nothing: updates are late on a full link as well, and a target that left would then stay
 // in use for the grace of a lapsed one.
 func (v *View) Outage(now time.Time) bool {
 	return v.Age(now) > lapseAfter && v.failed.After(v.verified)
@@ -161,28 +161,28 @@
 	return takers
 }
 
-// Apply takes news that were sent at a time, from which all times in them count. Counted
+// Apply takes an update that was sent at a time, from which all times in it count. Counted
 // from their arrival, each step from the platform to the last node would lengthen the
-// use of a target that left, and old news would look fresh. It returns ErrBase if the
+// use of a target that left, and an old update would look fresh. It returns ErrBase if the
 // configuration builds on a version that the view doesn't hold; the rest is taken all
 // the same.
-func (v *View) Apply(sent time.Time, news *News) error {
+func (v *View) Apply(sent time.Time, update *Update) error {
 	var err error
-	if news.Config != nil {
-		err = v.applyConfig(news.Config)
+	if update.Config != nil {
+		err = v.applyConfig(update.Config)
 	}
-	for i := range news.Targets {
-		v.applyTarget(sent, &news.Targets[i])
+	for i := range update.Targets {
+		v.applyTarget(sent, &update.Targets[i])
 	}
-	for _, removal := range news.Removed {
+	for _, removal := range update.Removed {
 		v.remove(sent, removal)
 	}
 	v.forget(sent)
-	if news.Failed > 0 {
-		v.NoteFailedRead(sent.Add(-news.Failed))
+	if update.Failed > 0 {
+		v.NoteFailedRead(sent.Add(-update.Failed))
 	}
-	if err == nil && news.Age >= 0 {
-		v.verify(sent.Add(-news.Age), news.Way)
+	if err == nil && update.Age >= 0 {
+		v.verify(sent.Add(-update.Age), update.RTT)
 	}
 	return err
 }
@@ -349,13 +349,13 @@
 }
 
 // Since returns what the neighbour lacks, and its position after that.
-func (v *View) Since(now time.Time, position Position) (*News, Position) {
-	news := &News{Age: v.Age(now), Way: v.way}
+func (v *View) Since(now time.Time, position Position) (*Update, Position) {
+	update := &Update{Age: v.Age(now), RTT: v.rtt}
 	if v.failed.After(v.verified) {
-		news.Failed = max(1, now.Sub(v.failed))
+		update.Failed = max(1, now.Sub(v.failed))
 	}
 	if v.table != nil && v.configChange > position.Change && v.table.Config != position.Config {
-		news.Config = Diff(position.Config, v.table.Config)
+		update.Config = Diff(position.Config, v.table.Config)
 		position.Config = v.table.Config
 	}
 	for _, id := range slices.Sorted(maps.Keys(v.members)) {
@@ -365,7 +365,7 @@
 			if target.State == Draining {
 				target.Draining = now.Sub(member.DrainingSince)
 			}
-			news.Targets = append(news.Targets, target)
+			update.Targets = append(update.Targets, target)
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(v.removed)) {
@@ -375,9 +375,9 @@
 			// left for longer than operators allow.
 			removal := gone.Removal
 			removal.Grace = max(0, removal.Grace-now.Sub(gone.at))
-			news.Removed = append(news.Removed, removal)
+			update.Removed = append(update.Removed, removal)
 		}
 	}
 	position.Change = v.change
-	return news, position
+	return update, position
 }
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -175,10 +175,9 @@
 // milliseconds where many run, and a target that is ill sheds at random.
 const retryShed = 50 * time.Millisecond
 
-// hasRoom reports whether a target's word on its load, "running,waiting,slots",
-// tells of free slots. A target that sheds all the same is ill and not full:
-// fewer requests would not make it shed less, and counting with fewer slots
-// turned away nine in ten calls of a service whose targets shed every second one.
+// hasRoom reports whether the load that a target reports, "running,waiting,slots",
+// leaves free slots. A target that sheds all the same is ill and not full: fewer
+// requests would not make it shed less.
 func hasRoom(load string) bool {
 	var running, waiting, slots int
 	if _, err := fmt.Sscanf(load, "%d,%d,%d", &running, &waiting, &slots); err != nil {
