Let a stopping node take no caller's request that it would have to cut

Cause: once callers should have left, a stopping node still took what came on kept connections, whatever time it might take; only its own target was kept from that.

Ruled out: closing idle connections sooner (a request that crosses the close can't know whether it ran); refusing all (calls of runs that are surely over would fail them).

Change: from the moment on at which the node's target gets no more work, a request whose time goes beyond the node's end is refused at once, as not run.

TestStoppingNodeTakesNoCallerThatItMustCut fails before (200 where 503 is wanted).

--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -21,6 +21,9 @@
 	// yet: it reads one 0.03 to 0.32 s after its start, as 18 and 86 VMs that
 	// started together did.
 	retryNotReady = 200 * time.Millisecond
+	// retryElsewhere is when to come back from a node that takes no more callers: other
+	// nodes take them at once.
+	retryElsewhere = 50 * time.Millisecond
 	// answerMargin is how long before a caller stops waiting it is answered,
 	// so that the answer is there in time.
 	answerMargin = 10 * time.Millisecond
@@ -63,6 +66,9 @@
 	if limits.BodyBytes > 0 && r.ContentLength > limits.BodyBytes {
 		return nil, port.Refuse(port.ReasonBodyTooLarge, 0, "the body is over %d bytes", limits.BodyBytes)
 	}
+	if p.endsBefore(now.Add(p.timeLeft(r, route))) {
+		return nil, port.Refuse(port.ReasonStopping, retryElsewhere, "this node is stopping")
+	}
 	body, length, err := requestbody.Read(r.Body, r.ContentLength)
 	if err != nil {
 		return nil, &port.Unknown{Stage: "body", Cause: err}
@@ -84,6 +90,13 @@
 	return f, nil
 }
 
+// endsBefore reports whether a stopping node that callers have left by now may end
+// before a time. It takes no request on a connection that was kept open which it might
+// have to cut; calls of runs that are surely over go on.
+func (p *Proxy) endsBefore(end time.Time) bool {
+	return p.ownStopped.Load() && end.After(*p.endsBy.Load())
+}
+
 // timeLeft is the shorter of what the caller and the route allow.
 func (p *Proxy) timeLeft(r *http.Request, route *mesh.Route) time.Duration {
 	left := defaultTimeout
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -307,6 +307,35 @@
 	assert.Equal(t, f.arrivals(), 1)
 }
 
+// Guards against requests on kept connections that a stopping node reads just before it
+// ends, gives to a target and then cuts. Those that are surely over are served.
+func TestStoppingNodeTakesNoCallerThatItMustCut(t *testing.T) {
+	for _, test := range []struct {
+		desc    string
+		endsIn  time.Duration
+		stopped bool
+		status  int
+		runs    int
+	}{
+		{"callers may still come", time.Second, false, http.StatusOK, 1},
+		{"callers have left, and it may take longer than the node has", time.Second, true, http.StatusServiceUnavailable, 0},
+		{"callers have left, and it is surely over", time.Minute, true, http.StatusOK, 1},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			f := newFleet(t, 2)
+			f.proxies[0].stats["t0"].Failed(time.Now())
+			f.proxies[0].Stop(time.Now().Add(test.endsIn))
+			if test.stopped {
+				f.proxies[0].StopOwn()
+			}
+			got := f.ask(0, "POST", "/once/x", "")
+			assert.Equal(t, got.Code, test.status)
+			assert.Equal(t, got.Header().Get("Connection"), "close")
+			assert.Equal(t, f.arrivals(), test.runs)
+		})
+	}
+}
+
 // A node restarts and refuses connections for two seconds. Its target gets work
 // again within half a second of its return, not after a pause that has grown
 // meanwhile.
