--- a/internal/follow/late_test.go
+++ b/internal/follow/late_test.go
@@ -72,9 +72,9 @@
 	})
 }
 
-// Guards against counting the draining of a target from the arrival of a late word: its
+// Guards against counting the draining of a target from the arrival of a late update: its
 // own node would give it work for longer than the platform allows. Only the readers read
-// the platform, so that all others have the word from them.
+// the platform, so that all others learn it from them.
 func TestDrainingCountsFromItsFirstWord(t *testing.T) {
 	const late = 700 * time.Millisecond
 	simulateWithin(t, leftWithin, func(t *testing.T, w *world) {
--- a/internal/follow/transit.go
+++ b/internal/follow/transit.go
@@ -14,7 +14,7 @@
 }
 
 // sentAt returns when a message was sent, at the earliest, that arrives now; sent is
-// the sender's word, counted from the feed's beginning, and zero where it doesn't say.
+// counted by the sender from the feed's beginning, and zero where it doesn't say.
 func (t *transit) sentAt(sent time.Duration, now time.Time) time.Time {
 	if !t.heard {
 		// It carries the sender's whole view and may be long in transit.
--- a/internal/logfield/logfield.go
+++ b/internal/logfield/logfield.go
@@ -52,8 +52,8 @@
 	State     Name = "state"
 	Lines     Name = "lines"
 	Kind      Name = "kind"
-	// Late is for how long news were on their way, in milliseconds: from the platform's
-	// answer, or beyond the quickest message of the feed.
+	// Late is how long an update was in transit, in milliseconds: since the platform
+	// answered, or beyond the quickest message of the feed.
 	Late Name = "late_ms"
 	// UsableFor is for how long a target stays in use whose entry is gone, in
 	// milliseconds.
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -208,8 +208,8 @@
 	assert.Equal(t, takers[0].ID, "new")
 }
 
-// A view gets old because its updates are late, not because the platform is away. Only
-// the word of a failed read makes an outage of it.
+// A view gets old because its updates are late, not because the platform is away. It takes
+// a failed read for an outage.
 func TestOldViewIsNoOutage(t *testing.T) {
 	for _, test := range []struct {
 		desc        string
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -134,7 +134,7 @@
 }
 
 // Outage reports whether the platform has been away for so long that leases may have
-// run out: no node had its word for that time, and a read of it failed. Age alone tells
+// run out: no node has read it for that time, and a read failed. Age alone proves
 // nothing: updates are late on a full link as well, and a target that left would then stay
 // in use for the grace of a lapsed one.
 func (v *View) Outage(now time.Time) bool {
@@ -244,7 +244,7 @@
 }
 
 // drainingSince returns when a target began to drain, at the latest. One that is first
-// heard of as draining, without a word since when, may have drained for long.
+// seen draining, at an unknown time, may have drained for long.
 func drainingSince(sent time.Time, known *Member, target *Target) time.Time {
 	switch {
 	case known != nil && known.State == Draining:
