--- a/internal/follow/late_test.go
+++ b/internal/follow/late_test.go
@@ -34,9 +34,9 @@
 // it left; 3 s are allowed. Links were full: the removal of its entry came to the
 // nodes that read the platform in one answer with a change of 1,800 routes. Cause: an
 // old view was taken for an outage of the platform, so the target got the grace of one
-// whose lease ran out. Evidence: its entry went from "ready" to "gone" on record, and
-// no read of the platform failed that day; here the same order of events keeps it in
-// use for over 4 s if age alone decides.
+// whose lease ran out. Evidence: in a replay its entry went from "ready" to "gone", in
+// one update with the change, and no read failed near that moment; here the same order
+// of events keeps it in use for over 3 s if age alone decides.
 func TestLateAnswerKeepsNoTargetThatLeft(t *testing.T) {
 	simulateWithin(t, leftWithin, func(t *testing.T, w *world) {
 		w.mu.Lock()
