Look at the deadline after the last step that may take long, and at the write

Cause: the guard looked at the clock, then asked the kernel for the sender (a system call, where a stop signal takes effect), then wrote.

Change: the sender is asked for first and the clock looked at last; the first write of an attempt carries the deadline on its connection, and one that the deadline ended before any byte went out is a refusal. The pool of exchange looks at the clock once more before the first byte.

Ruled out: requests read from sockets after the pause (the sender's close is seen by the kernel's state, which is asked for on each).

Left: the few instructions between the connection's own look and its write.

--- a/internal/adapter/callhttp/attempt.go
+++ b/internal/adapter/callhttp/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -39,9 +40,9 @@
 }
 
 // mayWrite decides on each write of the attempt to a connection. The deadline
-// is looked at here, at the last moment before the first byte: a process that
-// was paused after it took a slot would otherwise start work that its caller
-// has long given up.
+// is looked at here, last of all and before the first byte: a process that was
+// paused after it took a slot, or while it asked for the sender, would otherwise
+// start work that its caller has long given up.
 func (a *attempt) mayWrite(c *Conn) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -52,17 +53,26 @@
 		return errReplay
 	case a.ended:
 		return errEnded
-	case !time.Now().Before(a.deadline):
-		a.late = true
-		return errLate
 	case a.gone():
 		a.late = true
 		return errGone
+	case !time.Now().Before(a.deadline):
+		a.late = true
+		return errLate
 	}
 	a.wrote = c
 	return nil
 }
 
+// heldBack notes that the first write to a connection ended at the deadline before
+// any byte went out.
+func (a *attempt) heldBack() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.wrote = nil
+	a.late = true
+}
+
 // end closes the attempt to first writes and reports whether any was made, and
 // whether one was held back because of the deadline.
 func (a *attempt) end() (wrote, late bool) {
@@ -93,6 +103,8 @@
 
 	mu     sync.Mutex
 	holder *attempt
+	// begun is the attempt whose first write to this connection is done.
+	begun *attempt
 }
 
 // Guard wraps a connection that a transport of RoundTrip has opened. For TLS it
@@ -109,6 +121,8 @@
 func (c *Conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	holder := c.holder
+	first := holder != c.begun
+	c.begun = holder
 	c.mu.Unlock()
 	if holder == nil {
 		return 0, errUnowned
@@ -116,9 +130,29 @@
 	if err := holder.mayWrite(c); err != nil {
 		return 0, err
 	}
+	if first {
+		return c.writeFirst(holder, p)
+	}
 	return c.Conn.Write(p)
 }
 
+// writeFirst writes an attempt's first bytes, unless the deadline passes before the
+// connection takes them: the process may be paused after the last look at the clock.
+func (c *Conn) writeFirst(holder *attempt, p []byte) (int, error) {
+	if err := c.Conn.SetWriteDeadline(holder.deadline); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		holder.heldBack()
+		return 0, errLate
+	}
+	if err != nil {
+		return n, err
+	}
+	return n, c.Conn.SetWriteDeadline(time.Time{})
+}
+
 // Close implements net.Conn. The connection of an attempt without an answer is
 // reset: after a plain close the kernel would go on sending what is buffered,
 // and a request that was given up while the network was cut would run when the
--- a/internal/adapter/callhttp/roundtrip_test.go
+++ b/internal/adapter/callhttp/roundtrip_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -184,6 +185,77 @@
 	assert.ErrorIs(t, write(pipe(), ended), errEnded)
 }
 
+// slowWrite is a connection whose process is paused just before each write.
+type slowWrite struct {
+	net.Conn
+	pause time.Duration
+}
+
+func (c slowWrite) Write(p []byte) (int, error) {
+	time.Sleep(c.pause)
+	return c.Conn.Write(p)
+}
+
+// Guards against a request that is started after its deadline, because the process
+// was paused between a check and the write.
+func TestPausedWriteIsHeldBack(t *testing.T) {
+	const deadline, pause = time.Second, 9 * time.Second
+	for _, test := range []struct {
+		desc                string
+		askSender, thenWait time.Duration
+		held                bool
+	}{
+		{"no pause", 0, 0, false},
+		{"while the sender is asked for", pause, 0, true},
+		{"between the last look at the clock and the write", 0, pause, true},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				near, far := net.Pipe()
+				defer near.Close()
+				got := make(chan int64, 1)
+				go func() {
+					n, _ := io.Copy(io.Discard, far)
+					got <- n
+				}()
+				a := &attempt{deadline: time.Now().Add(deadline), gone: func() bool {
+					time.Sleep(test.askSender)
+					return false
+				}}
+				conn := Guard(slowWrite{near, test.thenWait})
+				conn.hold(a)
+				_, err := conn.Write([]byte("x"))
+				wrote, late := a.end()
+				assert.Equal(t, wrote, !test.held)
+				assert.Equal(t, late, test.held)
+				if test.held {
+					assert.ErrorIs(t, err, errLate)
+				} else {
+					assert.NilError(t, err)
+				}
+				near.Close()
+				assert.Equal(t, <-got == 0, test.held)
+			})
+		})
+	}
+}
+
+// Guards against a write deadline that outlives the first write and cuts a long body.
+func TestBodyMayBeWrittenPastTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer near.Close()
+		go func() { _, _ = io.Copy(io.Discard, far) }()
+		conn := Guard(near)
+		conn.hold(&attempt{deadline: time.Now().Add(time.Second), gone: func() bool { return false }})
+		_, err := conn.Write([]byte("head"))
+		assert.NilError(t, err)
+		time.Sleep(2 * time.Second)
+		_, err = conn.Write([]byte("body"))
+		assert.NilError(t, err)
+	})
+}
+
 // Servers that insist on a length must get one from a body-less POST.
 func TestBodylessPostHasLength(t *testing.T) {
 	d := newDyingTarget(t)
--- a/internal/adapter/exchange/exchange.go
+++ b/internal/adapter/exchange/exchange.go
@@ -85,6 +85,7 @@
 var (
 	errStray   = errors.New("too many answers to other requests")
 	errUpgrade = errors.New("the answer changes the protocol")
+	errLate    = errors.New("the deadline is over")
 )
 
 // Do sends the request to an address, an IP:port, and returns its answer. When
@@ -95,6 +96,7 @@
 	if err != nil {
 		return nil, &Failure{Cause: err}
 	}
+	c.writeBy, _ = ctx.Deadline()
 	stop := context.AfterFunc(ctx, c.abort)
 	if ctx.Err() != nil {
 		stop()
@@ -254,8 +256,12 @@
 	conn *conn
 }
 
-// Write implements io.Writer.
+// Write implements io.Writer. The deadline is looked at once more before the first
+// byte: a process that was paused wakes with requests whose time is over.
 func (w writeTracker) Write(p []byte) (int, error) {
+	if !w.conn.wrote.Load() && !w.conn.writeBy.IsZero() && !time.Now().Before(w.conn.writeBy) {
+		return 0, errLate
+	}
 	n, err := w.Conn.Write(p)
 	if n > 0 {
 		w.conn.wrote.Store(true)
--- a/internal/adapter/exchange/exchange_test.go
+++ b/internal/adapter/exchange/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -238,3 +239,35 @@
 		assert.Equal(t, idleFor(header), test.want, test.value)
 	}
 }
+
+// Guards against a request that is started after its deadline by a process that was
+// paused just before it wrote.
+func TestNothingIsWrittenPastTheDeadline(t *testing.T) {
+	for _, test := range []struct {
+		desc    string
+		writeBy time.Time
+		late    bool
+	}{
+		{"no deadline", time.Time{}, false},
+		{"before the deadline", time.Now().Add(time.Hour), false},
+		{"past the deadline", time.Now(), true},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			var out bytes.Buffer
+			c := &conn{writeBy: test.writeBy}
+			c.writer = bufio.NewWriter(writeTracker{recordingConn{out: &out}, c})
+			err := c.write(&Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}})
+			assert.Equal(t, errors.Is(err, errLate), test.late)
+			assert.Equal(t, out.Len() == 0, test.late)
+			assert.Equal(t, c.wrote.Load(), !test.late)
+		})
+	}
+}
+
+// recordingConn keeps what is written to it.
+type recordingConn struct {
+	net.Conn
+	out *bytes.Buffer
+}
+
+func (c recordingConn) Write(p []byte) (int, error) { return c.out.Write(p) }
--- a/internal/adapter/exchange/pool.go
+++ b/internal/adapter/exchange/pool.go
@@ -74,6 +74,8 @@
 	writer  *bufio.Writer
 	// wrote says that the current request's first byte went out.
 	wrote atomic.Bool
+	// writeBy is when that byte must have gone out; zero for no bound.
+	writeBy time.Time
 	// until is when an idle connection is given up.
 	until time.Time
 }
