Work out readers and takers only when targets have changed

Cause: each node of the users' platform computed the order of readers three times in each of ten ticks a second, though nothing had changed; each change of the configuration made all targets' tables anew, and each feed compared the two whole configurations for itself.

Change: the order is kept until members change (mesh.View counts their changes apart); the first reader of another region is looked for and not sorted for; a picture takes over what follows from targets when they are the same; feeds share one difference of two configurations; a beat that tells nothing sorts nothing.

TestTickAtRestDoesNotGrowWithTheFleet fails before (154 allocations at 14 VMs, 9,818 at 1,600) and passes now.

--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -112,6 +112,8 @@
 	callers  *callerhttp.Server
 	peerSide *http.Server
 	meter    *metrics.Meter
+	// picture is the last one; the follower's lock guards it.
+	picture proxy.Picture
 }
 
 func runSidecar(path string, s platform.Settings, options sidecarOptions) error {
--- a/cmd/tamarackd/sidecar_loop.go
+++ b/cmd/tamarackd/sidecar_loop.go
@@ -26,19 +26,31 @@
 	housekeeping = time.Second
 )
 
-// takeView makes the picture that requests are routed by.
+// takeView makes the picture that requests are routed by. What follows from the
+// targets is made anew only when they have changed: in a storm of changes of the
+// configuration they mostly have not.
 func (c *sidecar) takeView(view *mesh.View) {
-	picture := &proxy.Picture{Table: view.Table(), Services: view.Takers(), Own: view.At(c.settings.TargetAddress)}
-	hosts := map[string]bool{}
+	c.meter.Set(port.MetricConfigVersion, "", float64(view.Version()))
+	picture := c.picture
+	if picture.Members != view.MembersChange() {
+		picture = c.pictureOfMembers(view)
+	}
+	picture.Table = view.Table()
+	c.picture = picture
+	c.proxy.SetPicture(&picture)
+}
+
+func (c *sidecar) pictureOfMembers(view *mesh.View) proxy.Picture {
+	picture := proxy.Picture{Services: view.Takers(), Own: view.At(c.settings.TargetAddress), Members: view.MembersChange()}
+	hosts := make(map[string]bool, len(view.Members()))
 	for _, member := range view.Members() {
 		hosts[follow.HostOf(member.Address)] = true
 	}
 	picture.Nodes = len(hosts)
-	c.meter.Set(port.MetricConfigVersion, "", float64(view.Version()))
 	for service, members := range picture.Services {
 		c.meter.Set(port.MetricTargetsUsable, service, float64(len(members)))
 	}
-	c.proxy.SetPicture(picture)
+	return picture
 }
 
 func (c *sidecar) tick(ctx context.Context) {
--- a/internal/distribution/place.go
+++ b/internal/distribution/place.go
@@ -85,6 +85,23 @@
 	return slices.Concat(rounds...)
 }
 
+// FirstReader returns the VM that comes first in the order of readers of a region, and
+// whether the region has any.
+func FirstReader(region string, live []membership.VM) (membership.VM, bool) {
+	var first membership.VM
+	var most uint64
+	for i := range live {
+		if live[i].Region != region {
+			continue
+		}
+		own := score(readerSalt, live[i].ID)
+		if first.ID == "" || own > most || own == most && live[i].ID < first.ID {
+			first, most = live[i], own
+		}
+	}
+	return first, first.ID != ""
+}
+
 // ofRegion returns the VMs of self's region, self among them once.
 func ofRegion(self membership.VM, live []membership.VM) []membership.VM {
 	vms := []membership.VM{self}
--- a/internal/distribution/place_test.go
+++ b/internal/distribution/place_test.go
@@ -111,3 +111,16 @@
 	t.Logf("reads/s when all start: %d", peak)
 	assert.Assert(t, peak < 1000, "%d reads/s", peak)
 }
+
+// Guards against two answers to who reads first: nodes of other regions ask for the
+// first one alone.
+func TestFirstReaderIsTheFirstOfTheOrder(t *testing.T) {
+	vms := fleetVMs(120, 13, 4)
+	for _, vm := range vms {
+		first, ok := FirstReader(vm.Region, vms)
+		assert.Assert(t, ok)
+		assert.Equal(t, first.ID, ReaderOrder(vm, vms)[0].ID)
+	}
+	_, ok := FirstReader("nowhere", vms)
+	assert.Assert(t, !ok)
+}
--- /dev/null
+++ b/internal/follow/bench_test.go
@@ -0,0 +1,89 @@
+package follow
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+
+	"tamarackquay/internal/adapter/metrics"
+	"tamarackquay/internal/mesh"
+)
+
+// nodeOfFleet is one node that knows a fleet of so many VMs in four failure domains.
+func nodeOfFleet(vms int) *Follower {
+	f := New(Config{
+		Self: "10.0.0.0:9", FailureDomain: "a1", Region: "a", Regions: regions,
+		PeerAddress: func(target string) string { return HostOf(target) + ":9" },
+		Greet:       func(context.Context, string) {},
+	}, nil, nil, wallClock{}, &log.Logger{Level: log.FatalLevel, Writer: &log.IOWriter{Writer: io.Discard}}, metrics.New(), func(*mesh.View) {})
+	update := &mesh.Update{Config: mesh.Diff(nil, &mesh.Config{Version: 1})}
+	domains := []string{"a1", "a2", "b1", "b2"}
+	for i := range vms {
+		update.Targets = append(update.Targets, mesh.Target{
+			ID: fmt.Sprint("i-", i), Service: "s", Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250),
+			FailureDomain: domains[i%len(domains)], Slots: 9, State: mesh.Ready, Revision: uint64(i + 1),
+		})
+	}
+	if err := f.apply(update, f.clock.Now()); err != nil {
+		panic(err)
+	}
+	return f
+}
+
+// tickOnce is what a node does in each tick while nothing changes.
+func (f *Follower) tickOnce() {
+	f.mayRead()
+	f.neighbours()
+	f.mu.Lock()
+	f.orphaned()
+	f.mu.Unlock()
+}
+
+// BenchmarkTickAtRest is what an idle node spends on a tick, ten times a second.
+func BenchmarkTickAtRest(b *testing.B) {
+	for _, vms := range []int{14, 86, 295, 1600} {
+		b.Run(fmt.Sprintf("vms-%d", vms), func(b *testing.B) {
+			f := nodeOfFleet(vms)
+			b.ReportAllocs()
+			for b.Loop() {
+				f.tickOnce()
+			}
+		})
+	}
+}
+
+// BenchmarkChange is what a node spends on one target that drains and is ready again.
+func BenchmarkChange(b *testing.B) {
+	for _, vms := range []int{14, 86, 295, 1600} {
+		b.Run(fmt.Sprintf("vms-%d", vms), func(b *testing.B) {
+			f := nodeOfFleet(vms)
+			target := mesh.Target{ID: "i-1", Service: "s", Address: "10.0.0.1:80", FailureDomain: "a2", Slots: 9, Revision: uint64(vms) + 1}
+			b.ReportAllocs()
+			for b.Loop() {
+				target.State = mesh.Draining + mesh.Ready - target.State
+				if target.State != mesh.Ready {
+					target.State = mesh.Draining
+				}
+				target.Revision++
+				if err := f.apply(&mesh.Update{Targets: []mesh.Target{target}}, f.clock.Now()); err != nil {
+					b.Fatal(err)
+				}
+				f.tickOnce()
+			}
+		})
+	}
+}
+
+// Guards against work on each tick that grows with the fleet though nothing has changed.
+func TestTickAtRestDoesNotGrowWithTheFleet(t *testing.T) {
+	allocs := func(vms int) float64 {
+		f := nodeOfFleet(vms)
+		f.tickOnce()
+		return testing.AllocsPerRun(100, f.tickOnce)
+	}
+	assert.Equal(t, allocs(1600), allocs(14))
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -109,8 +109,11 @@
 	meter    port.Meter
 	onChange func(*mesh.View)
 
-	mu   sync.Mutex
-	view *mesh.View
+	mu    sync.Mutex
+	view  *mesh.View
+	order *order
+	// addresses holds the nodes' addresses by their targets'.
+	addresses map[string]string
 	// nearerAt is when a reader much nearer to the platform knew the view to be
 	// current last.
 	nearerAt time.Time
@@ -134,7 +137,7 @@
 func New(config Config, platform Platform, feed Feed, clock port.Clock, logger *log.Logger, meter port.Meter, onChange func(*mesh.View)) *Follower {
 	return &Follower{
 		config: config, pace: paceFor(config.InForceWithin), platform: platform, feed: feed, clock: clock, log: logger, meter: meter, onChange: onChange,
-		view: mesh.NewView(), changed: make(chan struct{}), feeds: map[string]int{}, broken: map[string]bool{},
+		view: mesh.NewView(), addresses: map[string]string{}, changed: make(chan struct{}), feeds: map[string]int{}, broken: map[string]bool{},
 	}
 }
 
--- a/internal/follow/greet.go
+++ b/internal/follow/greet.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 
-	"tamarackquay/internal/distribution"
 	"tamarackquay/internal/mesh"
 )
 
@@ -36,19 +35,16 @@
 func (f *Follower) strangers() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	order := distribution.ReaderOrder(f.self(), f.vms())
+	o := f.currentOrder()
+	if o.rank >= parents || f.view.Table() == nil {
+		return nil
+	}
 	var strangers []string
-	reader := false
-	for i, vm := range order {
-		if vm.ID == f.config.Self {
-			reader = i < parents
-		} else if f.feeds[HostOf(vm.PeerAddress)] == 0 {
+	for _, vm := range o.region {
+		if vm.ID != f.config.Self && f.feeds[HostOf(vm.PeerAddress)] == 0 {
 			strangers = append(strangers, vm.PeerAddress)
 		}
 	}
-	if !reader || f.view.Table() == nil {
-		return nil
-	}
 	slices.Sort(strangers)
 	return strangers
 }
--- a/internal/follow/neighbours.go
+++ b/internal/follow/neighbours.go
@@ -6,9 +6,7 @@
 	"slices"
 	"time"
 
-	"tamarackquay/internal/distribution"
 	"tamarackquay/internal/logfield"
-	"tamarackquay/internal/membership"
 	"tamarackquay/internal/mesh"
 )
 
@@ -22,85 +20,39 @@
 // with a third of the nodes turned away, all of eight are in one case of 4,000.
 const staleParents = 8
 
-// vms are the VMs on which targets run that take work, one for each address.
-func (f *Follower) vms() []membership.VM {
-	seen := map[string]bool{}
-	var vms []membership.VM
-	for _, member := range f.view.Members() {
-		address := f.config.PeerAddress(member.Address)
-		if member.State != mesh.Ready || seen[address] {
-			continue
-		}
-		seen[address] = true
-		vms = append(vms, membership.VM{
-			ID: address, PeerAddress: address, FailureDomain: member.FailureDomain,
-			Region: f.config.Regions[member.FailureDomain],
-		})
-	}
-	return vms
-}
-
-func (f *Follower) self() membership.VM {
-	return membership.VM{ID: f.config.Self, PeerAddress: f.config.Self, FailureDomain: f.config.FailureDomain, Region: f.config.Region}
-}
-
-// rank is how many VMs of the region read before this one.
-func (f *Follower) rank() int { return distribution.ReaderRank(f.self(), f.vms()) }
-
 // neighbours are the addresses of the nodes to follow.
 func (f *Follower) neighbours() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	vms := f.vms()
-	order := distribution.ReaderOrder(f.self(), vms)
+	o := f.currentOrder()
 	var chosen []string
-	add := func(vm membership.VM) {
-		if vm.ID != f.config.Self && !slices.Contains(chosen, vm.PeerAddress) {
-			chosen = append(chosen, vm.PeerAddress)
+	add := func(address string) {
+		if address != f.config.Self && !slices.Contains(chosen, address) {
+			chosen = append(chosen, address)
 		}
 	}
-	reader := false
-	for _, vm := range order[:min(parents, len(order))] {
-		reader = reader || vm.ID == f.config.Self
-		add(vm)
+	addFirst := func(count int) {
+		for _, vm := range o.region[:min(count, len(o.region))] {
+			add(vm.PeerAddress)
+		}
 	}
+	addFirst(parents)
 	if f.view.Age(f.clock.Now()) > f.pace.moreParentsAfter {
-		for _, vm := range order[:min(staleParents, len(order))] {
-			add(vm)
-		}
+		addFirst(staleParents)
 	}
-	if reader {
-		for _, region := range f.otherRegions() {
-			stranger := membership.VM{Region: region}
-			for _, vm := range distribution.ReaderOrder(stranger, vms) {
-				if vm.ID != "" {
-					add(vm)
-					break
-				}
-			}
+	if o.rank < parents {
+		for _, vm := range o.strangers {
+			add(vm.PeerAddress)
 		}
 	}
 	if f.view.Table() == nil {
 		for _, hint := range f.hints {
-			if !slices.Contains(chosen, hint) {
-				chosen = append(chosen, hint)
-			}
+			add(hint)
 		}
 	}
 	return chosen
 }
 
-func (f *Follower) otherRegions() []string {
-	var regions []string
-	for _, region := range f.config.Regions {
-		if region != f.config.Region && !slices.Contains(regions, region) {
-			regions = append(regions, region)
-		}
-	}
-	slices.Sort(regions)
-	return regions
-}
-
 // followNeighbours keeps one feed open to each neighbour.
 func (f *Follower) followNeighbours(ctx context.Context) {
 	feeds := map[string]context.CancelFunc{}
@@ -145,7 +97,7 @@
 // follows have broken. It must be called with the mutex held.
 func (f *Follower) orphaned() bool {
 	followed := 0
-	for i, vm := range distribution.ReaderOrder(f.self(), f.vms()) {
+	for i, vm := range f.currentOrder().region {
 		if i >= parents || vm.ID == f.config.Self {
 			break
 		}
--- a/internal/mesh/delta.go
+++ b/internal/mesh/delta.go
@@ -65,9 +65,13 @@
 	for i := range d.Changed {
 		changed[d.Changed[i].Name] = &d.Changed[i]
 	}
+	dropped := make(map[string]bool, len(d.Dropped))
+	for _, name := range d.Dropped {
+		dropped[name] = true
+	}
 	config.Routes = make([]Route, 0, len(base.Routes)+len(d.Changed))
 	for _, route := range base.Routes {
-		if slices.Contains(d.Dropped, route.Name) {
+		if dropped[route.Name] {
 			continue
 		}
 		if next := changed[route.Name]; next != nil {
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -60,6 +61,13 @@
 	// change counts the view's own changes, and tells what a neighbour lacks.
 	change       uint64
 	configChange uint64
+	// membersChange counts the changes of members alone.
+	membersChange uint64
+	// latest holds the target of the latest start by address, as of latestChange.
+	latest       map[string]*Member
+	latestChange uint64
+	// steps holds the last differences between configurations.
+	steps []step
 	// verified is the latest time at which the platform is known to have held
 	// nothing newer.
 	verified time.Time
@@ -102,6 +110,9 @@
 // Change is a number that grows with each change of the view.
 func (v *View) Change() uint64 { return v.change }
 
+// MembersChange is a number that grows with each change of the known targets.
+func (v *View) MembersChange() uint64 { return v.membersChange }
+
 // Version is the configuration's version in force, 0 when there is none.
 func (v *View) Version() uint64 {
 	if v.table == nil {
@@ -150,14 +161,15 @@
 // of power of a whole fleet every second offer would else go to a target that is
 // gone.
 func (v *View) Takers() map[string][]*Member {
-	newest := v.latest()
 	takers := map[string][]*Member{}
-	for _, id := range slices.Sorted(maps.Keys(v.members)) {
-		member := v.members[id]
-		if member.State == Ready && newest[member.Address] == member {
+	for _, member := range v.latestByAddress() {
+		if member.State == Ready {
 			takers[member.Service] = append(takers[member.Service], member)
 		}
 	}
+	for _, members := range takers {
+		slices.SortFunc(members, func(a, b *Member) int { return cmp.Compare(a.ID, b.ID) })
+	}
 	return takers
 }
 
@@ -240,7 +252,17 @@
 		next.DrainingSince = drainingSince(sent, known, target)
 	}
 	delete(v.removed, target.ID)
-	v.members[target.ID] = next
+	v.setMember(target.ID, next)
+}
+
+// setMember replaces what is known of a target; nil drops it.
+func (v *View) setMember(id string, member *Member) {
+	v.membersChange++
+	if member == nil {
+		delete(v.members, id)
+		return
+	}
+	v.members[id] = member
 }
 
 // drainingSince returns when a target began to drain, at the latest. One that is first
@@ -256,16 +278,21 @@
 }
 
 // At returns the target of the latest start at an address, or nil.
-func (v *View) At(address string) *Member { return v.latest()[address] }
+func (v *View) At(address string) *Member { return v.latestByAddress()[address] }
 
-// latest holds the target of the latest start by address.
-func (v *View) latest() map[string]*Member {
-	latest := map[string]*Member{}
+// latestByAddress returns the target of the latest start at each address. It is
+// made anew only when members have changed.
+func (v *View) latestByAddress() map[string]*Member {
+	if v.latest != nil && v.latestChange == v.membersChange {
+		return v.latest
+	}
+	latest := make(map[string]*Member, len(v.members))
 	for _, member := range v.members {
 		if other := latest[member.Address]; other == nil || startedBefore(other, member) {
 			latest[member.Address] = member
 		}
 	}
+	v.latest, v.latestChange = latest, v.membersChange
 	return latest
 }
 
@@ -302,19 +329,19 @@
 		return
 	}
 	if removal.Grace <= 0 || known.State == Draining {
-		delete(v.members, removal.ID)
+		v.setMember(removal.ID, nil)
 		return
 	}
 	// Members are handed out and read elsewhere, so they are replaced.
 	lapsed := *known
 	lapsed.UsableUntil = sent.Add(removal.Grace)
-	v.members[removal.ID] = &lapsed
+	v.setMember(removal.ID, &lapsed)
 }
 
 func (v *View) forget(now time.Time) {
 	for id, member := range v.members {
 		if !member.UsableUntil.IsZero() && !now.Before(member.UsableUntil) {
-			delete(v.members, id)
+			v.setMember(id, nil)
 		}
 	}
 	for id, gone := range v.removed {
@@ -340,44 +367,3 @@
 	}
 	return gone
 }
-
-// Position is how far a neighbour has been told: what it holds of the
-// configuration, and up to which change of this view.
-type Position struct {
-	Config *Config
-	Change uint64
-}
-
-// Since returns what the neighbour lacks, and its position after that.
-func (v *View) Since(now time.Time, position Position) (*Update, Position) {
-	update := &Update{Age: v.Age(now), RTT: v.rtt}
-	if v.failed.After(v.verified) {
-		update.Failed = max(1, now.Sub(v.failed))
-	}
-	if v.table != nil && v.configChange > position.Change && v.table.Config != position.Config {
-		update.Config = Diff(position.Config, v.table.Config)
-		position.Config = v.table.Config
-	}
-	for _, id := range slices.Sorted(maps.Keys(v.members)) {
-		if member := v.members[id]; member.change > position.Change && member.UsableUntil.IsZero() {
-			target := member.Target
-			target.Cold = max(0, member.WarmAt.Sub(now))
-			if target.State == Draining {
-				target.Draining = now.Sub(member.DrainingSince)
-			}
-			update.Targets = append(update.Targets, target)
-		}
-	}
-	for _, id := range slices.Sorted(maps.Keys(v.removed)) {
-		if gone := v.removed[id]; gone.change > position.Change {
-			// The grace runs from the first word of it. Begun anew by each node
-			// that passes the word on, it let the last ones use a target that had
-			// left for longer than operators allow.
-			removal := gone.Removal
-			removal.Grace = max(0, removal.Grace-now.Sub(gone.at))
-			update.Removed = append(update.Removed, removal)
-		}
-	}
-	position.Change = v.change
-	return update, position
-}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -98,6 +98,9 @@
 	Own *mesh.Member
 	// Nodes is how many VMs the mesh has.
 	Nodes int
+	// Members grows with each change of the targets: two pictures with the same number
+	// above zero have the same targets.
+	Members uint64
 }
 
 // Proxy routes requests. It is safe for concurrent use.
@@ -115,6 +118,8 @@
 	endsBy     atomic.Pointer[time.Time]
 	open       atomic.Int64
 	attempts   atomic.Uint64
+	// peerAddresses holds the nodes' addresses by their targets'.
+	peerAddresses sync.Map
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -158,6 +163,9 @@
 	if picture.Own != nil && (before == nil || before.Own == nil || before.Own.Slots != picture.Own.Slots) {
 		p.gate.Configure(ownTerms(picture.Own.Slots))
 	}
+	if before != nil && picture.Members != 0 && before.Members == picture.Members {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.forgetGone(picture)
@@ -192,6 +200,12 @@
 			delete(p.stats, id)
 		}
 	}
+	p.peerAddresses.Range(func(target, address any) bool {
+		if !addresses[address.(string)] {
+			p.peerAddresses.Delete(target)
+		}
+		return true
+	})
 }
 
 func (p *Proxy) distance(member *mesh.Member) placement.Distance {
@@ -208,12 +222,17 @@
 
 // peerAddress is where the node of a target listens for other nodes.
 func (p *Proxy) peerAddress(member *mesh.Member) string {
+	if known, ok := p.peerAddresses.Load(member.Address); ok {
+		return known.(string)
+	}
 	host, _, err := net.SplitHostPort(member.Address)
 	if err != nil {
 		// Addresses are checked where they are decoded.
 		return member.Address
 	}
-	return net.JoinHostPort(host, strconv.Itoa(p.config.PeerPort))
+	address := net.JoinHostPort(host, strconv.Itoa(p.config.PeerPort))
+	p.peerAddresses.Store(member.Address, address)
+	return address
 }
 
 // Ready reports whether callers may be sent here.
--- a/internal/proxy/reach.go
+++ b/internal/proxy/reach.go
@@ -68,7 +68,9 @@
 }
 
 // isAway must be called with the mutex held.
-func (p *Proxy) isAway(member *mesh.Member) bool { return p.reach.away[p.peerAddress(member)] }
+func (p *Proxy) isAway(member *mesh.Member) bool {
+	return len(p.reach.away) > 0 && p.reach.away[p.peerAddress(member)]
+}
 
 // noteAway leaves a node out until a probe gets an answer.
 func (p *Proxy) noteAway(address string) {
