Spread updates through levels of nodes, and send none what it holds

Cause: the two readers of a region held a feed of each of its nodes. With a hundred nodes and links of 14 Mbit/s a change of 1,400 routes was on the reader's link for longer than a second, and beats alone were 17 KB/s of it at rest. A node that opened a feed got the whole view again, and one that stepped in for a reader listed the whole platform.

A view that becomes younger is passed on at once, not with the next beat, so that age doesn't grow by a beat with each level. Feeds and watches begin at the platform's revision that a node holds. The times scale with the bound only up to 1.4 (2 before): at 4 s a node stepped in when its view was so old that it took the loss of readers for an outage.

Ruled out: places in a heap by index (each departure would move most nodes).

TestSteppingInListsNothing fails where a node that steps in lists.

--- a/internal/adapter/feedws/feedws.go
+++ b/internal/adapter/feedws/feedws.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -20,8 +21,12 @@
 // Path is where nodes open a feed.
 const Path = "/peer/feed"
 
-// paramVersion names the version of the configuration that the follower holds.
-const paramVersion = "version"
+// Parameters of a request for a feed: the version of the configuration that the follower
+// holds, and the platform's counter up to which it holds every change.
+const (
+	paramVersion  = "version"
+	paramRevision = "revision"
+)
 
 const (
 	// maxUpdate bounds one update: a whole configuration of some ten
@@ -39,16 +44,16 @@
 
 // Source hands out updates.
 type Source interface {
-	Serve(ctx context.Context, host string, version uint64, send func(*mesh.Update) error) error
+	Serve(ctx context.Context, host string, held mesh.Held, send func(*mesh.Update) error) error
 }
 
 // NewHandler serves feeds of the source. Sent is told of the bytes that go out.
 func NewHandler(source Source, sent func(bytes int)) http.Handler {
 	encoder := &encoder{}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		version, err := strconv.ParseUint(r.URL.Query().Get(paramVersion), 10, 64)
+		held, err := decodeHeld(r.URL.Query())
 		if err != nil {
-			http.Error(w, "version: "+err.Error(), http.StatusBadRequest)
+			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
 		conn, err := websocket.Accept(w, r, nil)
@@ -58,7 +63,7 @@
 		defer conn.CloseNow()
 		// Nothing is read; this notices that the follower has gone.
 		ctx := conn.CloseRead(r.Context())
-		err = source.Serve(ctx, follow.HostOf(r.RemoteAddr), version, func(update *mesh.Update) error {
+		err = source.Serve(ctx, follow.HostOf(r.RemoteAddr), held, func(update *mesh.Update) error {
 			raw, err := encoder.encode(update)
 			if err != nil {
 				return err
@@ -73,6 +78,22 @@
 	})
 }
 
+func encodeHeld(held mesh.Held) url.Values {
+	return url.Values{
+		paramVersion:  {strconv.FormatUint(held.Version, 10)},
+		paramRevision: {strconv.FormatUint(held.Revision, 10)},
+	}
+}
+
+func decodeHeld(query url.Values) (mesh.Held, error) {
+	version, err := strconv.ParseUint(query.Get(paramVersion), 10, 64)
+	if err != nil {
+		return mesh.Held{}, errors.Wrap(err, paramVersion)
+	}
+	revision, err := strconv.ParseUint(query.Get(paramRevision), 10, 64)
+	return mesh.Held{Version: version, Revision: revision}, errors.Wrap(err, paramRevision)
+}
+
 func write(ctx context.Context, conn *websocket.Conn, raw []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
@@ -90,8 +111,8 @@
 }
 
 // Follow implements follow.Feed.
-func (c *Client) Follow(ctx context.Context, address string, version uint64, take func(*mesh.Update) error) error {
-	conn, err := c.open(ctx, address, version)
+func (c *Client) Follow(ctx context.Context, address string, held mesh.Held, take func(*mesh.Update) error) error {
+	conn, err := c.open(ctx, address, held)
 	if err != nil {
 		return err
 	}
@@ -108,11 +129,11 @@
 	}
 }
 
-func (c *Client) open(ctx context.Context, address string, version uint64) (*websocket.Conn, error) {
+func (c *Client) open(ctx context.Context, address string, held mesh.Held) (*websocket.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
-	url := "ws://" + address + Path + "?" + paramVersion + "=" + strconv.FormatUint(version, 10)
-	conn, _, err := websocket.Dial(ctx, url, &websocket.DialOptions{HTTPClient: c.http})
+	address = "ws://" + address + Path + "?" + encodeHeld(held).Encode()
+	conn, _, err := websocket.Dial(ctx, address, &websocket.DialOptions{HTTPClient: c.http})
 	return conn, errors.Wrap(err, "open feed")
 }
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -57,8 +57,8 @@
 // Feed receives the updates of another node.
 type Feed interface {
 	// Follow hands every update to take until the feed breaks or ctx
-	// ends. The version is that of the configuration which is held already.
-	Follow(ctx context.Context, address string, version uint64, take func(*mesh.Update) error) error
+	// ends. What is held already isn't sent again.
+	Follow(ctx context.Context, address string, held mesh.Held, take func(*mesh.Update) error) error
 }
 
 // Config is what a follower is told about its node.
@@ -90,8 +90,8 @@
 	retryFirst = 200 * time.Millisecond
 	// tickInterval is how often roles and neighbours are looked at again.
 	tickInterval = 100 * time.Millisecond
-	// greetInterval is how often a reader greets the nodes of its region that
-	// don't follow it.
+	// greetInterval is how often a node greets those that should follow it and
+	// don't.
 	greetInterval = 500 * time.Millisecond
 	// settle is for how long after an outage of the platform removals may be leases
 	// that ran out in it.
@@ -118,13 +118,18 @@
 	// current last.
 	nearerAt time.Time
 	changed  chan struct{}
-	hints    []string
+	// toldCurrent is when the view was known to be current as of the last wake of feeds.
+	toldCurrent time.Time
+	hints       []string
 	// feeds counts the open feeds by the host that follows.
 	feeds map[string]int
 	// broken holds the neighbours whose feeds have broken and not come back.
 	broken map[string]bool
 
-	revision uint64
+	// revision is where this node's watch of the platform stands; zero before the first
+	// listing, and where the platform has dropped what came after it (historyGone).
+	revision    uint64
+	historyGone bool
 	// returned is when the view was brought up to date after an outage of the
 	// platform, by this node's own reading or by a neighbour's word.
 	returned time.Time
@@ -163,6 +168,7 @@
 	if outage && !f.view.Outage(now) {
 		f.returned = now
 	}
+	defer f.wakeFeeds(now, f.view.Change() != before)
 	if f.view.Change() != before {
 		f.logTransitions(members, age, now.Sub(sent))
 		if f.view.Version() != version {
@@ -170,12 +176,23 @@
 				Int(logfield.Routes, len(f.view.Table().Config.Routes)).Msg("configuration in force")
 		}
 		f.onChange(f.view)
-		close(f.changed)
-		f.changed = make(chan struct{})
 	}
 	return err
 }
 
+// wakeFeeds lets the feeds that this node serves send, if the view has changed or has
+// become younger by as much as a beat: passed on with the beats alone, each step from the
+// reader to the last node would add one to the age of its view.
+func (f *Follower) wakeFeeds(now time.Time, changed bool) {
+	current := now.Add(-f.view.Age(now))
+	if !changed && (f.view.Age(now) < 0 || current.Sub(f.toldCurrent) < f.pace.beat) {
+		return
+	}
+	f.toldCurrent = current
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
 // noteNearer keeps the update of a reader that is much nearer to the platform.
 func (f *Follower) noteNearer(update *mesh.Update, sent time.Time) {
 	if update.Age < 0 || update.RTT == 0 || update.RTT*nearer > f.platform.RTT() {
@@ -215,18 +232,15 @@
 
 // Serve hands the neighbour on a host the updates that it lacks until ctx ends or
 // send fails.
-func (f *Follower) Serve(ctx context.Context, host string, version uint64, send func(*mesh.Update) error) error {
+func (f *Follower) Serve(ctx context.Context, host string, held mesh.Held, send func(*mesh.Update) error) error {
 	f.countFeed(host, 1)
 	defer f.countFeed(host, -1)
-	position := mesh.Position{}
-	first := true
 	began := f.clock.Now()
+	f.mu.Lock()
+	position := f.view.After(held)
+	f.mu.Unlock()
 	for {
 		f.mu.Lock()
-		if first && f.view.Table() != nil && f.view.Version() == version {
-			position.Config = f.view.Table().Config
-		}
-		first = false
 		now := f.clock.Now()
 		update, next := f.view.Since(now, position)
 		update.Sent = now.Sub(began)
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -22,8 +22,13 @@
 
 // simulateWithin is the same with another bound for changes.
 func simulateWithin(t *testing.T, within time.Duration, play func(t *testing.T, w *world)) {
+	simulateFleet(t, within, perDomain, play)
+}
+
+// simulateFleet is the same with so many nodes in each failure domain.
+func simulateFleet(t *testing.T, within time.Duration, perDomain int, play func(t *testing.T, w *world)) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(within)
+		w := newWorld(within, perDomain)
 		defer w.stop()
 		time.Sleep(5 * time.Second)
 		assert.Equal(t, len(w.lagging(1)), 0, "%v", w.lagging(1))
@@ -70,7 +75,7 @@
 			}
 		}},
 		{"both readers and those behind them are refused", func(w *world, _ []string) {
-			for _, id := range w.ranked(parents + 1) {
+			for _, id := range w.ranked(readers + 1) {
 				w.refused[id] = true
 			}
 		}},
@@ -214,7 +219,7 @@
 	for outage := 6 * time.Second; outage <= 12*time.Second; outage += 500 * time.Millisecond {
 		t.Run(outage.String(), func(t *testing.T) {
 			simulate(t, func(t *testing.T, w *world) {
-				readers := w.ranked(parents)
+				readers := w.ranked(readers)
 				w.platformAway()
 				time.Sleep(outage)
 				w.platformBack()
--- a/internal/follow/greet.go
+++ b/internal/follow/greet.go
@@ -7,10 +7,10 @@
 	"tamarackquay/internal/mesh"
 )
 
-// greetOthers lets nodes that don't follow this one know of it, while it is one
-// of the readers of their region. A process that restarts while the platform is
-// away knows nobody: its region's readers, which have a view, know its VM. Nodes
-// that follow already are left alone, so that a calm region greets nobody.
+// greetOthers lets nodes that should follow this one and don't know of it. A process
+// that restarts while the platform is away knows nobody: the nodes that it is to
+// follow, which have a view, know its VM. Nodes that follow already are left alone, so
+// that a calm region greets nobody.
 func (f *Follower) greetOthers(ctx context.Context) {
 	if f.config.Greet == nil {
 		return
@@ -31,17 +31,16 @@
 	f.config.Greet(ctx, address)
 }
 
-// strangers are the nodes of the region that should follow this one and don't.
+// strangers are the nodes that should follow this one and don't.
 func (f *Follower) strangers() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	o := f.currentOrder()
-	if o.rank >= parents || f.view.Table() == nil {
+	if f.view.Table() == nil {
 		return nil
 	}
 	var strangers []string
-	for _, vm := range o.region {
-		if vm.ID != f.config.Self && f.feeds[HostOf(vm.PeerAddress)] == 0 {
+	for _, vm := range f.currentOrder().followers() {
+		if f.feeds[HostOf(vm.PeerAddress)] == 0 {
 			strangers = append(strangers, vm.PeerAddress)
 		}
 	}
--- /dev/null
+++ b/internal/follow/large_test.go
@@ -0,0 +1,159 @@
+package follow
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tamarackquay/internal/mesh"
+)
+
+// A large fleet has two regions of a hundred nodes each.
+const (
+	largePerDomain = 50
+	largeWithin    = 4 * time.Second
+	// smallLink is 14 Mbit/s.
+	smallLink = 14e6 / 8
+	// manyRoutes is a large configuration.
+	manyRoutes = 1400
+)
+
+func routes(count int) []mesh.Route {
+	made := make([]mesh.Route, count)
+	for i := range made {
+		made[i] = mesh.Route{Name: fmt.Sprint("r-", i), Host: "h", Prefix: fmt.Sprintf("/%d/", i), Shares: []mesh.Share{{Service: "s", Weight: 1}}}
+	}
+	return made
+}
+
+// someNodes draws a part of the nodes, the readers of each region among them if asked for.
+func (w *world) someNodes(random *rand.Rand, part float64, withReaders bool) []string {
+	var drawn []string
+	if withReaders {
+		drawn = w.ranked(readers)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var ids []string
+	for id := range w.nodes {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	for _, id := range ids {
+		if len(drawn) < int(part*float64(len(ids))) && !slices.Contains(drawn, id) {
+			drawn = append(drawn, id)
+		}
+	}
+	return drawn
+}
+
+// Guards against a change that takes longer the more nodes follow a reader over a small
+// link, and against departures that wait behind it.
+func TestLargeFleetLearnsSoon(t *testing.T) {
+	simulateFleet(t, largeWithin, largePerDomain, func(t *testing.T, w *world) {
+		w.mu.Lock()
+		w.linkRate = smallLink
+		w.mu.Unlock()
+		w.takeSent()
+		w.publish(2, routes(manyRoutes)...)
+		w.remove("a1-7")
+		time.Sleep(time.Second)
+		assert.Equal(t, len(w.lagging(2)), 0, "%v", w.lagging(2))
+		used := w.stillUsed("a1-7")
+		assert.Equal(t, len(used), 0, "%v", used)
+		most, _ := w.takeSent()
+		// Each feed carries the routes once; twice where a node's parents are equally soon.
+		assert.Assert(t, most <= 2*spread.Most*(routeBytes*manyRoutes+entryBytes+10*beatBytes), "%d bytes", most)
+	})
+}
+
+// Guards against beats and reads at rest that grow with the fleet.
+func TestLargeFleetAtRest(t *testing.T) {
+	simulateFleet(t, largeWithin, largePerDomain, func(t *testing.T, w *world) {
+		time.Sleep(10 * time.Second)
+		w.takeReads()
+		w.takeSent()
+		const span = 20 * time.Second
+		time.Sleep(span)
+		reads := w.takeReads()
+		assert.Assert(t, reads <= int(span/time.Second), "%d reads", reads)
+		most, _ := w.takeSent()
+		perSecond := float64(most) / span.Seconds()
+		assert.Assert(t, perSecond <= 10e3, "%.0f bytes a second", perSecond)
+	})
+}
+
+// Guards against nodes that learn of a departure too late because the nodes between them
+// and the platform are lost with the readers.
+func TestLargeFleetLearnsThoughManyAreLost(t *testing.T) {
+	for _, test := range []struct {
+		desc        string
+		part        float64
+		withReaders bool
+		lose        func(w *world, id string)
+		// grace is for how long a target that left may stay in use besides: entries that
+		// go in an outage of the platform may come back.
+		grace time.Duration
+	}{
+		{"a third cut off from everybody", 0.33, false, func(w *world, id string) { w.cut[id] = true }, 0},
+		{"a third cut off, the readers among them", 0.33, true, func(w *world, id string) { w.cut[id] = true }, 0},
+		{"a third turned away by the platform, the readers among them", 0.33, true, func(w *world, id string) { w.refused[id] = true }, mesh.SuspectGrace},
+		{"half of the processes end, the readers among them", 0.5, true, func(w *world, id string) {
+			w.stops[id]()
+			w.cut[id] = true
+		}, 0},
+	} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprint(test.desc, " ", seed), func(t *testing.T) {
+				simulateFleet(t, largeWithin, largePerDomain, func(t *testing.T, w *world) {
+					random := rand.New(rand.NewPCG(seed, 1))
+					time.Sleep(time.Duration(random.Int64N(int64(2 * time.Second))))
+					lost := w.someNodes(random, test.part, test.withReaders)
+					w.mu.Lock()
+					for _, id := range lost {
+						test.lose(w, id)
+					}
+					w.mu.Unlock()
+					w.remove("a1-7")
+					w.publish(2)
+					time.Sleep(largeWithin * 9 / 10)
+					assert.Equal(t, len(w.lagging(2)), 0, "%v", w.lagging(2))
+					time.Sleep(test.grace)
+					used := slices.DeleteFunc(w.stillUsed("a1-7"), func(id string) bool { return w.cut[id] })
+					assert.Equal(t, len(used), 0, "%v", used)
+				})
+			})
+		}
+	}
+}
+
+// Guards against listings of the whole platform by each node that steps in for a reader:
+// it knows the view up to a moment ago.
+func TestSteppingInListsNothing(t *testing.T) {
+	simulateFleet(t, largeWithin, perDomain, func(t *testing.T, w *world) {
+		w.mu.Lock()
+		before := w.lists
+		w.mu.Unlock()
+		for range 3 {
+			for _, id := range w.ranked(readers) {
+				w.mu.Lock()
+				w.stops[id]()
+				w.cut[id] = true
+				w.mu.Unlock()
+			}
+			w.remove("a1-0")
+			time.Sleep(largeWithin)
+			for id, f := range w.nodes {
+				assert.Check(t, w.cut[id] || !f.knows("a1-0"), "%s", id)
+			}
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		assert.Equal(t, w.lists, before)
+	})
+}
--- a/internal/follow/neighbours.go
+++ b/internal/follow/neighbours.go
@@ -6,13 +6,20 @@
 	"slices"
 	"time"
 
+	"tamarackquay/internal/distribution"
 	"tamarackquay/internal/logfield"
+	"tamarackquay/internal/membership"
 	"tamarackquay/internal/mesh"
 )
 
-// parents is how many readers of its region each node follows: the one that
-// reads and the one that steps in first.
-const parents = 2
+// readers is how many readers a region has: the one that reads and the one that steps in
+// first.
+const readers = 2
+
+// spread bounds the feeds that a node serves. A reader that fed a whole region of some
+// hundred nodes sent each change over its link as often, and spent its processor time on
+// beats.
+var spread = distribution.Feeds{Readers: readers, Most: 24}
 
 // staleParents is how many nodes of its region a node follows whose view is old
 // though it tries to read the platform itself. The platform may turn away this
@@ -31,16 +38,15 @@
 			chosen = append(chosen, address)
 		}
 	}
-	addFirst := func(count int) {
-		for _, vm := range o.region[:min(count, len(o.region))] {
-			add(vm.PeerAddress)
-		}
+	for _, vm := range f.sources() {
+		add(vm.PeerAddress)
 	}
-	addFirst(parents)
 	if f.view.Age(f.clock.Now()) > f.pace.moreParentsAfter {
-		addFirst(staleParents)
+		for _, vm := range o.first(staleParents) {
+			add(vm.PeerAddress)
+		}
 	}
-	if o.rank < parents {
+	if o.rank < readers {
 		for _, vm := range o.strangers {
 			add(vm.PeerAddress)
 		}
@@ -53,6 +59,21 @@
 	return chosen
 }
 
+// sources are the nodes of the region that updates come from: this node's parents, and
+// the readers as well while a parent's feed is broken or its updates are late. It must be
+// called with the mutex held.
+func (f *Follower) sources() []membership.VM {
+	o := f.currentOrder()
+	late := f.view.Age(f.clock.Now()) > f.pace.fartherAfter
+	for _, vm := range o.parents {
+		late = late || f.broken[vm.PeerAddress]
+	}
+	if late {
+		return append(slices.Clip(o.parents), o.first(readers)...)
+	}
+	return o.parents
+}
+
 // followNeighbours keeps one feed open to each neighbour.
 func (f *Follower) followNeighbours(ctx context.Context) {
 	feeds := map[string]context.CancelFunc{}
@@ -93,13 +114,13 @@
 	}
 }
 
-// orphaned reports whether the feeds of all the region's readers that this node
-// follows have broken. It must be called with the mutex held.
+// orphaned reports whether the feeds of all nodes that updates come from have broken. It
+// must be called with the mutex held.
 func (f *Follower) orphaned() bool {
 	followed := 0
-	for i, vm := range f.currentOrder().region {
-		if i >= parents || vm.ID == f.config.Self {
-			break
+	for _, vm := range f.sources() {
+		if vm.ID == f.config.Self {
+			continue
 		}
 		if !f.broken[vm.PeerAddress] {
 			return false
@@ -114,10 +135,10 @@
 	lost := false
 	for ctx.Err() == nil {
 		f.mu.Lock()
-		version := f.view.Version()
+		held := f.view.Held()
 		f.mu.Unlock()
 		feed := transit{opened: f.clock.Now()}
-		err := f.feed.Follow(ctx, address, version, func(update *mesh.Update) error {
+		err := f.feed.Follow(ctx, address, held, func(update *mesh.Update) error {
 			sent := feed.sentAt(update.Sent, f.clock.Now())
 			if lost {
 				lost = false
--- a/internal/follow/order.go
+++ b/internal/follow/order.go
@@ -17,10 +17,26 @@
 	region []membership.VM
 	// rank is this node's place in it.
 	rank int
+	// parents are the nodes that this one follows, children those that follow it, which
+	// are worked out when they are asked for.
+	parents       []membership.VM
+	children      []membership.VM
+	childrenKnown bool
 	// strangers holds the first reader of each other region.
 	strangers []membership.VM
 }
 
+// first returns the first VMs of the region, so many at most.
+func (o *order) first(count int) []membership.VM { return o.region[:min(count, len(o.region))] }
+
+func (o *order) followers() []membership.VM {
+	if !o.childrenKnown {
+		o.children = spread.Children(o.region, o.rank)
+		o.childrenKnown = true
+	}
+	return o.children
+}
+
 // currentOrder returns the order of the view's members. It is worked out anew only when
 // they have changed: made on each tick, it took most of an idle node's processor time in
 // a fleet of some hundred VMs. It must be called with the mutex held.
@@ -33,6 +49,7 @@
 	self := f.self()
 	o := &order{members: members, region: distribution.ReaderOrder(self, vms)}
 	o.rank = slices.IndexFunc(o.region, func(vm membership.VM) bool { return vm.ID == self.ID })
+	o.parents = spread.Parents(o.region, o.rank)
 	for _, region := range f.otherRegions() {
 		if first, ok := distribution.FirstReader(region, vms); ok {
 			o.strangers = append(o.strangers, first)
--- a/internal/follow/pace.go
+++ b/internal/follow/pace.go
@@ -7,11 +7,12 @@
 const usualInForce = 2500 * time.Millisecond
 
 // leastScale and mostScale bound how far the times follow another bound: below, a
-// watch would cost several calls a second; above, nothing is saved any more that
-// counts, and a departed target would be known too late.
+// watch would cost several calls a second; above, the first node that steps in for lost
+// readers would find its view so old that it takes the loss for an outage of the platform,
+// and keep targets that left.
 const (
 	leastScale = 0.4
-	mostScale  = 2
+	mostScale  = 1.4
 )
 
 // pace holds the times that follow from how soon a change must be in force.
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -28,6 +28,7 @@
 		if errors.Is(err, ErrHistoryGone) {
 			f.log.Warn().Uint64(logfield.Revision, f.revision).Msg("platform dropped its history; listing anew")
 			f.revision = 0
+			f.historyGone = true
 			continue
 		}
 		f.noteContact(err)
@@ -92,8 +93,15 @@
 	return min(retryFirst<<min(failures-1, 8), most)
 }
 
-// readOnce lists the platform the first time and watches it then.
+// readOnce lists the platform the first time and watches it then. A node that knows the
+// view of a neighbour watches from there: a listing has all targets and the whole
+// configuration.
 func (f *Follower) readOnce(ctx context.Context) (changed bool, err error) {
+	if !f.historyGone {
+		f.mu.Lock()
+		f.revision = max(f.revision, f.view.Revision())
+		f.mu.Unlock()
+	}
 	if f.revision == 0 {
 		err := f.list(ctx)
 		f.countRead("list", err)
@@ -111,7 +119,7 @@
 		return false, err
 	}
 	f.revision = max(f.revision, changes.Revision)
-	update := &mesh.Update{Targets: changes.Targets, Removed: changes.Removed, RTT: f.platform.RTT()}
+	update := &mesh.Update{Targets: changes.Targets, Removed: changes.Removed, RTT: f.platform.RTT(), Revision: f.revision}
 	grace := f.removalGrace()
 	for i := range update.Removed {
 		update.Removed[i].Grace = grace
@@ -133,13 +141,14 @@
 	if err != nil {
 		return err
 	}
-	update := &mesh.Update{Targets: listing.Targets, RTT: f.platform.RTT()}
+	update := &mesh.Update{Targets: listing.Targets, RTT: f.platform.RTT(), Revision: listing.Revision}
 	grace := f.removalGrace()
 	f.mu.Lock()
 	update.Removed = f.view.Listed(listing.Targets, listing.Revision, grace)
 	f.mu.Unlock()
 	f.addConfig(update, listing.Config)
 	f.revision = listing.Revision
+	f.historyGone = false
 	return f.apply(update, listing.Answered)
 }
 
--- a/internal/follow/world_test.go
+++ b/internal/follow/world_test.go
@@ -37,6 +37,8 @@
 	targets map[string]mesh.Target
 	changed chan struct{}
 	reads   int
+	// lists counts the reads that were listings.
+	lists int
 	// refused and cut name nodes that the platform turns away, and that reach
 	// nobody and are reached by nobody.
 	refused map[string]bool
@@ -48,8 +50,14 @@
 	queued func(node string) time.Duration
 	// quiet nodes greet nobody.
 	quiet bool
-	nodes map[string]*Follower
-	stops map[string]context.CancelFunc
+	// linkRate is the speed of each node's link for updates in bytes a second; 0 for
+	// links that are never full. LinkFree is when what was sent last has left, sent
+	// the bytes that each node has sent.
+	linkRate float64
+	linkFree map[string]time.Time
+	sent     map[string]int
+	nodes    map[string]*Follower
+	stops    map[string]context.CancelFunc
 	// lives end with the process of a node, and with it the feeds that it serves.
 	lives   map[string]context.Context
 	running sync.WaitGroup
@@ -59,9 +67,10 @@
 
 const perDomain = 3
 
-func newWorld(within time.Duration) *world {
+func newWorld(within time.Duration, perDomain int) *world {
 	w := &world{
-		within:  within,
+		within:   within,
+		linkFree: map[string]time.Time{}, sent: map[string]int{},
 		targets: map[string]mesh.Target{}, changed: make(chan struct{}), revision: 1,
 		refused: map[string]bool{}, cut: map[string]bool{}, nodes: map[string]*Follower{}, stops: map[string]context.CancelFunc{}, lives: map[string]context.Context{},
 	}
@@ -110,11 +119,11 @@
 	w.changed = make(chan struct{})
 }
 
-func (w *world) publish(version uint64) {
+func (w *world) publish(version uint64, routes ...mesh.Route) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.revision++
-	w.config = &mesh.Config{Version: version}
+	w.config = &mesh.Config{Version: version, Routes: routes}
 	w.record(mesh.Update{Config: mesh.Diff(nil, w.config), Age: time.Duration(w.revision)})
 }
 
@@ -269,6 +278,7 @@
 	w := l.world
 	w.mu.Lock()
 	w.reads++
+	w.lists++
 	listing := &Listing{Config: w.config, Revision: w.revision, Answered: time.Now()}
 	for _, target := range w.targets {
 		listing.Targets = append(listing.Targets, target)
@@ -335,7 +345,7 @@
 	return changes
 }
 
-func (l *link) Follow(ctx context.Context, address string, version uint64, take func(*mesh.Update) error) error {
+func (l *link) Follow(ctx context.Context, address string, held mesh.Held, take func(*mesh.Update) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w := l.world
@@ -362,11 +372,11 @@
 			}
 		}
 	})
-	return other.Serve(ctx, l.node, version, func(update *mesh.Update) error {
+	return other.Serve(ctx, l.node, held, func(update *mesh.Update) error {
 		if w.isCut(l.node, address) {
 			return nil
 		}
-		queue <- queuedUpdate{update: update, due: time.Now().Add(w.queueAt(address))}
+		queue <- queuedUpdate{update: update, due: w.carry(address, update).Add(w.queueAt(address))}
 		return nil
 	})
 }
@@ -377,6 +387,52 @@
 	due    time.Time
 }
 
+// carry puts an update on the link of a node and returns when it has left.
+func (w *world) carry(node string, update *mesh.Update) time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	size := sizeOf(update)
+	w.sent[node] += size
+	if w.linkRate == 0 {
+		return time.Now()
+	}
+	free := w.linkFree[node]
+	if now := time.Now(); free.Before(now) {
+		free = now
+	}
+	w.linkFree[node] = free.Add(time.Duration(float64(size) / w.linkRate * float64(time.Second)))
+	return w.linkFree[node]
+}
+
+// Bytes of the parts of an update: about what CBOR takes, with routes compressed.
+const (
+	beatBytes   = 60
+	entryBytes  = 90
+	routeBytes  = 12
+	removeBytes = 20
+)
+
+func sizeOf(update *mesh.Update) int {
+	size := beatBytes + entryBytes*len(update.Targets) + removeBytes*len(update.Removed)
+	if update.Config != nil {
+		size += routeBytes * len(update.Config.Changed)
+	}
+	return size
+}
+
+// takeSent returns the bytes of the node that has sent most since it was last asked, and
+// of all nodes.
+func (w *world) takeSent() (most, all int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, bytes := range w.sent {
+		most = max(most, bytes)
+		all += bytes
+	}
+	clear(w.sent)
+	return most, all
+}
+
 func (w *world) queueAt(node string) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -260,3 +260,50 @@
 		})
 	}
 }
+
+// Guards against feeds that tell a neighbour again what it holds, and against ones that
+// leave out what is newer.
+func TestNeighbourGetsWhatIsNewerThanItHolds(t *testing.T) {
+	view := NewView()
+	assert.NilError(t, view.Apply(start, &Update{
+		Config:   Diff(nil, config(1, route("a", "h", "/a/"))),
+		Targets:  []Target{{ID: "i", State: Ready, Revision: 3}, {ID: "j", State: Ready, Revision: 5}, {ID: "k", State: Ready, Revision: 6}},
+		Revision: 6,
+	}))
+	assert.NilError(t, view.Apply(start, &Update{Removed: []Removal{{ID: "i", Revision: 7}}, Revision: 7}))
+	for _, test := range []struct {
+		desc             string
+		held             Held
+		targets, removed int
+		config           bool
+	}{
+		{"holds nothing", Held{}, 2, 1, true},
+		{"holds an older revision", Held{Version: 1, Revision: 5}, 1, 1, false},
+		{"holds everything but the last change", Held{Version: 1, Revision: 6}, 0, 1, false},
+		{"holds everything", view.Held(), 0, 0, false},
+		{"holds more", Held{Version: 2, Revision: 9}, 0, 0, true},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			update, position := view.Since(start, view.After(test.held))
+			assert.Equal(t, len(update.Targets), test.targets)
+			assert.Equal(t, len(update.Removed), test.removed)
+			assert.Equal(t, update.Config != nil, test.config)
+			assert.Equal(t, update.Revision, uint64(7))
+			update, _ = view.Since(start, position)
+			assert.Assert(t, update.Empty())
+		})
+	}
+}
+
+// Guards against a view that counts as whole up to a revision though a part of it could
+// not be taken.
+func TestViewIsWholeOnlyAfterAllOfAnUpdate(t *testing.T) {
+	view := NewView()
+	err := view.Apply(start, &Update{Config: &ConfigDelta{Base: 4, Version: 5}, Revision: 9})
+	assert.ErrorIs(t, err, ErrBase)
+	assert.Equal(t, view.Revision(), uint64(0))
+	assert.NilError(t, view.Apply(start, &Update{Age: -1, Revision: 9}))
+	assert.Equal(t, view.Revision(), uint64(0))
+	assert.NilError(t, view.Apply(start, &Update{Revision: 9}))
+	assert.Equal(t, view.Revision(), uint64(9))
+}
--- a/internal/mesh/since.go
+++ b/internal/mesh/since.go
@@ -11,11 +11,39 @@
 type Position struct {
 	Config *Config
 	Change uint64
+	// Revision is the platform's counter up to which the neighbour held every change
+	// before it was told anything.
+	Revision uint64
+}
+
+// Held is what a neighbour says that it holds when it opens a feed.
+type Held struct {
+	// Version is that of its configuration, Revision the platform's counter up to which
+	// it holds every change; zero where it holds none.
+	Version, Revision uint64
+}
+
+// Held returns what this view holds.
+func (v *View) Held() Held { return Held{Version: v.Version(), Revision: v.complete} }
+
+// After returns the position of a neighbour that holds so much and was told nothing yet.
+func (v *View) After(held Held) Position {
+	position := Position{Revision: held.Revision}
+	if v.table != nil && v.Version() == held.Version {
+		position.Config = v.table.Config
+	}
+	return position
+}
+
+// told reports whether the neighbour knows of a change of the view that the platform
+// counted as a revision.
+func (p *Position) told(change, revision uint64) bool {
+	return change <= p.Change || p.Revision > 0 && revision <= p.Revision
 }
 
 // Since returns what the neighbour lacks, and its position after that.
 func (v *View) Since(now time.Time, position Position) (*Update, Position) {
-	update := &Update{Age: v.Age(now), RTT: v.rtt}
+	update := &Update{Age: v.Age(now), RTT: v.rtt, Revision: v.complete}
 	if v.failed.After(v.verified) {
 		update.Failed = max(1, now.Sub(v.failed))
 	}
@@ -26,17 +54,18 @@
 		update.Config = v.stepFrom(position.Config)
 		position.Config = v.table.Config
 	}
-	update.Targets = v.targetsSince(now, position.Change)
-	update.Removed = v.removedSince(now, position.Change)
+	update.Targets = v.targetsSince(now, position)
+	update.Removed = v.removedSince(now, position)
 	position.Change = v.change
+	position.Revision = 0
 	return update, position
 }
 
-// targetsSince returns the targets that changed after a change of the view, by id.
-func (v *View) targetsSince(now time.Time, change uint64) []Target {
+// targetsSince returns the targets that changed after a position, by id.
+func (v *View) targetsSince(now time.Time, position Position) []Target {
 	var targets []Target
 	for _, member := range v.members {
-		if member.change <= change || !member.UsableUntil.IsZero() {
+		if position.told(member.change, member.Revision) || !member.UsableUntil.IsZero() {
 			continue
 		}
 		target := member.Target
@@ -50,11 +79,11 @@
 	return targets
 }
 
-// removedSince returns the removals after a change of the view, by id.
-func (v *View) removedSince(now time.Time, change uint64) []Removal {
+// removedSince returns the removals after a position, by id.
+func (v *View) removedSince(now time.Time, position Position) []Removal {
 	var removals []Removal
 	for _, gone := range v.removed {
-		if gone.change <= change {
+		if position.told(gone.change, gone.Revision) {
 			continue
 		}
 		// The grace runs from the first word of it. Begun anew by each node
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -71,6 +71,8 @@
 	// verified is the latest time at which the platform is known to have held
 	// nothing newer.
 	verified time.Time
+	// complete is the platform's counter up to which the view holds every change.
+	complete uint64
 	// rtt is the round trip to the platform of the node that verified it.
 	rtt time.Duration
 	// failed is the latest time at which a node's read of the platform is known to
@@ -96,6 +98,9 @@
 	// Failed is how long ago a read of the platform failed last, as far as the sender
 	// knows; zero when none has since its view was current.
 	Failed time.Duration `cbor:"f,omitempty"`
+	// Revision is the platform's counter up to which the sender holds every change;
+	// zero where it doesn't know.
+	Revision uint64 `cbor:"v,omitempty"`
 	// Sent is when the message was made, counted from the beginning of its feed by
 	// the sender's steady clock; zero where the sender doesn't say.
 	Sent time.Duration `cbor:"s,omitempty"`
@@ -121,6 +126,10 @@
 	return v.table.Config.Version
 }
 
+// Revision is the platform's counter up to which the view holds every change; zero while
+// it is not known to be whole.
+func (v *View) Revision() uint64 { return v.complete }
+
 // Age is how long ago the view was known to be current, or negative when it
 // never was.
 func (v *View) Age(now time.Time) time.Duration {
@@ -195,6 +204,7 @@
 	}
 	if err == nil && update.Age >= 0 {
 		v.verify(sent.Add(-update.Age), update.RTT)
+		v.complete = max(v.complete, update.Revision)
 	}
 	return err
 }
