Let a node that starts get its view from its neighbours

Change: a node that starts makes one cheap listing (a tenth of a call, not counted towards the platform's rate, seconds old), which tells it who else there is and most of the view. Readers then watch on from its newest revision; the others get what is newer, and the word that it is current, from their feeds. A view is not in force before it was known to be current. A node whose neighbours stay silent for 0.4 s and 5 ms for each rank reads the platform itself.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -45,6 +45,9 @@
 // Platform reads what operators and targets publish. Each call is paid for.
 type Platform interface {
 	List(ctx context.Context) (*Listing, error)
+	// ListCheaply returns what the platform held at some moment of the last seconds, as
+	// of a revision. It costs a fraction of List.
+	ListCheaply(ctx context.Context) (*Listing, error)
 	// Watch returns the changes after a revision as soon as there is one, and
 	// none when the wait is over. It returns ErrHistoryGone if the platform
 	// can't tell.
@@ -88,6 +91,10 @@
 	coalesce = 150 * time.Millisecond
 	// retryFirst is the pause after a first failed read.
 	retryFirst = 200 * time.Millisecond
+	// startPatience is for how long a node that starts waits for its neighbours before
+	// it reads the platform itself, and startGap how much longer for each rank.
+	startPatience = 400 * time.Millisecond
+	startGap      = 5 * time.Millisecond
 	// tickInterval is how often roles and neighbours are looked at again.
 	tickInterval = 100 * time.Millisecond
 	// greetInterval is how often a node greets those that should follow it and
@@ -130,6 +137,8 @@
 	// listing, and where the platform has dropped what came after it (historyGone).
 	revision    uint64
 	historyGone bool
+	// begun is when a cheap listing told this node who else there is; zero if none did.
+	begun time.Time
 	// returned is when the view was brought up to date after an outage of the
 	// platform, by this node's own reading or by a neighbour's word.
 	returned time.Time
@@ -168,18 +177,28 @@
 	if outage && !f.view.Outage(now) {
 		f.returned = now
 	}
-	defer f.wakeFeeds(now, f.view.Change() != before)
-	if f.view.Change() != before {
+	changed := f.view.Change() != before
+	if changed {
 		f.logTransitions(members, age, now.Sub(sent))
-		if f.view.Version() != version {
-			f.log.Info().Uint64(logfield.Version, f.view.Version()).Uint64(logfield.Before, version).
-				Int(logfield.Routes, len(f.view.Table().Config.Routes)).Msg("configuration in force")
-		}
-		f.onChange(f.view)
 	}
+	current := f.view.Age(now) >= 0
+	if first := current && age < 0; first || current && changed {
+		f.putInForce(version, first)
+	}
+	f.wakeFeeds(now, changed)
 	return err
 }
 
+// putInForce hands the view on. One that was never known to be current is held back:
+// routes that are gone by now would be served, and new ones not found.
+func (f *Follower) putInForce(before uint64, first bool) {
+	if version := f.view.Version(); version != 0 && (first || version != before) {
+		f.log.Info().Uint64(logfield.Version, version).Uint64(logfield.Before, before).
+			Int(logfield.Routes, len(f.view.Table().Config.Routes)).Msg("configuration in force")
+	}
+	f.onChange(f.view)
+}
+
 // wakeFeeds lets the feeds that this node serves send, if the view has changed or has
 // become younger by as much as a beat: passed on with the beats alone, each step from the
 // reader to the last node would add one to the age of its view.
--- a/internal/follow/large_test.go
+++ b/internal/follow/large_test.go
@@ -157,3 +157,84 @@
 		assert.Equal(t, w.lists, before)
 	})
 }
+
+// restartAll ends all processes at once and starts them again.
+func (w *world) restartAll() {
+	var ids []string
+	for id := range w.nodes {
+		ids = append(ids, id)
+	}
+	for _, id := range ids {
+		w.stops[id]()
+	}
+	time.Sleep(500 * time.Millisecond)
+	for _, id := range ids {
+		w.start(id)
+	}
+}
+
+// current returns how many nodes hold a view that was known to be current within a time.
+func (w *world) current(within time.Duration) int {
+	count := 0
+	for _, f := range w.nodes {
+		if age := f.Age(); age >= 0 && age <= within {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against a restart of a whole fleet that lists the platform as often as it has
+// nodes, and against one that is late for that.
+func TestRestartOfAllReadsLittle(t *testing.T) {
+	simulateFleet(t, largeWithin, largePerDomain, func(t *testing.T, w *world) {
+		w.takeReads()
+		w.restartAll()
+		time.Sleep(time.Second)
+		assert.Equal(t, w.current(time.Second), len(w.nodes))
+		assert.Equal(t, len(w.lagging(1)), 0, "%v", w.lagging(1))
+		w.assertMembers(t, len(w.nodes))
+		// Two readers a region, and what changes while they start.
+		reads := w.takeReads()
+		assert.Assert(t, reads <= 4*readers, "%d reads", reads)
+	})
+}
+
+// Guards against a node that starts from an old listing and serves routes that are gone,
+// or gives work to a target that left.
+func TestStartFromAnOldListing(t *testing.T) {
+	simulateFleet(t, largeWithin, largePerDomain, func(t *testing.T, w *world) {
+		w.publish(2)
+		w.remove("a1-7")
+		time.Sleep(cheapAge / 2)
+		w.restartAll()
+		for range 100 {
+			time.Sleep(10 * time.Millisecond)
+			for id, f := range w.nodes {
+				if f.Age() >= 0 {
+					f.mu.Lock()
+					version, known := f.view.Version(), f.view.Members()["a1-7"] != nil
+					f.mu.Unlock()
+					assert.Assert(t, version == 2 && !known, "%s", id)
+				}
+			}
+		}
+		assert.Equal(t, w.current(time.Second), len(w.nodes))
+	})
+}
+
+// Guards against a node that waits for neighbours which know nothing either: the platform
+// turns the readers away.
+func TestStartWithoutReaders(t *testing.T) {
+	simulateFleet(t, largeWithin, largePerDomain, func(t *testing.T, w *world) {
+		first := w.ranked(readers)
+		w.mu.Lock()
+		for _, id := range first {
+			w.refused[id] = true
+		}
+		w.mu.Unlock()
+		w.restartAll()
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, w.current(2*time.Second), len(w.nodes))
+	})
+}
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -14,6 +14,7 @@
 // read is the loop that reads the platform while this node is a reader or its
 // neighbours' word is old.
 func (f *Follower) read(ctx context.Context) {
+	f.begin(ctx)
 	failures := 0
 	for ctx.Err() == nil {
 		if !f.mayRead() {
@@ -43,6 +44,24 @@
 	}
 }
 
+// begin learns from a cheap listing who else there is, and most of the view. What is
+// missing comes from neighbours: a fleet that starts at once would else list the platform
+// as often as it has nodes.
+func (f *Follower) begin(ctx context.Context) {
+	listing, err := f.platform.ListCheaply(ctx)
+	f.countRead("cheap list", err)
+	if err != nil || listing.Config == nil {
+		f.log.Info().Err(err).Msg("no cheap listing; listing in full")
+		return
+	}
+	f.begun = f.clock.Now()
+	update := &mesh.Update{Targets: listing.Targets, Age: -1, Revision: listing.Revision}
+	f.addConfig(update, listing.Config)
+	if err := f.apply(update, listing.Answered); err != nil {
+		f.log.Warn().Err(err).Msg("cheap listing not taken")
+	}
+}
+
 // mayRead decides whether this node reads the platform now. The first reader of
 // a region does, unless one that is much nearer to the platform keeps its view
 // fresh: a whole configuration of 80 KB would else cross to each region with
@@ -52,10 +71,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	age := f.view.Age(f.clock.Now())
+	rank := f.rank()
 	if age < 0 {
-		return true
+		patience := startPatience + time.Duration(rank)*startGap
+		return rank < readers || f.begun.IsZero() || f.clock.Now().Sub(f.begun) > patience
 	}
-	rank := f.rank()
 	if rank == 0 {
 		return f.clock.Now().Sub(f.nearerAt) > f.pace.fartherAfter
 	}
@@ -108,9 +128,9 @@
 		return true, err
 	}
 	wait := f.pace.watchWait
-	if !f.lostAt.IsZero() {
-		// The first answer after an outage is wanted at once: it makes the view
-		// current for all who follow.
+	if !f.lostAt.IsZero() || f.Age() < 0 {
+		// The first answer of all and after an outage is wanted at once: it makes the
+		// view current for all who follow.
 		wait = 0
 	}
 	changes, err := f.platform.Watch(ctx, f.revision, wait)
--- a/internal/follow/world_test.go
+++ b/internal/follow/world_test.go
@@ -33,12 +33,16 @@
 	// history holds all changes; what is at or before dropped is forgotten.
 	history []mesh.Update
 	dropped uint64
-	config  *mesh.Config
-	targets map[string]mesh.Target
-	changed chan struct{}
-	reads   int
+	// recorded is when each of them happened.
+	recorded []time.Time
+	config   *mesh.Config
+	targets  map[string]mesh.Target
+	changed  chan struct{}
+	reads    int
 	// lists counts the reads that were listings.
 	lists int
+	// cheap counts the cheap listings, which are no reads.
+	cheap int
 	// refused and cut name nodes that the platform turns away, and that reach
 	// nobody and are reached by nobody.
 	refused map[string]bool
@@ -115,6 +119,7 @@
 
 func (w *world) record(update mesh.Update) {
 	w.history = append(w.history, update)
+	w.recorded = append(w.recorded, time.Now())
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
@@ -287,6 +292,42 @@
 	return listing, l.receive(ctx)
 }
 
+// cheapAge is how old what a cheap listing tells is.
+const cheapAge = 2 * time.Second
+
+// ListCheaply implements Platform.
+func (l *link) ListCheaply(ctx context.Context) (*Listing, error) {
+	if err := l.gate(ctx); err != nil {
+		return nil, err
+	}
+	w := l.world
+	w.mu.Lock()
+	w.cheap++
+	listing := &Listing{Answered: time.Now()}
+	targets := map[string]mesh.Target{}
+	for i, update := range w.history {
+		if time.Since(w.recorded[i]) < cheapAge {
+			break
+		}
+		if update.Config != nil {
+			listing.Config, _ = update.Config.Apply(nil)
+			listing.Revision = uint64(update.Age)
+		}
+		for _, target := range update.Targets {
+			targets[target.ID] = target
+			listing.Revision = target.Revision
+		}
+		for _, removal := range update.Removed {
+			delete(targets, removal.ID)
+		}
+	}
+	for _, target := range targets {
+		listing.Targets = append(listing.Targets, target)
+	}
+	w.mu.Unlock()
+	return listing, l.receive(ctx)
+}
+
 // receive waits until an answer of the platform is here whole.
 func (l *link) receive(ctx context.Context) error {
 	l.world.mu.Lock()
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -98,8 +98,8 @@
 	// Failed is how long ago a read of the platform failed last, as far as the sender
 	// knows; zero when none has since its view was current.
 	Failed time.Duration `cbor:"f,omitempty"`
-	// Revision is the platform's counter up to which the sender holds every change;
-	// zero where it doesn't know.
+	// Revision is the platform's counter up to which the sender holds every change, be
+	// its view current or not; zero where it doesn't know.
 	Revision uint64 `cbor:"v,omitempty"`
 	// Sent is when the message was made, counted from the beginning of its feed by
 	// the sender's steady clock; zero where the sender doesn't say.
@@ -202,11 +202,14 @@
 	if update.Failed > 0 {
 		v.NoteFailedRead(sent.Add(-update.Failed))
 	}
-	if err == nil && update.Age >= 0 {
+	if err != nil {
+		return err
+	}
+	v.complete = max(v.complete, update.Revision)
+	if update.Age >= 0 {
 		v.verify(sent.Add(-update.Age), update.RTT)
-		v.complete = max(v.complete, update.Revision)
 	}
-	return err
+	return nil
 }
 
 func (v *View) applyConfig(delta *ConfigDelta) error {
