Let no greeting hold up a planned stop

Cause: a stopping node waits for its follower, which greeted the nodes that should follow it and don't one after another, 0.2 s each where nobody answers, whatever its context said: with 24 nodes cut off that is up to 4.8 s beyond the end that the stop aims at.

Change: the greetings end with the follower's context, and so does a greeting.

Before: TestStopEndsGreetings, follower ends over 0.2 s after the stop. After: within.

--- a/internal/follow/greet.go
+++ b/internal/follow/greet.go
@@ -17,6 +17,9 @@
 	}
 	for f.pause(ctx, greetInterval) {
 		for _, address := range f.strangers() {
+			if ctx.Err() != nil {
+				return
+			}
 			f.config.Greet(ctx, address)
 		}
 	}
--- a/internal/follow/large_test.go
+++ b/internal/follow/large_test.go
@@ -238,3 +238,28 @@
 		assert.Equal(t, w.current(2*time.Second), len(w.nodes))
 	})
 }
+
+// Guards against a node that outlives its stop because it greets others, one after
+// another, that are cut off.
+func TestStopEndsGreetings(t *testing.T) {
+	simulateFleet(t, largeWithin, largePerDomain, func(t *testing.T, w *world) {
+		first := w.ranked(1)
+		w.mu.Lock()
+		w.greeting = 200 * time.Millisecond
+		for id := range w.nodes {
+			w.cut[id] = !slices.Contains(first, id)
+		}
+		w.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		for _, id := range first {
+			w.stops[id]()
+		}
+		stopped := time.Now()
+		time.Sleep(10 * time.Second)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for _, id := range first {
+			assert.Assert(t, w.ended[id].Sub(stopped) <= w.greeting, "%s after %s", id, w.ended[id].Sub(stopped))
+		}
+	})
+}
--- a/internal/follow/world_test.go
+++ b/internal/follow/world_test.go
@@ -65,6 +65,10 @@
 	// lives end with the process of a node, and with it the feeds that it serves.
 	lives   map[string]context.Context
 	running sync.WaitGroup
+	// greeting is how long a greeting takes that nobody answers, ended when the followers
+	// of nodes that were stopped had ended.
+	greeting time.Duration
+	ended    map[string]time.Time
 }
 
 var regions = map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
@@ -74,6 +78,7 @@
 func newWorld(within time.Duration, perDomain int) *world {
 	w := &world{
 		within:   within,
+		ended:    map[string]time.Time{},
 		linkFree: map[string]time.Time{}, sent: map[string]int{},
 		targets: map[string]mesh.Target{}, changed: make(chan struct{}), revision: 1,
 		refused: map[string]bool{}, cut: map[string]bool{}, nodes: map[string]*Follower{}, stops: map[string]context.CancelFunc{}, lives: map[string]context.Context{},
@@ -107,7 +112,12 @@
 	w.stops[id] = stop
 	w.lives[id] = ctx
 	w.mu.Unlock()
-	w.running.Go(func() { f.Run(ctx) })
+	w.running.Go(func() {
+		f.Run(ctx)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.ended[id] = time.Now()
+	})
 }
 
 func (w *world) stop() {
@@ -155,7 +165,11 @@
 		w.mu.Lock()
 		other := w.nodes[address]
 		quiet := w.quiet
+		greeting := w.greeting
 		w.mu.Unlock()
+		if w.isCut(from, address) {
+			time.Sleep(greeting)
+		}
 		if other != nil && !quiet && !w.isCut(from, address) {
 			other.Hint(from)
 		}
--- a/internal/proxy/reach.go
+++ b/internal/proxy/reach.go
@@ -90,7 +90,7 @@
 	pause := probeFirst
 	for wait.Sleep(context.Background(), pause) {
 		pause = min(2*pause, probeMost)
-		if p.listed(address) && p.ping(address, pingTimeout+firstTrip) != nil {
+		if p.listed(address) && p.ping(context.Background(), address, pingTimeout+firstTrip) != nil {
 			continue
 		}
 		p.mu.Lock()
@@ -104,8 +104,8 @@
 const firstTrip = 100 * time.Millisecond
 
 // Greet reaches the node at an address, whether it answers or not.
-func (p *Proxy) Greet(_ context.Context, address string) {
-	if err := p.ping(address, pingTimeout+firstTrip); err != nil {
+func (p *Proxy) Greet(ctx context.Context, address string) {
+	if err := p.ping(ctx, address, pingTimeout+firstTrip); err != nil {
 		p.ports.Log.Debug().Str(logfield.Neighbour, address).Err(err).Msg("greeting not answered")
 	}
 }
@@ -121,8 +121,8 @@
 	return false
 }
 
-func (p *Proxy) ping(address string, timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+func (p *Proxy) ping(ctx context.Context, address string, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	response, err := p.ports.Peers.Do(ctx, address, &exchange.Request{Method: http.MethodGet, URI: PingPath, Host: "peer", Header: http.Header{}})
 	if err != nil {
@@ -147,7 +147,7 @@
 	if !doubt {
 		return nil
 	}
-	if err := p.ping(address, pingTimeout+firstTrip); err != nil {
+	if err := p.ping(context.Background(), address, pingTimeout+firstTrip); err != nil {
 		p.noteAway(address)
 		return port.Refuse(port.ReasonUnreachable, retryUnreachable, "no sign of life: %v", err)
 	}
