Send large changes of the configuration in parts, departures between them

A receiver puts parts together from all its neighbours and puts the whole in force, or nothing; its view isn't current before the last part. A version that was replaced is given up in the middle.

Ruled out: sending from two goroutines a feed (the order of versions would hang on the scheduler).

Left: a kernel's send buffer holds parts that were written before the departure.

--- a/internal/adapter/feedws/codec.go
+++ b/internal/adapter/feedws/codec.go
@@ -21,9 +21,9 @@
 	Config []byte `cbor:"c,omitempty"`
 }
 
-// keptDeltas is how many compressed deltas are kept: followers ask for a change at
-// about the same time, and a storm of changes has a few at a time.
-const keptDeltas = 4
+// keptDeltas is how many compressed deltas and parts of them are kept: followers ask for a
+// change at about the same time, and a storm of changes has a few at a time.
+const keptDeltas = 48
 
 // encoder makes messages. It compresses a delta once for all followers. It is
 // safe for concurrent use.
@@ -32,10 +32,15 @@
 	kept []encodedDelta
 }
 
-// encodedDelta is a delta by its versions, which say all that it holds.
+// encodedDelta is a delta, or a part of one, by what says all that it holds.
 type encodedDelta struct {
+	of  deltaID
+	raw []byte
+}
+
+type deltaID struct {
 	base, version uint64
-	raw           []byte
+	part, parts   int
 }
 
 func (e *encoder) encode(update *mesh.Update) ([]byte, error) {
@@ -58,8 +63,9 @@
 func (e *encoder) delta(d *mesh.ConfigDelta) ([]byte, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	id := deltaID{d.Base, d.Version, d.Part, d.Parts}
 	for _, kept := range e.kept {
-		if kept.base == d.Base && kept.version == d.Version {
+		if kept.of == id {
 			return kept.raw, nil
 		}
 	}
@@ -70,7 +76,7 @@
 	if len(e.kept) == keptDeltas {
 		e.kept = e.kept[1:]
 	}
-	e.kept = append(e.kept, encodedDelta{base: d.Base, version: d.Version, raw: raw})
+	e.kept = append(e.kept, encodedDelta{of: id, raw: raw})
 	return raw, nil
 }
 
--- a/internal/adapter/feedws/feedws_test.go
+++ b/internal/adapter/feedws/feedws_test.go
@@ -67,7 +67,7 @@
 	_, err = e.encode(update)
 	assert.NilError(t, err)
 	assert.Equal(t, len(e.kept), 1)
-	for version := range uint64(10) {
+	for version := range uint64(keptDeltas + 10) {
 		_, err := e.encode(&mesh.Update{Config: &mesh.ConfigDelta{Base: version, Version: version + 10}})
 		assert.NilError(t, err)
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -269,6 +269,9 @@
 			return err
 		}
 		position = next
+		if position.Pending() {
+			continue
+		}
 		if err := f.awaitChange(ctx, changed); err != nil {
 			return err
 		}
--- a/internal/follow/large_test.go
+++ b/internal/follow/large_test.go
@@ -72,6 +72,23 @@
 	})
 }
 
+// Guards against a departure that waits behind a large configuration where callers leave a
+// tenth of the links.
+func TestDepartureGoesBeforeALargeChange(t *testing.T) {
+	simulateFleet(t, largeWithin, largePerDomain, func(t *testing.T, w *world) {
+		w.mu.Lock()
+		w.linkRate = smallLink / 10
+		w.mu.Unlock()
+		w.publish(2, routes(manyRoutes)...)
+		time.Sleep(300 * time.Millisecond)
+		assert.Assert(t, len(w.lagging(2)) > 0, "the change was there at once")
+		w.remove("a1-7")
+		time.Sleep(time.Second)
+		used := w.stillUsed("a1-7")
+		assert.Equal(t, len(used), 0, "%v", used)
+	})
+}
+
 // Guards against beats and reads at rest that grow with the fleet.
 func TestLargeFleetAtRest(t *testing.T) {
 	simulateFleet(t, largeWithin, largePerDomain, func(t *testing.T, w *world) {
--- a/internal/follow/world_test.go
+++ b/internal/follow/world_test.go
@@ -431,7 +431,10 @@
 		if w.isCut(l.node, address) {
 			return nil
 		}
-		queue <- queuedUpdate{update: update, due: w.carry(address, update).Add(w.queueAt(address))}
+		// A feed's window holds one message: the next one is made when it has left.
+		left := w.carry(address, update)
+		wait.Sleep(ctx, time.Until(left))
+		queue <- queuedUpdate{update: update, due: time.Now().Add(w.queueAt(address))}
 		return nil
 	})
 }
--- /dev/null
+++ b/internal/mesh/parts_test.go
@@ -0,0 +1,117 @@
+package mesh
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func manyRoutes(count int, prefix string) []Route {
+	made := make([]Route, count)
+	for i := range made {
+		made[i] = route(fmt.Sprint("r", i), "h", fmt.Sprintf("/%s%d/", prefix, i))
+	}
+	return made
+}
+
+// Guards against a configuration that is in force in part, or put together from parts of
+// different steps: parts come in any order, twice, and of two versions at once.
+func TestPartsMakeTheWholeOrNothing(t *testing.T) {
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		versions := []*Config{
+			config(1, manyRoutes(random.IntN(600), "a")...),
+			config(2, manyRoutes(random.IntN(600), "b")...),
+			config(3, manyRoutes(random.IntN(600), "c")...),
+		}
+		var parts []*ConfigDelta
+		for range 2 {
+			parts = append(parts, Diff(versions[0], versions[1]).Split()...)
+			parts = append(parts, Diff(versions[0], versions[2]).Split()...)
+			parts = append(parts, Diff(nil, versions[2]).Split()...)
+		}
+		random.Shuffle(len(parts), func(i, j int) { parts[i], parts[j] = parts[j], parts[i] })
+		view := NewView()
+		assert.NilError(t, view.Apply(start, &Update{Config: Diff(nil, versions[0])}))
+		for _, part := range parts {
+			assert.NilError(t, view.Apply(start, &Update{Config: part, More: part.Part+1 < part.Parts}))
+			inForce := view.Table().Config
+			whole := versions[inForce.Version-1]
+			assert.Equal(t, len(inForce.Routes), len(whole.Routes))
+			want := map[string]Route{}
+			for _, route := range whole.Routes {
+				want[route.Name] = route
+			}
+			for _, route := range inForce.Routes {
+				other := want[route.Name]
+				assert.Assert(t, route.Equal(&other))
+			}
+		}
+		assert.Equal(t, view.Version(), uint64(3))
+	}
+}
+
+// Guards against a departure that waits until a large configuration has been sent.
+func TestDepartureGoesBetweenParts(t *testing.T) {
+	view := NewView()
+	assert.NilError(t, view.Apply(start, &Update{
+		Config: Diff(nil, config(1, manyRoutes(1400, "a")...)), Targets: []Target{{ID: "i", State: Ready, Revision: 3}}, Revision: 3,
+	}))
+	update, position := view.Since(start, view.After(Held{}))
+	assert.Equal(t, len(update.Targets), 1)
+	assert.Assert(t, update.More && position.Pending())
+	assert.Assert(t, len(update.Config.Changed) <= routesPerPart)
+	assert.NilError(t, view.Apply(start, &Update{Removed: []Removal{{ID: "i", Revision: 4}}, Revision: 4}))
+	update, position = view.Since(start, position)
+	assert.Equal(t, len(update.Removed), 1)
+	for position.Pending() {
+		update, position = view.Since(start, position)
+		assert.Equal(t, len(update.Removed), 0)
+	}
+	assert.Assert(t, !update.More)
+	assert.Equal(t, update.Config.Part+1, update.Config.Parts)
+}
+
+// Guards against a view that counts as current though parts of the configuration that
+// makes it so are missing.
+func TestViewIsNotCurrentBeforeTheLastPart(t *testing.T) {
+	from, to := NewView(), NewView()
+	assert.NilError(t, from.Apply(start, &Update{Config: Diff(nil, config(1, manyRoutes(300, "a")...)), Revision: 7}))
+	position := from.After(Held{})
+	for {
+		update, next := from.Since(start, position)
+		assert.NilError(t, to.Apply(start, update))
+		position = next
+		if !position.Pending() {
+			break
+		}
+		assert.Assert(t, to.Age(start) < 0)
+		assert.Equal(t, to.Revision(), uint64(0))
+	}
+	assert.Equal(t, to.Age(start), from.Age(start))
+	assert.Equal(t, to.Held(), from.Held())
+}
+
+// Guards against a new version that waits for the rest of the one it replaces.
+func TestReplacedConfigurationIsNotSentToItsEnd(t *testing.T) {
+	view := NewView()
+	assert.NilError(t, view.Apply(start, &Update{Config: Diff(nil, config(1, manyRoutes(1400, "a")...))}))
+	_, position := view.Since(start, view.After(Held{}))
+	assert.NilError(t, view.Apply(start, &Update{Config: Diff(nil, config(2, manyRoutes(3, "b")...))}))
+	update, position := view.Since(start, position)
+	assert.Equal(t, update.Config.Version, uint64(2))
+	assert.Assert(t, !position.Pending() && !update.More)
+}
+
+// Guards against a broken neighbour that makes this node hold memory for ever more parts.
+func TestTooManyPartsAreRefused(t *testing.T) {
+	view := NewView()
+	assert.ErrorIs(t, view.Apply(start, &Update{Config: &ConfigDelta{Version: 1, Parts: 1 << 30}}), ErrParts)
+	for version := range uint64(20) {
+		assert.NilError(t, view.Apply(start, &Update{Config: &ConfigDelta{Version: version + 1, Parts: 2}, More: true}))
+	}
+	assert.Equal(t, len(view.assemblies), keptAssemblies)
+	assert.NilError(t, view.Apply(start, &Update{Config: &ConfigDelta{Version: 20, Parts: 2, Part: -1}, More: true}))
+}
--- a/internal/mesh/since.go
+++ b/internal/mesh/since.go
@@ -11,6 +11,9 @@
 type Position struct {
 	Config *Config
 	Change uint64
+	// sending is the configuration of which so many parts were sent; nil for none.
+	sending *Config
+	parts   int
 	// Revision is the platform's counter up to which the neighbour held every change
 	// before it was told anything.
 	Revision uint64
@@ -41,26 +44,47 @@
 	return change <= p.Change || p.Revision > 0 && revision <= p.Revision
 }
 
-// Since returns what the neighbour lacks, and its position after that.
+// Since returns what the neighbour lacks, and its position after that. A large change of
+// the configuration comes in parts, one each time: what else changes goes before the next
+// one, so that no departure waits for a configuration.
 func (v *View) Since(now time.Time, position Position) (*Update, Position) {
 	update := &Update{Age: v.Age(now), RTT: v.rtt, Revision: v.complete}
 	if v.failed.After(v.verified) {
 		update.Failed = max(1, now.Sub(v.failed))
 	}
-	if position.Change == v.change {
-		return update, position
+	if position.Change != v.change {
+		update.Targets = v.targetsSince(now, position)
+		update.Removed = v.removedSince(now, position)
+		position.Change = v.change
+		position.Revision = 0
 	}
-	if v.table != nil && v.configChange > position.Change && v.table.Config != position.Config {
-		update.Config = v.stepFrom(position.Config)
-		position.Config = v.table.Config
-	}
-	update.Targets = v.targetsSince(now, position)
-	update.Removed = v.removedSince(now, position)
-	position.Change = v.change
-	position.Revision = 0
+	update.Config, position = v.nextPart(position)
+	update.More = position.sending != nil
 	return update, position
 }
 
+// Pending reports whether parts of a configuration are still to be sent.
+func (p *Position) Pending() bool { return p.sending != nil }
+
+// nextPart returns the next part of the configuration that the neighbour lacks, or nil. A
+// configuration that was replaced before all its parts were sent is given up.
+func (v *View) nextPart(position Position) (*ConfigDelta, Position) {
+	if v.table == nil || v.table.Config == position.Config {
+		position.sending = nil
+		return nil, position
+	}
+	if position.sending != v.table.Config {
+		position.sending, position.parts = v.table.Config, 0
+	}
+	parts := v.stepFrom(position.Config)
+	part := parts[position.parts]
+	position.parts++
+	if position.parts == len(parts) {
+		position.Config, position.sending = v.table.Config, nil
+	}
+	return part, position
+}
+
 // targetsSince returns the targets that changed after a position, by id.
 func (v *View) targetsSince(now time.Time, position Position) []Target {
 	var targets []Target
@@ -100,26 +124,26 @@
 // step is the difference of two configurations.
 type step struct {
 	from, to *Config
-	delta    *ConfigDelta
+	parts    []*ConfigDelta
 }
 
 // keptSteps is how many differences are kept: neighbours ask for a change at about
 // the same time, from a few versions.
 const keptSteps = 4
 
-// stepFrom returns what turns a configuration, nil for none, into the one in force.
-// Neighbours share the result, which must not be changed.
-func (v *View) stepFrom(from *Config) *ConfigDelta {
+// stepFrom returns what turns a configuration, nil for none, into the one in force, in
+// parts. Neighbours share the result, which must not be changed.
+func (v *View) stepFrom(from *Config) []*ConfigDelta {
 	to := v.table.Config
 	for _, s := range v.steps {
 		if s.from == from && s.to == to {
-			return s.delta
+			return s.parts
 		}
 	}
 	if len(v.steps) == keptSteps {
 		v.steps = slices.Delete(v.steps, 0, 1)
 	}
-	delta := Diff(from, to)
-	v.steps = append(v.steps, step{from, to, delta})
-	return delta
+	parts := Diff(from, to).Split()
+	v.steps = append(v.steps, step{from, to, parts})
+	return parts
 }
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -59,15 +59,16 @@
 	members map[string]*Member
 	removed map[string]removed
 	// change counts the view's own changes, and tells what a neighbour lacks.
-	change       uint64
-	configChange uint64
+	change uint64
 	// membersChange counts the changes of members alone.
 	membersChange uint64
 	// latest holds the target of the latest start by address, as of latestChange.
 	latest       map[string]*Member
 	latestChange uint64
-	// steps holds the last differences between configurations.
-	steps []step
+	// steps holds the last differences between configurations, assemblies those of
+	// which parts have come.
+	steps      []step
+	assemblies []*assembly
 	// verified is the latest time at which the platform is known to have held
 	// nothing newer.
 	verified time.Time
@@ -101,6 +102,9 @@
 	// Revision is the platform's counter up to which the sender holds every change, be
 	// its view current or not; zero where it doesn't know.
 	Revision uint64 `cbor:"v,omitempty"`
+	// More says that parts of the configuration follow without which the receiver's view
+	// isn't as current as the sender's.
+	More bool `cbor:"m,omitempty"`
 	// Sent is when the message was made, counted from the beginning of its feed by
 	// the sender's steady clock; zero where the sender doesn't say.
 	Sent time.Duration `cbor:"s,omitempty"`
@@ -202,7 +206,7 @@
 	if update.Failed > 0 {
 		v.NoteFailedRead(sent.Add(-update.Failed))
 	}
-	if err != nil {
+	if err != nil || update.More {
 		return err
 	}
 	v.complete = max(v.complete, update.Revision)
@@ -216,6 +220,10 @@
 	if v.held(delta.Version) != nil {
 		return nil
 	}
+	delta, err := v.assemble(delta)
+	if delta == nil {
+		return err
+	}
 	config, err := delta.Apply(v.held(delta.Base))
 	older := delta.Version <= v.Version()
 	if err != nil && older {
@@ -233,7 +241,6 @@
 		return nil
 	}
 	v.change++
-	v.configChange = v.change
 	v.table = NewTable(config)
 	return nil
 }
