Look at targets further away only where they can be the cheaper choice

Cause: each offer compared all targets of a service, with an address put together for each, under the proxy's one mutex.

Change: targets are kept by distance, with what is known of them; a group further away is looked at only if the least that its bytes cost is below the best of the nearer ones. The choice is the same, but for the order of the random parts.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -21,7 +21,8 @@
 	SameDomain
 	SameRegion
 	OtherRegion
-	distances
+	// Distances is how many there are.
+	Distances
 )
 
 // DefaultHalfBytes is the size from which bytes weigh half where nobody sets it.
@@ -41,6 +42,10 @@
 	return bytes / (bytes + r.HalfBytes)
 }
 
+// Least is a bound that no target at a distance costs less than. Nearer targets that cost
+// no more need not be compared with it.
+func (r *Request) Least(distance Distance) float64 { return r.outside(distance) }
+
 // HeaderBytes is about what the headers of a message between nodes take, HopBytes
 // what those of a request and its answer take.
 const (
@@ -49,7 +54,7 @@
 )
 
 // firstRTT is the round trip that is assumed until one was measured.
-var firstRTT = [distances]time.Duration{0, 500 * time.Microsecond, 2 * time.Millisecond, 40 * time.Millisecond}
+var firstRTT = [Distances]time.Duration{0, 500 * time.Microsecond, 2 * time.Millisecond, 40 * time.Millisecond}
 
 // Weights of what was observed.
 const (
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -102,3 +103,20 @@
 	}
 	assert.Assert(t, s.Cost(start, lookup) > before+0.05)
 }
+
+// Guards against a nearer target that is taken though one outside costs less: whoever looks
+// at targets by distance relies on the bound.
+func TestNoTargetCostsLessThanTheLeastOfItsDistance(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 2000 {
+		r := Request{
+			Work: Work{Hold: time.Duration(random.IntN(500)) * time.Millisecond, Bytes: float64(random.IntN(200e3))},
+			Left: time.Duration(random.IntN(3000)-500) * time.Millisecond, Sent: float64(random.IntN(10e3)),
+			HalfBytes: []float64{0, 1e3, DefaultHalfBytes}[random.IntN(3)],
+		}
+		stats := Stats{Distance: Distance(random.IntN(int(Distances))), Slots: random.IntN(10), open: random.IntN(30), failing: random.Float64()}
+		cost := stats.Cost(start, &r)
+		assert.Assert(t, cost >= r.Least(stats.Distance), "%v costs %v", stats, cost)
+		assert.Assert(t, stats.Distance == SameVM || r.Least(stats.Distance) >= r.Least(stats.Distance-1))
+	}
+}
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -24,24 +24,49 @@
 	return f.cheapest(now, request, true)
 }
 
-// cheapest must be called with the proxy's mutex held.
+// candidate is a target that may be chosen.
+type candidate struct {
+	member *mesh.Member
+	stats  *placement.Stats
+}
+
+// candidates are the targets of one service by distance.
+type candidates [placement.Distances][]candidate
+
+// cheapest must be called with the proxy's mutex held. Targets further away are looked at
+// only if they can be cheaper than the best of the nearer ones: a service of some hundred
+// targets has most of them outside.
 func (f *flight) cheapest(now time.Time, request *placement.Request, avoided bool) *mesh.Member {
-	p := f.proxy
 	var best *mesh.Member
 	least := 0.0
-	for _, member := range f.picture.Services[f.service] {
-		stats := p.stats[member.ID]
-		if f.tried[member.ID] || stats == nil || !member.Usable(now) || !avoided && (!stats.Available(now) || p.isAway(member)) {
-			continue
+	groups := f.proxy.candidates[f.service]
+	if groups == nil {
+		return nil
+	}
+	for distance, group := range groups {
+		if best != nil && least <= request.Least(placement.Distance(distance)) {
+			break
 		}
-		cost := stats.Cost(now, request) + tieBreak*p.random.Float64()
-		if best == nil || cost < least {
-			best, least = member, cost
+		for _, c := range group {
+			if !f.mayChoose(now, c, avoided) {
+				continue
+			}
+			cost := c.stats.Cost(now, request) + tieBreak*f.proxy.random.Float64()
+			if best == nil || cost < least {
+				best, least = c.member, cost
+			}
 		}
 	}
 	return best
 }
 
+func (f *flight) mayChoose(now time.Time, c candidate, avoided bool) bool {
+	if f.tried[c.member.ID] || !c.member.Usable(now) {
+		return false
+	}
+	return avoided || c.stats.Available(now) && !f.proxy.isAway(c.member)
+}
+
 // tieBreak is the random part of a cost: nodes that know the same of two equal
 // targets would otherwise all take the same one.
 const tieBreak = 0.02
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -125,12 +125,14 @@
 	random   *rand.Rand
 	splitter mesh.Splitter
 	stats    map[string]*placement.Stats
-	work     map[string]*placement.Work
-	repeats  *retry.Ledger
-	callers  *clientretry.Memory
-	held     holds
-	reach    reachability
-	link     *link.Share
+	// candidates holds the usable targets by service.
+	candidates map[string]*candidates
+	work       map[string]*placement.Work
+	repeats    *retry.Ledger
+	callers    *clientretry.Memory
+	held       holds
+	reach      reachability
+	link       *link.Share
 	// turns orders the large answers that are sent to other nodes; turnComes
 	// holds what is closed when the turn of a waiting one comes.
 	turns     link.Turns
@@ -169,20 +171,28 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.forgetGone(picture)
-	for _, members := range picture.Services {
+	p.candidates = make(map[string]*candidates, len(picture.Services))
+	for service, members := range picture.Services {
+		found := &candidates{}
 		for _, member := range members {
-			p.addStats(member)
+			stats := p.statsOf(member)
+			found[stats.Distance] = append(found[stats.Distance], candidate{member, stats})
 		}
+		p.candidates[service] = found
 	}
 }
 
-func (p *Proxy) addStats(member *mesh.Member) {
-	if known := p.stats[member.ID]; known != nil {
-		known.Slots = member.Slots
-		known.WarmAt = member.WarmAt
-		return
+// statsOf brings what is known of a target up to date. It must be called with the mutex
+// held.
+func (p *Proxy) statsOf(member *mesh.Member) *placement.Stats {
+	known := p.stats[member.ID]
+	if known == nil {
+		known = &placement.Stats{Distance: p.distance(member)}
+		p.stats[member.ID] = known
 	}
-	p.stats[member.ID] = &placement.Stats{Distance: p.distance(member), Slots: member.Slots, WarmAt: member.WarmAt}
+	known.Slots = member.Slots
+	known.WarmAt = member.WarmAt
+	return known
 }
 
 func (p *Proxy) forgetGone(picture *Picture) {
