Let few nodes of a region ask a platform that is away

Cause: every node whose view got old tried the platform again and again, one rank 84 ms after the other and then every 1.4 s at least: 757 calls of 200 nodes in an outage of 8 s. Each is paid for, refused or not, and one answer is enough for a region.

Change: the first eight ranks of a region step in and try again as before; the next eight wait twice as long for both, and so on.

--- a/internal/follow/large_test.go
+++ b/internal/follow/large_test.go
@@ -280,3 +280,26 @@
 		}
 	})
 }
+
+// Guards against an outage of the platform in which every node of a large fleet goes on
+// asking it, and against one whose end is noticed late for that.
+func TestOutageIsAskedForByFew(t *testing.T) {
+	const outage = 8 * time.Second
+	for _, perDomain := range []int{perDomain, largePerDomain} {
+		t.Run(fmt.Sprint(4*perDomain, " VMs"), func(t *testing.T) {
+			simulateFleet(t, largeWithin, perDomain, func(t *testing.T, w *world) {
+				w.platformAway()
+				time.Sleep(outage)
+				w.mu.Lock()
+				tries := w.tries
+				w.mu.Unlock()
+				// Those that step in first in two regions, once a second, and as many others.
+				assert.Assert(t, tries <= 2*2*firstToStepIn*int(outage/time.Second), "%d calls", tries)
+				w.platformBack()
+				w.publish(2)
+				time.Sleep(largeWithin / 2)
+				assert.Equal(t, len(w.lagging(2)), 0, "%v", w.lagging(2))
+			})
+		})
+	}
+}
--- a/internal/follow/pace.go
+++ b/internal/follow/pace.go
@@ -47,6 +47,29 @@
 	drainWork time.Duration
 }
 
+// firstToStepIn is how many nodes of a region step in one soon after another, and try as
+// often, where the readers have no updates. One of them finds out for all, who follow them
+// then; of those behind only a few more try in an outage, however large the region is.
+const firstToStepIn = staleParents
+
+// crowd is by how much a node of a rank holds back beside those that step in first.
+func crowd(rank int) time.Duration { return time.Duration(1 + rank/firstToStepIn) }
+
+// stepInAfter is how much older than stale the view of a node of a rank gets before it
+// reads the platform itself.
+func (p *pace) stepInAfter(rank int) time.Duration {
+	return time.Duration(rank) * p.stepInGap * crowd(rank)
+}
+
+// retryPauses returns the pause of a node of a rank after a first failed read and the
+// longest one.
+func (p *pace) retryPauses(rank int) (first, most time.Duration) {
+	if rank < readers {
+		return retryFirst, p.retryMostReader
+	}
+	return retryFirst * crowd(rank), p.retryMost * crowd(rank)
+}
+
 // DrainWork is for how long after a target drains its own node may still give it work
 // that was on its way, where changes must be in force within a time.
 func DrainWork(inForceWithin time.Duration) time.Duration { return paceFor(inForceWithin).drainWork }
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -83,7 +83,7 @@
 	if f.orphaned() {
 		stale = f.pace.orphanedAfter
 	}
-	return age > stale+time.Duration(rank)*f.pace.stepInGap
+	return age > stale+f.pace.stepInAfter(rank)
 }
 
 // retryPause waits after so many failures in a row and returns how many still
@@ -104,13 +104,13 @@
 }
 
 func (f *Follower) backoff(failures int) time.Duration {
-	most := f.pace.retryMost
 	f.mu.Lock()
-	if f.rank() <= 1 || f.view.Table() == nil {
-		most = f.pace.retryMostReader
+	first, most := f.pace.retryPauses(f.rank())
+	if f.view.Table() == nil {
+		first, most = f.pace.retryPauses(0)
 	}
 	f.mu.Unlock()
-	return min(retryFirst<<min(failures-1, 8), most)
+	return min(first<<min(failures-1, 8), most)
 }
 
 // readOnce lists the platform the first time and watches it then. A node that knows the
--- a/internal/follow/world_test.go
+++ b/internal/follow/world_test.go
@@ -41,6 +41,8 @@
 	reads    int
 	// lists counts the reads that were listings.
 	lists int
+	// tries counts the calls of nodes that aren't cut off, failed ones included.
+	tries int
 	// cheap counts the cheap listings, which are no reads.
 	cheap int
 	// refused and cut name nodes that the platform turns away, and that reach
@@ -270,6 +272,9 @@
 func (l *link) gate(ctx context.Context) error {
 	l.world.mu.Lock()
 	cut, refused := l.world.cut[l.node], l.world.refused[l.node]
+	if refused && !cut {
+		l.world.tries++
+	}
 	l.world.mu.Unlock()
 	if cut {
 		ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
