Ask a platform that lists nothing yet cheaply, and again a little later

Change: a listing without a configuration or targets is asked for again after 0.25, 0.5, 1 and 2 s, cheaply each time; then the node reads in full.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -95,6 +95,10 @@
 	// it reads the platform itself, and startGap how much longer for each rank.
 	startPatience = 400 * time.Millisecond
 	startGap      = 5 * time.Millisecond
+	// beginFirst is the pause after a first cheap listing of a platform that lists
+	// nothing yet; it doubles up to beginMost.
+	beginFirst = 250 * time.Millisecond
+	beginMost  = 2 * time.Second
 	// tickInterval is how often roles and neighbours are looked at again.
 	tickInterval = 100 * time.Millisecond
 	// greetInterval is how often a node greets those that should follow it and
--- a/internal/follow/large_test.go
+++ b/internal/follow/large_test.go
@@ -303,3 +303,36 @@
 		})
 	}
 }
+
+// Guards against a first start of a whole fleet that lists the platform as often as it has
+// nodes, each of which finds nobody else listed yet.
+func TestFirstStartReadsLittle(t *testing.T) {
+	simulateFleet(t, largeWithin, largePerDomain, func(t *testing.T, w *world) {
+		// The targets are listed one by one while the nodes start.
+		for id := range w.targets {
+			w.stops[id]()
+		}
+		w.mu.Lock()
+		targets := w.targets
+		w.targets = map[string]mesh.Target{}
+		w.history, w.recorded = nil, nil
+		w.reads, w.cheap = 0, 0
+		w.mu.Unlock()
+		w.publish(2)
+		for id, target := range targets {
+			w.mu.Lock()
+			w.targets[id] = target
+			w.mu.Unlock()
+			w.start(id)
+		}
+		for _, target := range targets {
+			w.put(target)
+			time.Sleep(2 * time.Millisecond)
+		}
+		time.Sleep(6 * time.Second)
+		w.assertMembers(t, len(targets))
+		assert.Equal(t, w.current(2*time.Second), len(targets))
+		reads := w.takeReads()
+		assert.Assert(t, reads <= len(targets)/2, "%d reads", reads)
+	})
+}
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -46,14 +46,27 @@
 
 // begin learns from a cheap listing who else there is, and most of the view. What is
 // missing comes from neighbours: a fleet that starts at once would else list the platform
-// as often as it has nodes.
+// as often as it has nodes. A platform that has no configuration yet starts as well, and
+// targets are about to be listed; each node for itself would take itself for a reader.
 func (f *Follower) begin(ctx context.Context) {
-	listing, err := f.platform.ListCheaply(ctx)
-	f.countRead("cheap list", err)
-	if err != nil || listing.Config == nil {
-		f.log.Info().Err(err).Msg("no cheap listing; listing in full")
-		return
+	for pause := beginFirst; ; pause *= 2 {
+		listing, err := f.platform.ListCheaply(ctx)
+		f.countRead("cheap list", err)
+		if err != nil {
+			f.log.Info().Err(err).Msg("no cheap listing")
+			return
+		}
+		if listing.Config != nil && len(listing.Targets) > 0 {
+			f.beginWith(listing)
+			return
+		}
+		if pause > beginMost || !f.pause(ctx, pause) {
+			return
+		}
 	}
+}
+
+func (f *Follower) beginWith(listing *Listing) {
 	f.begun = f.clock.Now()
 	update := &mesh.Update{Targets: listing.Targets, Age: -1, Revision: listing.Revision}
 	f.addConfig(update, listing.Config)
