--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -212,7 +212,7 @@
 func (v *View) Apply(sent time.Time, update *Update) error {
 	var err error
 	if update.Config != nil {
-		err = v.applyConfig(update.Config)
+		err = v.applyConfig(update.Config, !update.More)
 	}
 	for i := range update.Targets {
 		v.applyTarget(sent, &update.Targets[i])
@@ -240,20 +240,17 @@
 	return nil
 }
 
-func (v *View) applyConfig(delta *ConfigDelta) error {
+// applyConfig takes a delta or a part of one; last says that no further part follows.
+func (v *View) applyConfig(delta *ConfigDelta, last bool) error {
 	if v.held(delta.Version) != nil {
 		return nil
 	}
-	delta, err := v.assemble(delta)
-	if delta == nil {
-		return err
-	}
-	config, err := delta.Apply(v.held(delta.Base))
 	older := delta.Version <= v.Version()
+	config, err := v.configOf(delta, last && !older)
 	if err != nil && older {
 		return nil
 	}
-	if err != nil {
+	if config == nil {
 		return err
 	}
 	v.recent = append(v.recent, config)
@@ -269,6 +266,15 @@
 	return nil
 }
 
+// configOf returns the configuration that a delta makes, or nil while parts are missing.
+func (v *View) configOf(delta *ConfigDelta, last bool) (*Config, error) {
+	delta, err := v.assemble(delta, last)
+	if delta == nil {
+		return nil, err
+	}
+	return delta.Apply(v.held(delta.Base))
+}
+
 // held returns the configuration of a version if it is still held.
 func (v *View) held(version uint64) *Config {
 	for _, config := range v.recent {
