Look at roles and neighbours when something has changed

Cause: two loops of each node looked ten times a second whether it has to read the platform or to follow others; of 295 idle nodes that is 6,000 wakes a second, each charged.

Change: the loops wait for a change of the view, of its freshness or of a neighbour's feed, or until the moment at which time alone can change the answer; half a second at most.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -99,8 +99,10 @@
 	// nothing yet; it doubles up to beginMost.
 	beginFirst = 250 * time.Millisecond
 	beginMost  = 2 * time.Second
-	// tickInterval is how often roles and neighbours are looked at again.
+	// tickInterval is how often roles and neighbours are looked at again where they may
+	// change by time alone, and longestTick where they won't.
 	tickInterval = 100 * time.Millisecond
+	longestTick  = 500 * time.Millisecond
 	// greetInterval is how often a node greets those that should follow it and
 	// don't.
 	greetInterval = 500 * time.Millisecond
@@ -212,10 +214,28 @@
 		return
 	}
 	f.toldCurrent = current
+	f.wake()
+}
+
+// wake ends all waits for a change. It must be called with the mutex held.
+func (f *Follower) wake() {
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
 
+// await waits for a change, for a time between tickInterval and longestTick at most.
+func (f *Follower) await(ctx context.Context, atMost time.Duration) {
+	f.mu.Lock()
+	changed := f.changed
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, min(max(atMost, tickInterval), longestTick))
+	defer cancel()
+	select {
+	case <-changed:
+	case <-ctx.Done():
+	}
+}
+
 // noteNearer keeps the update of a reader that is much nearer to the platform.
 func (f *Follower) noteNearer(update *mesh.Update, sent time.Time) {
 	if update.Age < 0 || update.RTT == 0 || update.RTT*nearer > f.platform.RTT() {
--- a/internal/follow/neighbours.go
+++ b/internal/follow/neighbours.go
@@ -97,10 +97,25 @@
 				go f.followOne(feedCtx, address)
 			}
 		}
-		f.pause(ctx, tickInterval)
+		f.await(ctx, f.untilMoreNeighbours())
 	}
 }
 
+// untilMoreNeighbours is in what time this node may have to follow others, if it hears
+// nothing until then.
+func (f *Follower) untilMoreNeighbours() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	lag := f.view.Lag(f.clock.Now())
+	switch {
+	case f.view.Table() == nil || lag < 0:
+		return 0
+	case lag < f.pace.fartherAfter:
+		return f.pace.fartherAfter - lag
+	}
+	return f.pace.moreParentsAfter - lag
+}
+
 // refollow is the pause before a broken feed is opened again.
 const refollow = 300 * time.Millisecond
 
@@ -112,6 +127,7 @@
 	} else {
 		delete(f.broken, address)
 	}
+	f.wake()
 }
 
 // orphaned reports whether the feeds of all nodes that updates come from have broken. It
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -19,7 +19,7 @@
 	for ctx.Err() == nil {
 		if !f.mayRead() {
 			failures = 0
-			f.pause(ctx, tickInterval)
+			f.await(ctx, f.untilRead())
 			continue
 		}
 		changed, err := f.readOnce(ctx)
@@ -99,6 +99,27 @@
 	return lag > stale+f.pace.stepInAfter(rank)
 }
 
+// untilRead is in what time this node may have to read the platform, if it hears nothing
+// until then.
+func (f *Follower) untilRead() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	lag := f.view.Lag(now)
+	if lag < 0 {
+		return 0
+	}
+	rank := f.rank()
+	if rank == 0 {
+		return f.pace.fartherAfter - now.Sub(f.nearerAt)
+	}
+	stale := f.pace.staleAfter
+	if f.orphaned() {
+		stale = f.pace.orphanedAfter
+	}
+	return stale + f.pace.stepInAfter(rank) - lag
+}
+
 // retryPause waits after so many failures in a row and returns how many still
 // count. It ends when this node needn't read any more: neighbours have updates, so
 // the platform is back, and the next time that the view gets old must not find
