Step in at once for readers that the platform turned away

Cause: at a bound of 4 s the first node that isn't a reader stepped in 2.4 to 2.6 s after the view was current. A read had failed by then, so it took the loss of the readers for an outage of the platform, and a target that left stayed in use for the grace of a lapsed lease as well, by all 200 nodes of the test after 3.6 s.

Change: a node that knows of a failed read since its view was current waits two beats, as one does whose feeds have broken. Ranks behind the first eight hold back more, so that an outage costs no more calls (256 at most for 200 nodes in 8 s).

Before: TestLargeFleetLearnsThoughManyAreLost fails for readers turned away, with the cap and without it.

--- a/internal/follow/large_test.go
+++ b/internal/follow/large_test.go
@@ -141,6 +141,7 @@
 	}{
 		{"a third cut off from everybody", 0.33, false, func(w *world, id string) { w.cut[id] = true }, 0},
 		{"a third cut off, the readers among them", 0.33, true, func(w *world, id string) { w.cut[id] = true }, 0},
+		{"the readers turned away by the platform", 0, true, func(w *world, id string) { w.refused[id] = true }, 0},
 		{"a third turned away by the platform, the readers among them", 0.33, true, func(w *world, id string) { w.refused[id] = true }, mesh.SuspectGrace},
 		{"half of the processes end, the readers among them", 0.5, true, func(w *world, id string) {
 			w.stops[id]()
--- a/internal/follow/pace.go
+++ b/internal/follow/pace.go
@@ -7,12 +7,11 @@
 const usualInForce = 2500 * time.Millisecond
 
 // leastScale and mostScale bound how far the times follow another bound: below, a
-// watch would cost several calls a second; above, the first node that steps in for lost
-// readers would find its view so old that it takes the loss for an outage of the platform,
-// and keep targets that left.
+// watch would cost several calls a second; above, nothing is saved any more that
+// counts, and a departed target would be known too late.
 const (
 	leastScale = 0.4
-	mostScale  = 1.4
+	mostScale  = 2
 )
 
 // pace holds the times that follow from how soon a change must be in force.
@@ -27,8 +26,8 @@
 	// watch, two beats and nothing else. What was published just before is then in
 	// force four fifths into the bound.
 	staleAfter time.Duration
-	// orphanedAfter is the same for a node whose readers' feeds have all broken,
-	// as they do at once when processes end: two beats.
+	// orphanedAfter is the same for a node whose feeds have all broken, as they do at
+	// once when processes end, and for one that knows of a failed read: two beats.
 	orphanedAfter time.Duration
 	// fartherAfter is the age from which a reader far from the platform reads as
 	// well, though a nearer one did until then.
@@ -53,7 +52,12 @@
 const firstToStepIn = staleParents
 
 // crowd is by how much a node of a rank holds back beside those that step in first.
-func crowd(rank int) time.Duration { return time.Duration(1 + rank/firstToStepIn) }
+func crowd(rank int) time.Duration {
+	if rank < firstToStepIn {
+		return 1
+	}
+	return time.Duration(1 + 2*rank/firstToStepIn)
+}
 
 // stepInAfter is how much older than stale the view of a node of a rank gets before it
 // reads the platform itself.
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -92,11 +92,7 @@
 	if rank == 0 {
 		return f.clock.Now().Sub(f.nearerAt) > f.pace.fartherAfter
 	}
-	stale := f.pace.staleAfter
-	if f.orphaned() {
-		stale = f.pace.orphanedAfter
-	}
-	return lag > stale+f.pace.stepInAfter(rank)
+	return lag > f.staleAfter()+f.pace.stepInAfter(rank)
 }
 
 // untilRead is in what time this node may have to read the platform, if it hears nothing
@@ -113,11 +109,17 @@
 	if rank == 0 {
 		return f.pace.fartherAfter - now.Sub(f.nearerAt)
 	}
-	stale := f.pace.staleAfter
-	if f.orphaned() {
-		stale = f.pace.orphanedAfter
+	return f.staleAfter() + f.pace.stepInAfter(rank) - lag
+}
+
+// staleAfter is the lag from which the first node that isn't a reader steps in. Where the
+// readers' feeds have broken, or a reader told that the platform turned it away, there is
+// nothing to wait for. It must be called with the mutex held.
+func (f *Follower) staleAfter() time.Duration {
+	if f.orphaned() || f.view.ReadFailed() {
+		return f.pace.orphanedAfter
 	}
-	return stale + f.pace.stepInAfter(rank) - lag
+	return f.pace.staleAfter
 }
 
 // retryPause waits after so many failures in a row and returns how many still
--- a/internal/mesh/since.go
+++ b/internal/mesh/since.go
@@ -49,7 +49,7 @@
 // one, so that no departure waits for a configuration.
 func (v *View) Since(now time.Time, position Position) (*Update, Position) {
 	update := &Update{Age: v.Lag(now), RTT: v.rtt, Revision: v.complete, More: v.heard.After(v.verified)}
-	if v.failed.After(v.heard) {
+	if v.ReadFailed() {
 		update.Failed = max(1, now.Sub(v.failed))
 	}
 	if position.Change != v.change {
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -175,12 +175,16 @@
 	}
 }
 
+// ReadFailed reports whether a read of the platform is known to have failed since the view
+// was current.
+func (v *View) ReadFailed() bool { return v.failed.After(v.heard) }
+
 // Outage reports whether the platform has been away for so long that leases may have
 // run out: no node has read it for that time, and a read failed. Age alone proves
 // nothing: updates are late on a full link as well, and a target that left would then stay
 // in use for the grace of a lapsed one.
 func (v *View) Outage(now time.Time) bool {
-	return v.Lag(now) > lapseAfter && v.failed.After(v.heard)
+	return v.Lag(now) > lapseAfter && v.ReadFailed()
 }
 
 // Members returns all known targets by id. The map belongs to the view.
