--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -231,12 +231,7 @@
 	f.mu.Lock()
 	changed := f.changed
 	f.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, min(max(atMost, tickInterval), longestTick))
-	defer cancel()
-	select {
-	case <-changed:
-	case <-ctx.Done():
-	}
+	awaitChange(ctx, changed, min(max(atMost, tickInterval), longestTick))
 }
 
 // noteNearer keeps the update of a reader that is much nearer to the platform.
@@ -299,21 +294,22 @@
 		if position.Pending() {
 			continue
 		}
-		if err := f.awaitChange(ctx, changed); err != nil {
+		awaitChange(ctx, changed, f.pace.beat)
+		if err := ctx.Err(); err != nil {
 			return err
 		}
 	}
 }
 
-func (f *Follower) awaitChange(ctx context.Context, changed <-chan struct{}) error {
-	timer := time.NewTimer(f.pace.beat)
+// awaitChange waits for a change, for a time at most.
+func awaitChange(ctx context.Context, changed <-chan struct{}, atMost time.Duration) {
+	timer := time.NewTimer(atMost)
 	defer timer.Stop()
 	select {
 	case <-changed:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return ctx.Err()
 }
 
 // pause waits between two reads of the platform.
--- a/internal/follow/large_test.go
+++ b/internal/follow/large_test.go
@@ -230,7 +230,6 @@
 	simulateFleet(t, largeWithin, largePerDomain, func(t *testing.T, w *world) {
 		const answering = 200 * time.Millisecond
 		w.mu.Lock()
-		w.firstStart = false
 		w.answering = answering
 		w.mu.Unlock()
 		w.publish(2)
@@ -249,6 +248,7 @@
 		w.publish(2)
 		w.remove("a1-7")
 		time.Sleep(cheapAge / 2)
+		w.firstStart = true
 		w.restartAll()
 		for range 100 {
 			time.Sleep(10 * time.Millisecond)
@@ -274,6 +274,7 @@
 		for _, id := range first {
 			w.refused[id] = true
 		}
+		w.firstStart = true
 		w.mu.Unlock()
 		w.restartAll()
 		time.Sleep(2 * time.Second)
@@ -342,6 +343,7 @@
 		w.targets = map[string]mesh.Target{}
 		w.history, w.recorded = nil, nil
 		w.reads, w.cheap = 0, 0
+		w.firstStart = true
 		w.mu.Unlock()
 		w.publish(2)
 		for id, target := range targets {
--- a/internal/follow/world_test.go
+++ b/internal/follow/world_test.go
@@ -81,10 +81,9 @@
 
 func newWorld(within time.Duration, perDomain int) *world {
 	w := &world{
-		within:     within,
-		firstStart: true,
-		ended:      map[string]time.Time{},
-		linkFree:   map[string]time.Time{}, sent: map[string]int{},
+		within:   within,
+		ended:    map[string]time.Time{},
+		linkFree: map[string]time.Time{}, sent: map[string]int{},
 		targets: map[string]mesh.Target{}, changed: make(chan struct{}), revision: 1,
 		refused: map[string]bool{}, cut: map[string]bool{}, nodes: map[string]*Follower{}, stops: map[string]context.CancelFunc{}, lives: map[string]context.Context{},
 	}
