--- a/internal/logfield/logfield.go
+++ b/internal/logfield/logfield.go
@@ -9,8 +9,10 @@
 const (
 	// Request is the id that the caller gave its attempt.
 	Request Name = "request"
-	Route   Name = "route"
-	Service Name = "service"
+	// Fingerprint is the same for requests that are the same to a target.
+	Fingerprint Name = "fingerprint"
+	Route       Name = "route"
+	Service     Name = "service"
 	// Target is the id of the target that an attempt was offered to.
 	Target Name = "target"
 	// Attempt is this node's own id of one offer to a target.
--- a/internal/proxy/decisions.go
+++ b/internal/proxy/decisions.go
@@ -81,7 +81,7 @@
 
 // about adds what a flight was decided by.
 func (d *decisions) about(entry *log.Entry, f *flight, now time.Time) *log.Entry {
-	return entry.Str(logfield.Request, f.id).Str(logfield.Route, f.route.Name).Str(logfield.Service, f.service).
+	return entry.Str(logfield.Request, f.id).Str(logfield.Fingerprint, f.fingerprint.String()).Str(logfield.Route, f.route.Name).Str(logfield.Service, f.service).
 		Int(logfield.Offers, f.offers).Int(logfield.Arrivals, f.arrivals).
 		Int64(logfield.After, millis(now.Sub(f.began))).Int64(logfield.Left, millis(f.deadline.Sub(now))).
 		Uint64(logfield.Version, f.picture.Table.Config.Version).Int64(logfield.ViewAge, millis(d.viewAge()))
@@ -163,7 +163,7 @@
 		outcome = logfield.Refused
 		entry = entry.Str(logfield.Reason, string(refusal.Reason)).Int64(logfield.RetryAfter, millis(refusal.RetryAfter))
 	}
-	entry.Str(logfield.Request, id).Str(logfield.Route, t.route).Str(logfield.Attempt, t.attempt).Str(logfield.Outcome, outcome).
+	entry.Str(logfield.Request, id).Str(logfield.Fingerprint, t.fingerprint.String()).Str(logfield.Route, t.route).Str(logfield.Attempt, t.attempt).Str(logfield.Outcome, outcome).
 		Int64(logfield.After, millis(now.Sub(received))).Int64(logfield.Left, millis(t.budget-now.Sub(received))).
 		Str(logfield.Believed, fmt.Sprintf("%d/%d/%d", word.Running, word.Waiting, word.Slots)).
 		Int64(logfield.ViewAge, millis(d.viewAge())).Str(logfield.Error, err.Error()).Msg("own target")
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -83,6 +83,9 @@
 	if wait, ok := p.callerWaits(r); ok {
 		f.callerEnds = now.Add(wait)
 	}
+	if f.fingerprint, err = fingerprintOf(f); err != nil {
+		return nil, &port.Unknown{Stage: "body", Cause: err}
+	}
 	f.first = p.firstAttempt(f)
 	callhttp.CopyHeader(f.header, r.Header)
 	f.header[p.config.Headers.CallerService] = []string{*p.service.Load()}
--- a/internal/proxy/flight.go
+++ b/internal/proxy/flight.go
@@ -12,6 +12,7 @@
 	"tamarackquay/internal/mesh"
 	"tamarackquay/internal/placement"
 	"tamarackquay/internal/port"
+	"tamarackquay/internal/quarantine"
 	"tamarackquay/internal/requestbody"
 )
 
@@ -38,6 +39,8 @@
 	header http.Header
 	body   *requestbody.Body
 	length int64
+	// fingerprint is the same for all attempts and for other callers of the same.
+	fingerprint quarantine.Fingerprint
 
 	tried map[string]bool
 	// last is the target of the last offer.
--- a/internal/proxy/rank.go
+++ b/internal/proxy/rank.go
@@ -73,7 +73,7 @@
 		attempt: f.proxy.nextAttempt(now), route: f.route.Name, rank: f.route.Priority * ranksPerPriority,
 		budget: left, wanted: f.wanted(now), size: size, revision: member.Revision,
 		urgency: urgency(f.route.TargetLatency), repeatable: f.route.Kind.Repeatable(),
-		repeated: f.repeatPart(),
+		repeated: f.repeatPart(), fingerprint: f.fingerprint,
 	}
 	if early := t.wanted - time.Duration(workMargin*float64(hold)); early > 0 && !f.overdue(now) {
 		t.wait = early
--- a/internal/proxy/terms.go
+++ b/internal/proxy/terms.go
@@ -11,6 +11,7 @@
 
 	"tamarackquay/internal/adapter/callhttp"
 	"tamarackquay/internal/placement"
+	"tamarackquay/internal/quarantine"
 )
 
 // Headers between nodes.
@@ -45,6 +46,8 @@
 	// repeated is the chance that the run is a repeat, so that its calls count
 	// as repeats where they arrive.
 	repeated float64
+	// fingerprint is that of the request.
+	fingerprint quarantine.Fingerprint
 	// repeatable says that the request may run more than once; only the entry
 	// node needs it.
 	repeatable bool
@@ -56,10 +59,11 @@
 		callhttp.FormatMillis(t.budget), callhttp.FormatMillis(t.wait), strconv.Itoa(t.size),
 		strconv.FormatUint(t.revision, 10), strconv.Itoa(t.urgency),
 		callhttp.FormatMillis(t.wanted), strconv.FormatFloat(t.repeated, 'f', 2, 64),
+		t.fingerprint.String(),
 	}, termSeparator)
 }
 
-const termCount = 10
+const termCount = 11
 
 func decodeTerms(text string) (terms, error) {
 	var t terms
@@ -78,6 +82,7 @@
 	t.urgency, errs[7] = strconv.Atoi(parts[7])
 	t.wanted, errs[8] = callhttp.ParseMillis(parts[8])
 	t.repeated, errs[9] = strconv.ParseFloat(parts[9], 64)
+	t.fingerprint, errs[10] = quarantine.ParseFingerprint(parts[10])
 	for i, err := range errs {
 		if err != nil {
 			return t, errors.Wrapf(err, "term %d", i)
--- /dev/null
+++ b/internal/quarantine/fingerprint_test.go
@@ -0,0 +1,45 @@
+package quarantine
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestFingerprintTellsRequestsApart(t *testing.T) {
+	base := func() *Content {
+		return &Content{Method: "POST", Host: "h", URI: "/a/1?b", Length: 4, Body: strings.NewReader("body")}
+	}
+	want, err := FingerprintOf(base())
+	assert.NilError(t, err)
+	for _, test := range []struct {
+		desc   string
+		change func(c *Content)
+		same   bool
+	}{
+		{"the same", func(*Content) {}, true},
+		{"another method", func(c *Content) { c.Method = "PUT" }, false},
+		{"another host", func(c *Content) { c.Host = "i" }, false},
+		{"another query", func(c *Content) { c.URI = "/a/1?c" }, false},
+		{"another body", func(c *Content) { c.Body = strings.NewReader("bodY") }, false},
+		{"a longer body that isn't kept", func(c *Content) { c.Body, c.Length = nil, 5 }, false},
+		{"the parts divided otherwise", func(c *Content) { c.Method, c.Host = "POSTh", "" }, false},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			c := base()
+			test.change(c)
+			got, err := FingerprintOf(c)
+			assert.NilError(t, err)
+			assert.Equal(t, got == want, test.same)
+		})
+	}
+}
+
+func TestFingerprintSurvivesItsText(t *testing.T) {
+	for _, f := range []Fingerprint{0, 1, 1<<64 - 1} {
+		got, err := ParseFingerprint(f.String())
+		assert.NilError(t, err)
+		assert.Equal(t, got, f)
+	}
+}
