--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -41,15 +41,18 @@
 // Record is one request as its caller saw it. The times are of the clock that all
 // processes share.
 type Record struct {
-	ID         string        `json:"id"`
-	VM         int           `json:"vm"`
-	Path       string        `json:"path"`
-	Repeatable bool          `json:"repeatable"`
-	Begin      time.Duration `json:"begin"`
-	End        time.Duration `json:"end"`
-	Outcome    Outcome       `json:"outcome"`
-	Status     int           `json:"status"`
-	Detail     string        `json:"detail,omitempty"`
+	ID         string `json:"id"`
+	VM         int    `json:"vm"`
+	Path       string `json:"path"`
+	Repeatable bool   `json:"repeatable"`
+	// Crashes names the request that crashes targets, which many callers send; empty for
+	// all others.
+	Crashes string        `json:"crashes,omitempty"`
+	Begin   time.Duration `json:"begin"`
+	End     time.Duration `json:"end"`
+	Outcome Outcome       `json:"outcome"`
+	Status  int           `json:"status"`
+	Detail  string        `json:"detail,omitempty"`
 }
 
 // Figures of the load: some twenty requests a second from each caller, which is
@@ -138,8 +141,9 @@
 	return r
 }
 
-func (c *caller) ask() Record {
-	r := c.next()
+func (c *caller) ask() Record { return c.askFor(c.next()) }
+
+func (c *caller) askFor(r Record) Record {
 	size := smallAnswer
 	if c.random.Float64() < largePart {
 		size = largeAnswer
@@ -148,7 +152,7 @@
 	if !r.Repeatable {
 		method, body = http.MethodPost, strings.NewReader("signed "+r.ID)
 	}
-	address := fmt.Sprintf("http://%s%sx?bytes=%d", c.connection.address, r.Path, size)
+	address := fmt.Sprintf("http://%s%sx%s?bytes=%d", c.connection.address, r.Path, r.Crashes, size)
 	request, err := http.NewRequest(method, address, body)
 	if err != nil {
 		// The address is made here.
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -33,6 +33,10 @@
 	Budget Promise = "budget"
 	// StaysUp: no process of the system ends by itself.
 	StaysUp Promise = "stays-up"
+	// Contained: a request under which targets crash is soon kept from further ones.
+	Contained Promise = "contained"
+	// NotBlamed: no other request is refused for such crashes.
+	NotBlamed Promise = "not-blamed"
 	// Recovered: the fleet serves again after the last fault.
 	Recovered Promise = "recovered"
 )
@@ -41,7 +45,7 @@
 // short of processors can break by itself.
 func (p Promise) Timed() bool {
 	switch p {
-	case OwnAnswer, Once, TrueRefusal, Route:
+	case OwnAnswer, Once, TrueRefusal, Route, Contained, NotBlamed:
 		return false
 	}
 	return true
@@ -69,6 +73,7 @@
 	found = append(found, x.ends()...)
 	found = append(found, x.departures()...)
 	found = append(found, x.repeats()...)
+	found = append(found, x.contained()...)
 	return append(found, x.recovers()...)
 }
 
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -44,6 +44,14 @@
 	h.Entries = append(h.Entries, usertarget.Entry{Request: id, Instance: instance, Service: service, Caller: "alpha", Path: path, Ran: true, At: at + time.Millisecond})
 }
 
+// addCrash records a request under which a target crashes, always the same.
+func (h *History) addCrash(at time.Duration) {
+	id, instance := fmt.Sprint("crash", at), fmt.Sprint("i-", at)
+	h.Records = append(h.Records, Record{ID: id, Path: prefixRead, Repeatable: true, Crashes: "crash-1", Begin: at, End: at, Outcome: Failed})
+	h.Entries = append(h.Entries, usertarget.Entry{Request: id, Instance: instance, Service: "alpha", Caller: "alpha", Path: prefixRead, Ran: true, At: at})
+	h.Events = append(h.Events, Event{What: TargetCrashed, VM: 1, Begin: at, End: at, Instance: instance})
+}
+
 func (h *History) record(id string) *Record {
 	for i := range h.Records {
 		if h.Records[i].ID == id {
@@ -98,6 +106,15 @@
 				h.Entries = append(h.Entries, *h.entry("read7"))
 			}
 		}, Budget},
+		{"a request under which targets crash goes on to others", func(h *History) {
+			for second := 10; second < 20; second++ {
+				h.addCrash(time.Duration(second) * time.Second)
+			}
+		}, Contained},
+		{"a request is refused that only ran beside one", func(h *History) {
+			h.record("read7").Outcome, h.entry("read7").Ran = Refused, false
+			h.record("read7").Detail = `{"reason":"quarantined"}`
+		}, NotBlamed},
 		{"no service after the last fault", func(h *History) {
 			for i := range h.Records {
 				if r := &h.Records[i]; r.Begin > 50*time.Second {
@@ -149,3 +166,13 @@
 		}
 	}
 }
+
+// Until a stability window after the third crash, and three times after that, a request
+// may reach targets under which they crash.
+func TestFirstCrashesAreTolerated(t *testing.T) {
+	h := sound()
+	for _, at := range []time.Duration{10, 11, 12, 13, 14, 16, 17, 18} {
+		h.addCrash(at * time.Second)
+	}
+	assert.Equal(t, len(Check(h)), 0)
+}
--- a/internal/soak/cli/cli.go
+++ b/internal/soak/cli/cli.go
@@ -50,6 +50,7 @@
 	keep     string
 	output   string
 	untimed  bool
+	faults   []string
 	loopback int
 }
 
@@ -73,6 +74,7 @@
 	flags.StringVar(&o.keep, "keep", "", "folder for the history and logs of seeds with findings")
 	flags.StringVar(&o.output, "output", "text", "text or json")
 	flags.IntVar(&o.loopback, "loopback", usualLoopback, "second number of the addresses to use, for invocations side by side")
+	flags.StringSliceVar(&o.faults, "faults", nil, "kinds of faults to carry out of each plan; all if empty")
 	flags.BoolVar(&o.untimed, "untimed", false, "let the exit code tell only of promises without a bound in time, for busy machines")
 	return command
 }
@@ -123,6 +125,14 @@
 	return nil
 }
 
+func (o *runOptions) kinds() []soak.Kind {
+	var kinds []soak.Kind
+	for _, name := range o.faults {
+		kinds = append(kinds, soak.Kind(name))
+	}
+	return kinds
+}
+
 func (o *runOptions) isRed(r *soak.Result) bool {
 	return slices.ContainsFunc(r.Findings, func(f soak.Finding) bool { return !o.untimed || !f.Promise.Timed() })
 }
@@ -141,7 +151,7 @@
 		playing.Go(func() {
 			for seed := range seeds {
 				result, err := soak.Run(ctx, soak.Options{
-					Programs: programs, Seed: seed, Length: o.length, VMs: o.vms, Net16: o.loopback + lane, Keep: o.keep,
+					Programs: programs, Seed: seed, Length: o.length, VMs: o.vms, Net16: o.loopback + lane, Keep: o.keep, Kinds: o.kinds(),
 				})
 				mu.Lock()
 				if err != nil && failed == nil {
--- a/internal/soak/cli/standins.go
+++ b/internal/soak/cli/standins.go
@@ -76,7 +76,7 @@
 		return errors.Wrap(err, "ledger")
 	}
 	born := time.Now()
-	t := usertarget.New(o.registration.Instance, o.registration.Service, targetSlots, targetWork, ledger)
+	t := usertarget.New(o.registration.Instance, o.registration.Service, targetSlots, targetWork, ledger, crash)
 	listener, err := net.Listen("tcp", o.listen)
 	if err != nil {
 		return errors.Wrap(err, "target")
@@ -99,6 +99,11 @@
 	return o.registration.Remove(context.Background())
 }
 
+// crashStatus is the exit status of a target that a request crashes.
+const crashStatus = 3
+
+func crash() { os.Exit(crashStatus) }
+
 // orders serves what the soak tells the target: how to behave, and to leave.
 func (o *targetOptions) orders(t *usertarget.Target, born time.Time, leave func()) http.Handler {
 	mux := http.NewServeMux()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -40,6 +40,8 @@
 
 	// closing is set when everything is ended.
 	closing atomic.Bool
+	// book holds what callers were told.
+	book *book
 
 	mu      sync.Mutex
 	events  []Event
@@ -90,7 +92,7 @@
 }
 
 func newFleet(programs Programs, dir string, net16, vms int) (*fleet, error) {
-	f := &fleet{programs: programs, dir: dir, net16: net16, client: &http.Client{Timeout: 5 * time.Second}}
+	f := &fleet{programs: programs, dir: dir, net16: net16, book: &book{}, client: &http.Client{Timeout: 5 * time.Second}}
 	store, err := startProcess(&f.storeLog, nil, programs.Self, "store", "--listen", f.storeAddress())
 	if err != nil {
 		return nil, errors.Wrap(err, "store")
@@ -192,9 +194,38 @@
 		"--store", f.storeAddress(), "--instance", name, "--service", m.service, "--zone", m.zone,
 		"--ledger", filepath.Join(f.dir, name+".ledger"))
 	m.target, m.instance = started, name
+	if err == nil {
+		go f.restartCrashed(m, started, name)
+	}
 	return err
 }
 
+// crashedFor is how long a target stays away that a request crashed.
+const crashedFor = time.Second
+
+// restartCrashed starts another instance for a target that ended by itself, and notes the
+// crash. One that the soak ended is none of its business.
+func (f *fleet) restartCrashed(m *member, ended *process, name string) {
+	<-ended.done
+	at := target.SinceBoot()
+	if ended.cmd.ProcessState.ExitCode() <= 0 || f.closing.Load() {
+		return
+	}
+	f.note(Event{What: TargetCrashed, VM: m.number, Begin: at, End: at, Instance: name})
+	m.replacing.Lock()
+	defer m.replacing.Unlock()
+	if _, current := m.processes(); current != ended {
+		return
+	}
+	time.Sleep(crashedFor)
+	if f.closing.Load() {
+		return
+	}
+	if err := f.startTarget(m); err != nil {
+		f.note(Event{What: TargetCrashed, VM: m.number, Begin: at, End: target.SinceBoot(), Detail: err.Error()})
+	}
+}
+
 // close ends everything that was started.
 func (f *fleet) close() {
 	f.closing.Store(true)
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -60,7 +60,7 @@
 // what it should. What becomes of its target is no excuse for that.
 func (e *Event) disturbsNode(vm int) bool {
 	switch e.What {
-	case KillTarget, DrainTarget, IllTarget, SlowTarget, IllService:
+	case KillTarget, DrainTarget, IllTarget, SlowTarget, IllService, CrashRequest, TargetCrashed:
 		return false
 	}
 	return e.harms(vm)
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -79,6 +79,9 @@
 		return f.admin(userstore.PathForget, nil, nil)
 	case KillAll:
 		return f.killAll(ctx, fault.For)
+	case CrashRequest:
+		f.sendCrashing(ctx, fault)
+		return nil
 	}
 	m := f.vms[fault.VM]
 	switch fault.Kind {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -50,6 +50,11 @@
 	Storm   Kind = "storm"
 	// KillAll ends every node's process at the same moment.
 	KillAll Kind = "kill-all"
+	// CrashRequest lets callers at all VMs send a request, again and again, that crashes
+	// each target that begins to run it.
+	CrashRequest Kind = "crash-request"
+	// TargetCrashed is in no plan: a target ended under such a request.
+	TargetCrashed Kind = "target-crashed"
 	// NodeEnded is in no plan: a node's process ended by itself.
 	NodeEnded Kind = "node-ended"
 )
@@ -115,9 +120,13 @@
 	// its budget allows, if nothing held them back.
 	illServiceFor = 5 * time.Second
 	seriesOf      = 3
-	seriesPart    = 0.2
-	finalPart     = 0.3
-	finalBefore   = 5 * time.Second
+	// crashRequestPart is the part of plans in which callers send a request that crashes
+	// targets, for crashRequestFor.
+	crashRequestPart = 0.5
+	crashRequestFor  = 8 * time.Second
+	seriesPart       = 0.2
+	finalPart        = 0.3
+	finalBefore      = 5 * time.Second
 )
 
 // MakePlan draws the faults of a run of a length over so many VMs. Faults overlap,
@@ -147,10 +156,28 @@
 	if random.Float64() < finalPart {
 		plan = append(plan, Fault{At: length - finalBefore, For: time.Second, Kind: KillAll, VM: all})
 	}
+	plan = append(plan, drawCrashRequest(seed, length)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
 	return plan
 }
 
+// drawCrashRequest has a random source of its own, so that the other faults of a seed stay
+// what they are.
+func drawCrashRequest(seed uint64, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, 2))
+	last := length - finalBefore - crashRequestFor
+	if last <= firstFault || random.Float64() >= crashRequestPart {
+		return nil
+	}
+	at := firstFault + time.Duration(random.Int64N(int64(last-firstFault)))
+	return []Fault{{At: at, For: crashRequestFor, Kind: CrashRequest, VM: all}}
+}
+
+// Only returns the faults of some kinds.
+func Only(plan []Fault, kinds []Kind) []Fault {
+	return slices.DeleteFunc(plan, func(f Fault) bool { return !slices.Contains(kinds, f.Kind) })
+}
+
 func drawKind(random *rand.Rand) Kind {
 	total := 0
 	for _, k := range kinds {
--- a/internal/soak/relay.go
+++ b/internal/soak/relay.go
@@ -4,7 +4,10 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Harm is what a relay does to the connections that pass it; the zero value does
@@ -22,13 +25,16 @@
 // Relay passes connections from one address to another. It is safe for concurrent
 // use.
 type Relay struct {
-	listener net.Listener
-	to       string
+	from, to string
 
-	mu      sync.Mutex
-	harm    Harm
-	changed chan struct{}
-	conns   map[net.Conn]struct{}
+	mu       sync.Mutex
+	listener net.Listener
+	// refusing says that nobody listens here since nobody does on the far side; closed
+	// that the relay has ended.
+	refusing, closed bool
+	harm             Harm
+	changed          chan struct{}
+	conns            map[net.Conn]struct{}
 }
 
 // relayDial bounds the connection to the far side, which is on this machine.
@@ -40,17 +46,20 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{listener: listener, to: to, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}}
-	go r.serve()
+	r := &Relay{from: listener.Addr().String(), listener: listener, to: to, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}}
+	go r.serve(listener)
 	return r, nil
 }
 
 // Address is where the relay listens.
-func (r *Relay) Address() string { return r.listener.Addr().String() }
+func (r *Relay) Address() string { return r.from }
 
 // Close ends the relay and its connections.
 func (r *Relay) Close() {
+	r.mu.Lock()
+	r.closed = true
 	_ = r.listener.Close()
+	r.mu.Unlock()
 	r.Reset()
 }
 
@@ -80,9 +89,9 @@
 	_ = conn.Close()
 }
 
-func (r *Relay) serve() {
+func (r *Relay) serve(listener net.Listener) {
 	for {
-		conn, err := r.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -100,19 +109,19 @@
 	return r.harm
 }
 
-// pass connects through and copies both ways. A far side that refuses is shown to
-// the near one as a reset, the nearest thing to a refusal that a relay can do.
+// pass connects through and copies both ways.
 func (r *Relay) pass(near net.Conn) {
 	far, err := net.DialTimeout("tcp", r.to, relayDial)
 	if err != nil {
+		r.refuseLikeFarSide(err)
 		reset(near)
 		return
 	}
 	r.keep(near, far)
 	defer r.drop(near, far)
 	var copying sync.WaitGroup
-	copying.Go(func() { r.copy(far, near, func(h Harm) bool { return h.HoldForward }) })
-	copying.Go(func() { r.copy(near, far, func(h Harm) bool { return h.HoldBack }) })
+	copying.Go(func() { r.copy(far, near, func(h Harm) bool { return h.HoldForward }, func() {}) })
+	copying.Go(func() { r.copy(near, far, func(h Harm) bool { return h.HoldBack }, r.lookAtFarSide) })
 	copying.Wait()
 }
 
@@ -135,7 +144,8 @@
 
 // copy passes one direction on. An orderly end is passed on as one; a reset as a
 // reset, so that a cut answer can't look whole.
-func (r *Relay) copy(to, from net.Conn, held func(Harm) bool) {
+// Ended is called before the end is passed on.
+func (r *Relay) copy(to, from net.Conn, held func(Harm) bool, ended func()) {
 	piece := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(piece)
@@ -146,6 +156,7 @@
 		if err == nil {
 			continue
 		}
+		ended()
 		if err == io.EOF {
 			if tcp, ok := to.(*net.TCPConn); ok {
 				_ = tcp.CloseWrite()
@@ -157,6 +168,64 @@
 	}
 }
 
+// lookAtFarSide finds out whether a connection ended because its process did.
+func (r *Relay) lookAtFarSide() {
+	far, err := net.DialTimeout("tcp", r.to, relayDial)
+	if err != nil {
+		r.refuseLikeFarSide(err)
+		return
+	}
+	_ = far.Close()
+}
+
+// farSidePause is between two looks at a far side on which nobody listens.
+const farSidePause = 10 * time.Millisecond
+
+// refuseLikeFarSide stops listening while nobody listens on the far side, so that the near
+// one sees the refusal that it would see without a relay.
+func (r *Relay) refuseLikeFarSide(err error) {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.refusing || r.closed {
+		return
+	}
+	r.refusing = true
+	_ = r.listener.Close()
+	go r.listenWithFarSide()
+}
+
+func (r *Relay) listenWithFarSide() {
+	for {
+		time.Sleep(farSidePause)
+		far, err := net.DialTimeout("tcp", r.to, relayDial)
+		if err == nil {
+			_ = far.Close()
+		}
+		if r.listenAgain(err == nil) {
+			return
+		}
+	}
+}
+
+// listenAgain listens if the far side does, and reports whether nothing is left to do.
+func (r *Relay) listenAgain(farListens bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed || !farListens {
+		return r.closed
+	}
+	listener, err := net.Listen("tcp", r.from)
+	if err != nil {
+		return false
+	}
+	r.listener, r.refusing = listener, false
+	go r.serve(listener)
+	return true
+}
+
 func (r *Relay) deliver(to net.Conn, piece []byte, held func(Harm) bool) bool {
 	r.mu.Lock()
 	for held(r.harm) {
--- a/internal/soak/relay_test.go
+++ b/internal/soak/relay_test.go
@@ -3,10 +3,13 @@
 import (
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // echoThrough returns a connection to an echo server through a relay.
@@ -59,3 +62,35 @@
 	_, err := conn.Read(make([]byte, 1))
 	assert.ErrorContains(t, err, "reset")
 }
+
+// The far side of a relay ends. Who connects to the relay is refused, as it would be
+// without one, from the moment at which open connections end, and until it is back.
+func TestRelayRefusesLikeItsFarSide(t *testing.T) {
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	relay, err := NewRelay("127.0.0.1:0", server.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(relay.Close)
+	near, err := net.Dial("tcp", relay.Address())
+	assert.NilError(t, err)
+	far, err := server.Accept()
+	assert.NilError(t, err)
+	assert.NilError(t, server.Close())
+	assert.NilError(t, far.Close())
+	_, err = near.Read(make([]byte, 1))
+	assert.Equal(t, err, io.EOF)
+	_, err = net.Dial("tcp", relay.Address())
+	assert.Assert(t, errors.Is(err, syscall.ECONNREFUSED), "%v", err)
+
+	server, err = net.Listen("tcp", server.Addr().String())
+	assert.NilError(t, err)
+	defer server.Close()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		again, err := net.Dial("tcp", relay.Address())
+		if err != nil {
+			return poll.Continue("%v", err)
+		}
+		again.Close()
+		return poll.Success()
+	})
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -19,6 +19,8 @@
 	// Length is for how long callers send, VMs how many nodes there are.
 	Length time.Duration
 	VMs    int
+	// Kinds are the faults of the plan that are carried out; all without any.
+	Kinds []Kind
 	// Net16 is the second number of the loopback addresses that the run uses.
 	Net16 int
 	// Keep is where the history and the logs of a run with findings go; empty for
@@ -50,6 +52,9 @@
 		return nil, errors.Wrapf(err, "seed %d", o.Seed)
 	}
 	plan := MakePlan(o.Seed, o.Length, o.VMs)
+	if len(o.Kinds) > 0 {
+		plan = Only(plan, o.Kinds)
+	}
 	records, err := f.play(ctx, o, plan)
 	if err != nil {
 		// A fleet that doesn't come back is a finding, too.
@@ -78,7 +83,7 @@
 
 // play sends the load and carries out the plan beside it.
 func (f *fleet) play(ctx context.Context, o Options, plan []Fault) ([]Record, error) {
-	b := &book{}
+	b := f.book
 	loadCtx, stop := context.WithTimeout(ctx, o.Length)
 	defer stop()
 	var loading sync.WaitGroup
--- a/standin/usertarget/target.go
+++ b/standin/usertarget/target.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -42,6 +43,13 @@
 	Fail float64 `json:"fail"`
 }
 
+// CrashMark stands in the path of requests that crash each target that begins to run
+// them.
+const CrashMark = "crash-"
+
+// crashAfter is how long a target works on such a request before it crashes.
+const crashAfter = 30 * time.Millisecond
+
 // Entry is one arrival in the ledger.
 type Entry struct {
 	Request  string `json:"request"`
@@ -60,6 +68,8 @@
 	instance, service string
 	slots             int
 	work              time.Duration
+	// crash ends the target's process.
+	crash func()
 
 	mu      sync.Mutex
 	ledger  *json.Encoder
@@ -69,10 +79,10 @@
 }
 
 // New returns a target whose requests take the work on average; the ledger gets
-// each arrival as it comes.
-func New(instance, service string, slots int, work time.Duration, ledger io.Writer) *Target {
+// each arrival as it comes. Crash ends the target's process.
+func New(instance, service string, slots int, work time.Duration, ledger io.Writer, crash func()) *Target {
 	seed := sha256.Sum256([]byte(instance))
-	return &Target{instance: instance, service: service, slots: slots, work: work, ledger: json.NewEncoder(ledger), random: rand.New(rand.NewChaCha8(seed))}
+	return &Target{instance: instance, service: service, slots: slots, work: work, crash: crash, ledger: json.NewEncoder(ledger), random: rand.New(rand.NewChaCha8(seed))}
 }
 
 // SetMode changes how the target behaves.
@@ -156,6 +166,10 @@
 		return
 	}
 	defer t.leave()
+	if strings.Contains(r.URL.Path, CrashMark) {
+		time.Sleep(crashAfter)
+		t.crash()
+	}
 	select {
 	case <-time.After(f.work):
 	case <-r.Context().Done():
--- a/test/process/soak_test.go
+++ b/test/process/soak_test.go
@@ -16,7 +16,7 @@
 func TestSoakInShort(t *testing.T) {
 	t.Parallel()
 	// Test runs beside this one take other addresses.
-	addresses := strconv.Itoa(150 + 2*(os.Getpid()%45))
+	addresses := strconv.Itoa(150 + 3*(os.Getpid()%30))
 	command := exec.Command(filepath.Join(binaries, "tamaracksoak"), "run", "--seed", "1", "--seeds", "2", "--parallel", "2",
 		"--length", "14s", "--untimed", "--loopback", addresses)
 	output, err := command.CombinedOutput()
