--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -25,6 +25,7 @@
 	"tamarackquay/internal/logfield"
 	"tamarackquay/internal/placement"
 	"tamarackquay/internal/proxy"
+	"tamarackquay/internal/quarantine"
 	"tamarackquay/platform"
 )
 
@@ -110,6 +111,8 @@
 	peers    *exchange.Pool
 	target   *exchange.Pool
 	callers  *callerhttp.Server
+	// crashes is what this node knows of requests that crash targets.
+	crashes  *quarantine.Shared
 	peerSide *http.Server
 	meter    *metrics.Meter
 	// picture is the last one; the follower's lock guards it.
@@ -154,9 +157,10 @@
 	c := &sidecar{
 		settings: s, log: logger, output: output, meter: metrics.New(),
 		peers: exchange.NewPool(peerConnections), target: exchange.NewPool(targetConnections),
+		crashes: quarantine.NewShared(wallClock{}),
 	}
 	c.proxy = proxy.New(proxyConfig(s, options), proxy.Ports{
-		Clock: wallClock{}, Peers: c.peers, Target: c.target, Log: logger, Meter: c.meter,
+		Clock: wallClock{}, Peers: c.peers, Target: c.target, Log: logger, Meter: c.meter, Crashes: c.crashes,
 		ViewAge: func() time.Duration { return c.follower.Age() },
 	})
 	c.proxy.SetService(s.Service)
@@ -167,7 +171,7 @@
 		InForceWithin: inForceWithin(s),
 		FirstStart:    s.FirstStart,
 		Greet:         c.proxy.Greet,
-	}, platform.NewStore(s.StoreAddress, logger), feedws.NewClient(feedTransport()), wallClock{}, logger, c.meter, c.takeView)
+	}, platform.NewStore(s.StoreAddress, logger), feedws.NewClient(feedTransport(), c.crashes, c.proxy.CountSent), wallClock{}, logger, c.meter, c.takeView)
 	c.callers = callerhttp.NewServer(c.proxy, callerhttp.Limits{HeaderBytes: mostHeaderBytes, BodyBytes: mostBodyBytes})
 	c.peerSide = c.newPeerSide(peerAddress)
 	return c
--- a/cmd/tamarackd/sidecar_loop.go
+++ b/cmd/tamarackd/sidecar_loop.go
@@ -74,6 +74,10 @@
 		c.meter.Count(port.MetricLinesDropped, "output", int(lines))
 		c.log.Warn().Str(logfield.Kind, "output").Int64(logfield.Lines, lines).Msg("lines dropped")
 	}
+	c.meter.Set(port.MetricQuarantined, "", float64(c.crashes.Sentences()))
+	if dropped := c.crashes.TakeDropped(); dropped > 0 {
+		c.meter.Count(port.MetricCrashesDropped, "", dropped)
+	}
 	running, waiting := c.proxy.Counts()
 	c.meter.Set(port.MetricSlotsRunning, "", float64(running))
 	c.meter.Set(port.MetricQueueWaiting, "", float64(waiting))
--- a/internal/adapter/exchange/exchange_test.go
+++ b/internal/adapter/exchange/exchange_test.go
@@ -271,3 +271,22 @@
 }
 
 func (c recordingConn) Write(p []byte) (int, error) { return c.out.Write(p) }
+
+// Guards against taking a target for dead that listens, and a new connection for each look.
+func TestRefusedTellsWhetherAnybodyListens(t *testing.T) {
+	address, accepted := server(t, func(c net.Conn, r *http.Request, _ int) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(c, answer("id", "own"))
+	})
+	p := pool()
+	_, err := ask(p, address, "id")
+	assert.NilError(t, err)
+	assert.Assert(t, !p.Refused(context.Background(), address))
+	assert.Equal(t, accepted(), 1)
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.Assert(t, !p.Refused(context.Background(), listener.Addr().String()))
+	assert.NilError(t, listener.Close())
+	assert.Assert(t, p.Refused(context.Background(), listener.Addr().String()))
+}
--- a/internal/adapter/exchange/pool.go
+++ b/internal/adapter/exchange/pool.go
@@ -88,11 +88,8 @@
 }
 
 func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
-	for c := p.take(address); c != nil; c = p.take(address) {
-		if time.Now().Before(c.until) && c.quiet() {
-			return c, nil
-		}
-		c.close(false)
+	if c := p.takeQuiet(address); c != nil {
+		return c, nil
 	}
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -106,6 +103,32 @@
 	return c, nil
 }
 
+// Refused reports whether nobody listens at an address. No connection is opened while an
+// idle one is sound.
+func (p *Pool) Refused(ctx context.Context, address string) bool {
+	if c := p.takeQuiet(address); c != nil {
+		p.put(c, time.Until(c.until))
+		return false
+	}
+	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = raw.Close()
+	return false
+}
+
+// takeQuiet returns an idle connection that may be used, or nil.
+func (p *Pool) takeQuiet(address string) *conn {
+	for c := p.take(address); c != nil; c = p.take(address) {
+		if time.Now().Before(c.until) && c.quiet() {
+			return c
+		}
+		c.close(false)
+	}
+	return nil
+}
+
 // take returns the connection used last, so that those beyond the usual need
 // grow old and are closed.
 func (p *Pool) take(address string) *conn {
--- a/internal/adapter/feedws/codec.go
+++ b/internal/adapter/feedws/codec.go
@@ -10,13 +10,16 @@
 	"github.com/pkg/errors"
 
 	"tamarackquay/internal/mesh"
+	"tamarackquay/internal/quarantine"
 )
 
-// message is one update as it is sent. A change of the configuration is compressed
+// message is one update or one notice as it is sent. A change of the configuration is compressed
 // apart from the rest: sent plain to every follower, a large one fills a small link
 // until the feeds time out.
 type message struct {
 	Update *mesh.Update `cbor:"n"`
+	// Notice is set in place of an update.
+	Notice *quarantine.Notice `cbor:"q,omitempty"`
 	// Config is the compressed CBOR of a mesh.ConfigDelta; empty for none.
 	Config []byte `cbor:"c,omitempty"`
 }
@@ -95,12 +98,26 @@
 	return packed.Bytes(), nil
 }
 
-// decode reads what encode wrote.
-func decode(raw []byte) (*mesh.Update, error) {
+func encodeNotice(notice *quarantine.Notice) ([]byte, error) {
+	raw, err := cbor.Marshal(&message{Notice: notice})
+	return raw, errors.Wrap(err, "encode notice")
+}
+
+// decode reads what encode or encodeNotice wrote; one of its results is set.
+func decode(raw []byte) (*mesh.Update, *quarantine.Notice, error) {
 	var m message
 	if err := decoder.Unmarshal(raw, &m); err != nil {
-		return nil, errors.Wrap(err, "decode update")
+		return nil, nil, errors.Wrap(err, "decode message")
+	}
+	if m.Notice != nil {
+		return nil, m.Notice, nil
 	}
+	update, err := m.update()
+	return update, nil, err
+}
+
+// update returns the update with its configuration.
+func (m *message) update() (*mesh.Update, error) {
 	if m.Update == nil {
 		return nil, errors.New("decode update: none")
 	}
--- a/internal/adapter/feedws/feedws.go
+++ b/internal/adapter/feedws/feedws.go
@@ -1,5 +1,5 @@
 // Package feedws carries the updates of one node to another as CBOR over a
-// WebSocket. The follower opens the connection; updates flow one way.
+// WebSocket. The follower opens the connection; updates flow one way, and notices both.
 package feedws
 
 import (
@@ -15,6 +15,7 @@
 
 	"tamarackquay/internal/follow"
 	"tamarackquay/internal/mesh"
+	"tamarackquay/internal/quarantine"
 	"tamarackquay/internal/wait"
 )
 
@@ -38,6 +39,8 @@
 	silence = 1200 * time.Millisecond
 	// writeTimeout ends a feed whose follower doesn't read.
 	writeTimeout = 3 * time.Second
+	// maxNotice bounds what a follower sends.
+	maxNotice = 256 << 10
 	// openTimeout bounds the opening of a feed.
 	openTimeout = time.Second
 )
@@ -47,8 +50,9 @@
 	Serve(ctx context.Context, host string, held mesh.Held, send func(*mesh.Update) error) error
 }
 
-// NewHandler serves feeds of the source. Sent is told of the bytes that go out.
-func NewHandler(source Source, sent func(bytes int)) http.Handler {
+// NewHandler serves feeds of the source, and exchanges notices with who follows. Sent is
+// told of the bytes that go out.
+func NewHandler(source Source, notices follow.Notices, sent func(bytes int)) http.Handler {
 	encoder := &encoder{}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		held, err := decodeHeld(r.URL.Query())
@@ -61,9 +65,17 @@
 			return
 		}
 		defer conn.CloseNow()
-		// Nothing is read; this notices that the follower has gone.
-		ctx := conn.CloseRead(r.Context())
-		err = source.Serve(ctx, follow.HostOf(r.RemoteAddr), held, func(update *mesh.Update) error {
+		conn.SetReadLimit(maxNotice)
+		host := follow.HostOf(r.RemoteAddr)
+		// The read ends when the follower has gone.
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		go func() {
+			defer cancel()
+			takeNotices(ctx, conn, notices, host)
+		}()
+		go sendNotices(ctx, conn, notices, host, sent)
+		err = source.Serve(ctx, host, held, func(update *mesh.Update) error {
 			raw, err := encoder.encode(update)
 			if err != nil {
 				return err
@@ -78,6 +90,35 @@
 	})
 }
 
+// takeNotices reads a follower's notices until the connection ends. What can't be read ends
+// it; the follower then opens another feed.
+func takeNotices(ctx context.Context, conn *websocket.Conn, notices follow.Notices, from string) {
+	for {
+		_, raw, err := conn.Read(ctx)
+		if err != nil {
+			return
+		}
+		_, notice, err := decode(raw)
+		if err != nil || notice == nil {
+			return
+		}
+		notices.Merge(from, notice)
+	}
+}
+
+// sendNotices sends a neighbour what it lacks until the connection ends, which its reader
+// sees.
+func sendNotices(ctx context.Context, conn *websocket.Conn, notices follow.Notices, to string, sent func(bytes int)) {
+	_ = follow.SendNotices(ctx, notices, to, func(notice *quarantine.Notice) error {
+		raw, err := encodeNotice(notice)
+		if err != nil {
+			return err
+		}
+		sent(len(raw))
+		return write(ctx, conn, raw)
+	})
+}
+
 func encodeHeld(held mesh.Held) url.Values {
 	return url.Values{
 		paramVersion:  {strconv.FormatUint(held.Version, 10)},
@@ -101,13 +142,18 @@
 }
 
 // Client implements follow.Feed.
-type Client struct{ http *http.Client }
+type Client struct {
+	http    *http.Client
+	notices follow.Notices
+	sent    func(bytes int)
+}
 
 var _ follow.Feed = (*Client)(nil)
 
-// NewClient returns a client that opens its connections with the dialer.
-func NewClient(transport *http.Transport) *Client {
-	return &Client{http: &http.Client{Transport: transport}}
+// NewClient returns a client that opens its connections with the transport, and exchanges
+// notices with whom it follows. Sent is told of the bytes that go out.
+func NewClient(transport *http.Transport, notices follow.Notices, sent func(bytes int)) *Client {
+	return &Client{http: &http.Client{Transport: transport}, notices: notices, sent: sent}
 }
 
 // Follow implements follow.Feed.
@@ -118,11 +164,19 @@
 	}
 	defer conn.CloseNow()
 	conn.SetReadLimit(maxUpdate)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	host := follow.HostOf(address)
+	go sendNotices(ctx, conn, c.notices, host, c.sent)
 	for {
-		update, err := read(ctx, conn)
+		update, notice, err := read(ctx, conn)
 		if err != nil {
 			return err
 		}
+		if notice != nil {
+			c.notices.Merge(host, notice)
+			continue
+		}
 		if err := take(update); err != nil {
 			return err
 		}
@@ -137,19 +191,19 @@
 	return conn, errors.Wrap(err, "open feed")
 }
 
-// read returns the next update.
-func read(ctx context.Context, conn *websocket.Conn) (*mesh.Update, error) {
+// read returns the next update or notice.
+func read(ctx context.Context, conn *websocket.Conn) (*mesh.Update, *quarantine.Notice, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silent := time.AfterFunc(silence, func() { cancel(errSilent) })
 	defer silent.Stop()
 	_, reader, err := conn.Reader(ctx)
 	if err != nil {
-		return nil, causeOf(ctx, err)
+		return nil, nil, causeOf(ctx, err)
 	}
 	raw, err := io.ReadAll(&wait.Progress{From: reader, Timer: silent, Silence: silence})
 	if err != nil {
-		return nil, causeOf(ctx, err)
+		return nil, nil, causeOf(ctx, err)
 	}
 	return decode(raw)
 }
--- a/internal/adapter/feedws/feedws_test.go
+++ b/internal/adapter/feedws/feedws_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"tamarackquay/internal/mesh"
+	"tamarackquay/internal/quarantine"
 )
 
 // routes makes so many routes with names that have nothing in common.
@@ -47,7 +48,7 @@
 		t.Run(test.desc, func(t *testing.T) {
 			raw, err := (&encoder{}).encode(&test.update)
 			assert.NilError(t, err)
-			got, err := decode(raw)
+			got, _, err := decode(raw)
 			assert.NilError(t, err)
 			assert.DeepEqual(t, *got, test.update)
 		})
@@ -89,7 +90,7 @@
 		t.Run(test.desc, func(t *testing.T) {
 			raw, err := cbor.Marshal(test.m)
 			assert.NilError(t, err)
-			_, err = decode(raw)
+			_, _, err = decode(raw)
 			assert.Assert(t, err != nil)
 		})
 	}
@@ -134,12 +135,20 @@
 
 func serveFeed(t *testing.T, listener net.Listener, source Source, sent func(int)) {
 	t.Helper()
-	server := httptest.NewUnstartedServer(NewHandler(source, sent))
+	server := httptest.NewUnstartedServer(NewHandler(source, quarantine.NewShared(wallClock{}), sent))
 	server.Listener = listener
 	server.Start()
 	t.Cleanup(server.Close)
 }
 
+type wallClock struct{}
+
+func (wallClock) Now() time.Time { return time.Now() }
+
+func newClient() *Client {
+	return NewClient(&http.Transport{}, quarantine.NewShared(wallClock{}), func(int) {})
+}
+
 var errTaken = errors.New("taken")
 
 // A large change comes over a link that is nearly full, for longer than a feed may
@@ -150,7 +159,7 @@
 	sent := 0
 	update := &mesh.Update{Config: mesh.Diff(nil, &mesh.Config{Version: 3, Routes: routes(2500)})}
 	serveFeed(t, slowListener{listener}, sourceOf{update}, func(bytes int) { sent += bytes })
-	client := NewClient(&http.Transport{})
+	client := newClient()
 	begin := time.Now()
 	err = client.Follow(context.Background(), listener.Addr().String(), mesh.Held{}, func(got *mesh.Update) error {
 		assert.Equal(t, len(got.Config.Changed), 2500)
@@ -167,7 +176,7 @@
 	assert.NilError(t, err)
 	serveFeed(t, listener, sourceOf{&mesh.Update{}}, func(int) {})
 	taken := 0
-	err = NewClient(&http.Transport{}).Follow(context.Background(), listener.Addr().String(), mesh.Held{}, func(*mesh.Update) error {
+	err = newClient().Follow(context.Background(), listener.Addr().String(), mesh.Held{}, func(*mesh.Update) error {
 		taken++
 		return nil
 	})
--- a/internal/distribution/place.go
+++ b/internal/distribution/place.go
@@ -85,21 +85,25 @@
 	return slices.Concat(rounds...)
 }
 
-// FirstReader returns the VM that comes first in the order of readers of a region, and
-// whether the region has any.
-func FirstReader(region string, live []membership.VM) (membership.VM, bool) {
-	var first membership.VM
-	var most uint64
+// FirstReaders returns the VMs of a region that read before all others, whatever their
+// failure domain, so many at most.
+func FirstReaders(region string, live []membership.VM, count int) []membership.VM {
+	var first []membership.VM
+	var scores []uint64
 	for i := range live {
 		if live[i].Region != region {
 			continue
 		}
 		own := score(readerSalt, live[i].ID)
-		if first.ID == "" || own > most || own == most && live[i].ID < first.ID {
-			first, most = live[i], own
+		place := len(first)
+		for place > 0 && (own > scores[place-1] || own == scores[place-1] && live[i].ID < first[place-1].ID) {
+			place--
 		}
+		first, scores = slices.Insert(first, place, live[i]), slices.Insert(scores, place, own)
+		kept := min(len(first), count)
+		first, scores = first[:kept], scores[:kept]
 	}
-	return first, first.ID != ""
+	return first
 }
 
 // ofRegion returns the VMs of self's region, self among them once.
--- a/internal/distribution/place_test.go
+++ b/internal/distribution/place_test.go
@@ -117,10 +117,9 @@
 func TestFirstReaderIsTheFirstOfTheOrder(t *testing.T) {
 	vms := fleetVMs(120, 13, 4)
 	for _, vm := range vms {
-		first, ok := FirstReader(vm.Region, vms)
-		assert.Assert(t, ok)
-		assert.Equal(t, first.ID, ReaderOrder(vm, vms)[0].ID)
+		first := FirstReaders(vm.Region, vms, 3)
+		assert.Equal(t, first[0].ID, ReaderOrder(vm, vms)[0].ID)
+		assert.DeepEqual(t, first, ordered(readerSalt, ofRegion(vm, vms))[:3])
 	}
-	_, ok := FirstReader("nowhere", vms)
-	assert.Assert(t, !ok)
+	assert.Equal(t, len(FirstReaders("nowhere", vms, 3)), 0)
 }
--- a/internal/follow/measure_test.go
+++ b/internal/follow/measure_test.go
@@ -80,3 +80,33 @@
 		})
 	}
 }
+
+// TestMeasureNotices prints how soon all nodes know under which request three targets
+// crashed, and what it takes, in fleets of several sizes on links of which callers leave a
+// tenth.
+func TestMeasureNotices(t *testing.T) {
+	if os.Getenv("MEASURE") == "" {
+		t.Skip("set MEASURE=1 to measure")
+	}
+	for _, perDomain := range []int{8, 25, 74, 250} {
+		simulateFleet(t, largeWithin, perDomain, func(t *testing.T, w *world) {
+			w.mu.Lock()
+			w.linkRate = smallLink / 10
+			clear(w.noticed)
+			w.mu.Unlock()
+			w.crashThree(w.otherNodes(nil))
+			begin := time.Now()
+			for len(w.unaware(poison)) > 0 && time.Since(begin) < knownWithin {
+				time.Sleep(10 * time.Millisecond)
+			}
+			known := time.Since(begin)
+			time.Sleep(time.Second)
+			most, all := 0, 0
+			for _, bytes := range w.noticed {
+				most = max(most, bytes)
+				all += bytes
+			}
+			t.Logf("%d VMs: known by all %s after the third was told; busiest node %d bytes, mean %d", 4*perDomain, known, most, all/(4*perDomain))
+		})
+	}
+}
--- a/internal/follow/neighbours.go
+++ b/internal/follow/neighbours.go
@@ -41,14 +41,17 @@
 	for _, vm := range f.sources() {
 		add(vm.PeerAddress)
 	}
-	if f.view.Lag(f.clock.Now()) > f.pace.moreParentsAfter {
+	orphaned := f.orphaned()
+	if orphaned || f.view.Lag(f.clock.Now()) > f.pace.moreParentsAfter {
 		for _, vm := range o.first(staleParents) {
 			add(vm.PeerAddress)
 		}
 	}
-	if o.rank < readers {
-		for _, vm := range o.strangers {
-			add(vm.PeerAddress)
+	if o.rank < readers || orphaned && o.rank < firstToStepIn {
+		for _, region := range o.strangers {
+			for _, vm := range f.reachable(region) {
+				add(vm.PeerAddress)
+			}
 		}
 	}
 	if f.view.Table() == nil {
@@ -74,6 +77,21 @@
 	return o.parents
 }
 
+// reachable returns the first of some VMs and, while its feed is broken, the next ones up to
+// the first two whose feeds aren't. It must be called with the mutex held.
+func (f *Follower) reachable(vms []membership.VM) []membership.VM {
+	sound := 0
+	for i, vm := range vms {
+		if !f.broken[vm.PeerAddress] {
+			sound++
+		}
+		if sound == readers || i == 0 && sound == 1 {
+			return vms[:i+1]
+		}
+	}
+	return vms
+}
+
 // followNeighbours keeps one feed open to each neighbour.
 func (f *Follower) followNeighbours(ctx context.Context) {
 	feeds := map[string]context.CancelFunc{}
--- /dev/null
+++ b/internal/follow/notices_test.go
@@ -0,0 +1,123 @@
+//go:build !race
+
+package follow
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tamarackquay/internal/quarantine"
+)
+
+const (
+	// manyPerDomain makes a fleet of 296 nodes in two regions.
+	manyPerDomain = 74
+	// knownWithin is the bound after the third crash under a request.
+	knownWithin = 3 * time.Second
+	poison      = quarantine.Fingerprint(1 << 60)
+)
+
+// crashThree lets three nodes tell of a crash each, in which the poison ran beside others.
+func (w *world) crashThree(nodes []string) {
+	for i, node := range nodes[:3] {
+		suspects := []quarantine.Fingerprint{poison}
+		for other := range quarantine.Fingerprint(11) {
+			suspects = append(suspects, poison+100*quarantine.Fingerprint(i+1)+other)
+		}
+		w.crash(node, uint64(i+1), suspects...)
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func (w *world) otherNodes(lost []string) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var others []string
+	for id := range w.nodes {
+		if !slices.Contains(lost, id) {
+			others = append(others, id)
+		}
+	}
+	slices.Sort(others)
+	return others
+}
+
+// Guards against nodes of a large fleet that learn too late under which request targets
+// crash, and against notices that fill small links.
+func TestLargeFleetLearnsOfCrashes(t *testing.T) {
+	simulateFleet(t, largeWithin, manyPerDomain, func(t *testing.T, w *world) {
+		w.mu.Lock()
+		w.linkRate = smallLink / 10
+		w.mu.Unlock()
+		random := rand.New(rand.NewPCG(1, 1))
+		nodes := w.otherNodes(nil)
+		random.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+		w.takeSent()
+		w.crashThree(nodes)
+		time.Sleep(500 * time.Millisecond)
+		assert.Equal(t, len(w.unaware(poison)), 0, "%v", w.unaware(poison))
+		most, _ := w.takeSent()
+		beats := 3 * spread.Most * beatBytes * 10
+		assert.Assert(t, most-beats <= 3*spread.Most*3*200, "%d bytes", most)
+	})
+}
+
+// Guards against a request that goes on crashing targets where the nodes between those that
+// see the crashes and the others are lost.
+func TestNodesLearnOfCrashesThoughManyAreLost(t *testing.T) {
+	for _, test := range []struct {
+		desc        string
+		part        float64
+		withReaders bool
+		lose        func(w *world, id string)
+	}{
+		{"a third cut off from everybody, the readers among them", 0.33, true, func(w *world, id string) { w.cut[id] = true }},
+		{"a third turned away by the platform, the readers among them", 0.33, true, func(w *world, id string) { w.refused[id] = true }},
+		{"half of the processes end, the readers among them", 0.5, true, func(w *world, id string) {
+			w.stops[id]()
+			w.cut[id] = true
+		}},
+	} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprint(test.desc, " ", seed), func(t *testing.T) {
+				simulateFleet(t, largeWithin, largePerDomain, func(t *testing.T, w *world) {
+					random := rand.New(rand.NewPCG(seed, 1))
+					lost := w.someNodes(random, test.part, test.withReaders)
+					w.mu.Lock()
+					for _, id := range lost {
+						test.lose(w, id)
+					}
+					w.mu.Unlock()
+					nodes := w.otherNodes(lost)
+					random.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+					w.crashThree(nodes)
+					time.Sleep(knownWithin)
+					assert.Equal(t, len(w.unaware(poison)), 0, "%v", w.unaware(poison))
+				})
+			})
+		}
+	}
+}
+
+// Guards against a process that starts later and knows of no crash.
+func TestRestartedNodesLearnOfCrashes(t *testing.T) {
+	simulateFleet(t, largeWithin, largePerDomain, func(t *testing.T, w *world) {
+		nodes := w.otherNodes(nil)
+		w.crashThree(nodes)
+		time.Sleep(time.Second)
+		for _, id := range nodes[:len(nodes)*3/5] {
+			w.stops[id]()
+		}
+		time.Sleep(300 * time.Millisecond)
+		for _, id := range nodes[:len(nodes)*3/5] {
+			w.start(id)
+		}
+		time.Sleep(knownWithin)
+		assert.Equal(t, len(w.unaware(poison)), 0, "%v", w.unaware(poison))
+	})
+}
--- a/internal/follow/order.go
+++ b/internal/follow/order.go
@@ -22,8 +22,8 @@
 	parents       []membership.VM
 	children      []membership.VM
 	childrenKnown bool
-	// strangers holds the first reader of each other region.
-	strangers []membership.VM
+	// strangers holds the first readers of each other region.
+	strangers [][]membership.VM
 }
 
 // first returns the first VMs of the region, so many at most.
@@ -51,9 +51,7 @@
 	o.rank = slices.IndexFunc(o.region, func(vm membership.VM) bool { return vm.ID == self.ID })
 	o.parents = spread.Parents(o.region, o.rank)
 	for _, region := range f.otherRegions() {
-		if first, ok := distribution.FirstReader(region, vms); ok {
-			o.strangers = append(o.strangers, first)
-		}
+		o.strangers = append(o.strangers, distribution.FirstReaders(region, vms, staleParents))
 	}
 	f.order = o
 	return o
--- a/internal/follow/world_link_test.go
+++ b/internal/follow/world_link_test.go
@@ -159,11 +159,17 @@
 	w := l.world
 	w.mu.Lock()
 	other, life := w.nodes[address], w.lives[address]
+	own, theirs := w.crashes[l.node], w.crashes[address]
 	w.mu.Unlock()
 	if other == nil || life.Err() != nil || w.isCut(l.node, address) {
 		return errAway
 	}
 	defer context.AfterFunc(life, cancel)()
+	var noticing sync.WaitGroup
+	defer noticing.Wait()
+	defer cancel()
+	noticing.Go(func() { w.passNotices(ctx, l.node, address, own, theirs) })
+	noticing.Go(func() { w.passNotices(ctx, address, l.node, theirs, own) })
 	silence := time.AfterFunc(1200*time.Millisecond, cancel)
 	queue := make(chan queuedUpdate, 64)
 	var delivering sync.WaitGroup
@@ -200,9 +206,12 @@
 
 // carry puts an update on the link of a node and returns when it has left.
 func (w *world) carry(node string, update *mesh.Update) time.Time {
+	return w.carryBytes(node, sizeOf(update))
+}
+
+func (w *world) carryBytes(node string, size int) time.Time {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	size := sizeOf(update)
 	w.sent[node] += size
 	if w.linkRate == 0 {
 		return time.Now()
--- a/internal/follow/world_test.go
+++ b/internal/follow/world_test.go
@@ -14,6 +14,7 @@
 
 	"tamarackquay/internal/adapter/metrics"
 	"tamarackquay/internal/mesh"
+	"tamarackquay/internal/quarantine"
 )
 
 type wallClock struct{}
@@ -64,7 +65,11 @@
 	linkFree map[string]time.Time
 	sent     map[string]int
 	nodes    map[string]*Follower
-	stops    map[string]context.CancelFunc
+	// crashes is what each node knows of requests that crash targets, and noticed the bytes
+	// of notices that each node has sent.
+	crashes map[string]*quarantine.Shared
+	noticed map[string]int
+	stops   map[string]context.CancelFunc
 	// lives end with the process of a node, and with it the feeds that it serves.
 	lives   map[string]context.Context
 	running sync.WaitGroup
@@ -84,6 +89,7 @@
 		ended:    map[string]time.Time{},
 		linkFree: map[string]time.Time{}, sent: map[string]int{},
 		targets: map[string]mesh.Target{}, changed: make(chan struct{}), revision: 1,
+		crashes: map[string]*quarantine.Shared{}, noticed: map[string]int{},
 		refused: map[string]bool{}, cut: map[string]bool{}, nodes: map[string]*Follower{}, stops: map[string]context.CancelFunc{}, lives: map[string]context.Context{},
 	}
 	w.publish(1)
@@ -112,6 +118,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	w.mu.Lock()
 	w.nodes[id] = f
+	w.crashes[id] = quarantine.NewShared(wallClock{})
 	w.stops[id] = stop
 	w.lives[id] = ctx
 	w.mu.Unlock()
--- a/internal/port/metric.go
+++ b/internal/port/metric.go
@@ -30,6 +30,12 @@
 	// MetricLinkWait is how long a large answer waits for the VM's link, in
 	// seconds.
 	MetricLinkWait Metric = "tamarack_link_wait_seconds"
+	// MetricTargetCrashes counts the crashes of the VM's own target.
+	MetricTargetCrashes Metric = "tamarack_target_crashes_total"
+	// MetricQuarantined is the number of requests that are kept from targets.
+	MetricQuarantined Metric = "tamarack_requests_quarantined"
+	// MetricCrashesDropped counts crashes that were told faster than a node takes them.
+	MetricCrashesDropped Metric = "tamarack_crash_notices_dropped_total"
 	// MetricOverdue counts callers' connections ended for keeping the node waiting.
 	MetricOverdue Metric = "tamarack_connections_overdue_total"
 	// MetricResumed counts bodies continued from another target, by route.
--- a/internal/port/refusal.go
+++ b/internal/port/refusal.go
@@ -35,6 +35,8 @@
 	// ReasonShedWithRoom: the target turned the request away although it says
 	// that it has free slots.
 	ReasonShedWithRoom Reason = "shed-with-room"
+	// ReasonQuarantined: targets crashed under the same request before.
+	ReasonQuarantined Reason = "quarantined"
 	// ReasonMisdirected: the target that has the address now is another one
 	// than the request was meant for, and said so.
 	ReasonMisdirected Reason = "misdirected"
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -86,6 +86,7 @@
 	if f.fingerprint, err = fingerprintOf(f); err != nil {
 		return nil, &port.Unknown{Stage: "body", Cause: err}
 	}
+	f.suspicion = p.crashes.Count(f.fingerprint)
 	f.first = p.firstAttempt(f)
 	callhttp.CopyHeader(f.header, r.Header)
 	f.header[p.config.Headers.CallerService] = []string{*p.service.Load()}
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -40,6 +40,9 @@
 	id      string
 	arrived atomic.Int32
 	serve   func(w http.ResponseWriter, r *http.Request)
+	// address is where it listens, server its process until it crashes.
+	address string
+	server  atomic.Pointer[http.Server]
 }
 
 func (s *testTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -110,7 +113,8 @@
 		f.targets = append(f.targets, target)
 		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.%d:0", i+2))
 		assert.NilError(t, err)
-		serveUntilEnd(t, listener, target)
+		target.address = listener.Addr().String()
+		target.server.Store(serveUntilEnd(t, listener, target))
 		members[i] = &mesh.Member{Target: mesh.Target{
 			ID: target.id, Service: "s", Address: listener.Addr().String(), FailureDomain: "a", Slots: testSlots, State: mesh.Ready,
 		}}
@@ -184,10 +188,11 @@
 	return listeners, nil
 }
 
-func serveUntilEnd(t testing.TB, listener net.Listener, handler http.Handler) {
+func serveUntilEnd(t testing.TB, listener net.Listener, handler http.Handler) *http.Server {
 	server := &http.Server{Handler: handler}
 	go server.Serve(listener)
 	t.Cleanup(func() { server.Close() })
+	return server
 }
 
 var requests atomic.Int64
--- a/internal/proxy/flight.go
+++ b/internal/proxy/flight.go
@@ -41,6 +41,8 @@
 	length int64
 	// fingerprint is the same for all attempts and for other callers of the same.
 	fingerprint quarantine.Fingerprint
+	// suspicion is the number of crashes that the request ran beside before.
+	suspicion int
 
 	tried map[string]bool
 	// last is the target of the last offer.
@@ -82,6 +84,9 @@
 // fly offers the request to one target after another until one answers or
 // another offer is not allowed.
 func (f *flight) fly(ctx context.Context) (*answer, error) {
+	if refusal := f.proxy.quarantined(f.fingerprint); refusal != nil {
+		return nil, refusal
+	}
 	f.proxy.countRequest(f)
 	for f.offers < maxOffers && f.full < fullMost {
 		now := f.proxy.ports.Clock.Now()
@@ -94,11 +99,15 @@
 			f.refused(port.Refuse(port.ReasonDeadline, noTargetRetry, "the time was over before a target took the request"))
 			break
 		}
+		if refusal := f.proxy.quarantined(f.fingerprint); refusal != nil {
+			f.refused(refusal)
+			break
+		}
 		member := f.choose(now)
 		if member == nil {
 			break
 		}
-		if f.arrivals > 0 && !f.grantRepeat(now, f.arrivals) {
+		if f.arrivals > 0 && !(f.mayRepeat() && f.grantRepeat(now, f.arrivals)) {
 			break
 		}
 		a, err := f.attempt(ctx, now, member)
@@ -293,7 +302,7 @@
 		f.arrivals++
 	case port.ReasonDeadline, port.ReasonBusy, port.ReasonQueueFull:
 		f.full++
-	case port.ReasonBadRequest:
+	case port.ReasonBadRequest, port.ReasonQuarantined:
 		return false
 	}
 	return f.body.Again()
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -66,27 +66,40 @@
 		return nil, p.loadWord(received, 0), refusal
 	}
 	deadline := received.Add(t.budget)
-	refusal := p.gate.Enter(ctx, admission.Request{
+	release, refusal := p.isolate(ctx, t)
+	if refusal != nil {
+		return nil, p.loadWord(received, 0), refusal
+	}
+	refusal = p.gate.Enter(ctx, admission.Request{
 		ID: t.attempt, Customer: meshCustomer, Rank: t.rank, Depth: t.urgency,
 		Deadline: received.Add(min(t.wait+leastBudget, t.budget)),
 	})
 	if refusal != nil {
+		release()
 		return nil, p.loadWord(received, 0), refusal
 	}
 	began := p.ports.Clock.Now()
 	if refusal := p.beginRun(began, t, deadline); refusal != nil {
+		release()
 		p.gate.Leave(t.attempt)
 		return nil, p.loadWord(received, 0), refusal
 	}
+	p.beginOwnRun(began, t)
 	response, err := p.runOwn(ctx, t, r, deadline)
 	held := p.ports.Clock.Now().Sub(began)
 	p.noteHold(held, response, err)
 	if err != nil {
 		p.gate.Observe(err)
+		p.endOwnRun(ctx, t, 0, err)
+		release()
 		p.endRun(t.attempt)
 		return nil, p.loadWord(received, held), err
 	}
 	p.gate.Observe(nil)
+	response.Body = &runBody{ReadCloser: response.Body, ended: func(err error) {
+		p.endOwnRun(ctx, t, response.Status, err)
+		release()
+	}}
 	return response, p.loadWord(received, held), nil
 }
 
@@ -97,6 +110,9 @@
 	if p.ownStopped.Load() || p.stopping.Load() && p.ports.Clock.Now().Add(t.budget).After(*p.endsBy.Load()) {
 		return port.Refuse(port.ReasonStopping, retryStopping, "the target's node is stopping")
 	}
+	if refusal := p.quarantined(t.fingerprint); refusal != nil {
+		return refusal
+	}
 	picture := p.picture.Load()
 	if picture == nil || picture.Own == nil {
 		return port.Refuse(port.ReasonNotReady, retryUnreachable, "no target is listed on this VM")
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -24,6 +24,7 @@
 	"tamarackquay/internal/mesh"
 	"tamarackquay/internal/placement"
 	"tamarackquay/internal/port"
+	"tamarackquay/internal/quarantine"
 	"tamarackquay/internal/routing/clientretry"
 	"tamarackquay/internal/routing/retry"
 )
@@ -87,6 +88,9 @@
 	Meter  port.Meter
 	// ViewAge is how old the picture is; nil where nobody asks.
 	ViewAge func() time.Duration
+	// Crashes is what all nodes know of requests that crash targets; nil for a node that
+	// knows only what it sees itself.
+	Crashes *quarantine.Shared
 }
 
 // Picture is what requests are routed by: a moment's immutable view of the mesh.
@@ -109,8 +113,11 @@
 	ports     Ports
 	decisions *decisions
 	gate      *gate.Gate
-	service   atomic.Pointer[string]
-	picture   atomic.Pointer[Picture]
+	crashes   *quarantine.Shared
+	// alone is held by the suspect of crashes that runs at the VM's own target.
+	alone   chan struct{}
+	service atomic.Pointer[string]
+	picture atomic.Pointer[Picture]
 	// stopping is set when a planned stop begins, ownStopped when the VM's own
 	// target gets no more work by it; endsBy is when everything must be over.
 	stopping   atomic.Bool
@@ -129,6 +136,7 @@
 	candidates map[string]*candidates
 	work       map[string]*placement.Work
 	repeats    *retry.Ledger
+	runs       ownRuns
 	callers    *clientretry.Memory
 	held       holds
 	reach      reachability
@@ -147,11 +155,17 @@
 		stats:     map[string]*placement.Stats{},
 		work:      map[string]*placement.Work{},
 		repeats:   retry.NewLedger(config.RepeatWindow),
+		runs:      ownRuns{running: map[string]ownRun{}},
+		crashes:   ports.Crashes,
+		alone:     make(chan struct{}, 1),
 		callers:   clientretry.NewMemory(),
 		reach:     newReachability(),
 		link:      link.NewShare(config.LinkRate),
 		turnComes: map[*link.Turn]chan struct{}{},
 	}
+	if p.crashes == nil {
+		p.crashes = quarantine.NewShared(ports.Clock)
+	}
 	p.SetService("")
 	return p
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -361,13 +361,27 @@
 	if err != nil {
 		return err
 	}
-	response, err := client.Post("http://"+at(m.private, portControl)+"/mode", "application/json", bytes.NewReader(body))
-	if err != nil {
+	return m.order(client, "/mode", body)
+}
+
+// order tells a target something. One that has crashed is told nothing.
+func (m *member) order(client *http.Client, path string, body []byte) error {
+	_, running := m.processes()
+	response, err := client.Post("http://"+at(m.private, portControl)+path, "application/json", bytes.NewReader(body))
+	if err == nil {
+		return response.Body.Close()
+	}
+	select {
+	case <-running.done:
+		return nil
+	case <-time.After(orderPatience):
 		return err
 	}
-	return response.Body.Close()
 }
 
+// orderPatience is how long after a failed order the end of a target may show.
+const orderPatience = 100 * time.Millisecond
+
 func (m *member) reload() {
 	node, _ := m.processes()
 	node.signal(syscall.SIGHUP)
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -204,13 +204,7 @@
 }
 
 // drain asks the target to leave; it returns when the store knows.
-func (m *member) drain(client *http.Client) error {
-	response, err := client.Post("http://"+at(m.private, portControl)+"/drain", "", nil)
-	if err != nil {
-		return err
-	}
-	return response.Body.Close()
-}
+func (m *member) drain(client *http.Client) error { return m.order(client, "/drain", nil) }
 
 func (f *fleet) illTarget(ctx context.Context, m *member, fault Fault) error {
 	mode := ill
