--- a/internal/adapter/callhttp/callhttp.go
+++ b/internal/adapter/callhttp/callhttp.go
@@ -23,6 +23,10 @@
 	HeaderOwner     = "Tamarack-Owner"
 	HeaderEntry     = "Tamarack-Entry"
 	HeaderBudget    = "Tamarack-Budget-Ms"
+	// HeaderStartBy tells a target on the same VM until when it may begin, in
+	// milliseconds of the machine's monotonic clock. Unlike what is left of the
+	// deadline it holds when the node is paused before it sends the request.
+	HeaderStartBy = "Tamarack-Start-By-Ms"
 	// HeaderChain names the services of a call's chain, outermost first. A
 	// target passes it on with the calls that it makes for the request.
 	HeaderChain = "Tamarack-Chain"
--- a/internal/adapter/callhttp/pause_test.go
+++ b/internal/adapter/callhttp/pause_test.go
@@ -47,21 +47,32 @@
 	var writing sync.WaitGroup
 	for range writers {
 		writing.Go(func() {
-			raw, err := net.Dial("tcp", address)
-			assert.Check(t, err)
-			conn := Guard(raw)
-			for err == nil {
-				message := binary.BigEndian.AppendUint64(nil, uint64(sinceBoot()+writeDeadline))
-				conn.hold(&attempt{deadline: time.Now().Add(writeDeadline), gone: func() bool { return false }})
-				if _, err = conn.Write(message); err == errLate {
-					err = nil
-				}
-			}
+			assert.Check(t, write(address))
 		})
 	}
 	writing.Wait()
 }
 
+// write writes requests on one connection until it breaks.
+func write(address string) error {
+	raw, err := net.Dial("tcp", address)
+	if err != nil {
+		return err
+	}
+	conn := Guard(raw)
+	defer conn.Close()
+	for err == nil {
+		// A pause between the two clocks must not make the message older than its deadline.
+		deadline := time.Now().Add(writeDeadline)
+		message := binary.BigEndian.AppendUint64(nil, uint64(sinceBoot()+time.Until(deadline)))
+		conn.hold(&attempt{deadline: deadline, gone: func() bool { return false }})
+		if _, err = conn.Write(message); err == errLate {
+			err = nil
+		}
+	}
+	return err
+}
+
 // TestPausesBeforeTheWrite counts the requests that a process sends after it was paused
 // between its last look at the clock and the write.
 func TestPausesBeforeTheWrite(t *testing.T) {
--- /dev/null
+++ b/internal/adapter/callhttp/startby.go
@@ -0,0 +1,20 @@
+package callhttp
+
+import (
+	"strconv"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// StartBy returns the value of HeaderStartBy for a deadline.
+func StartBy(deadline time.Time) string {
+	// A pause between the two clocks makes the moment earlier, never later.
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &now); err != nil {
+		// Linux always has this clock.
+		panic(err)
+	}
+	by := time.Duration(now.Nano()) + time.Until(deadline)
+	return strconv.FormatInt(by.Milliseconds(), 10)
+}
--- /dev/null
+++ b/internal/adapter/callhttp/startby_test.go
@@ -0,0 +1,38 @@
+package callhttp
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tamarackquay/standin/target"
+)
+
+// Guards against a target that starts a request which its node sent after a pause: the request
+// says until when it may begin on a clock that both share.
+func TestTargetStartsNothingAfterItsTime(t *testing.T) {
+	for _, test := range []struct {
+		desc     string
+		deadline time.Duration
+		want     int
+	}{
+		{"in time", time.Hour, http.StatusOK},
+		{"sent after a pause", -time.Second, http.StatusServiceUnavailable},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			upstream := target.New(1, target.Mode{})
+			r := httptest.NewRequest(http.MethodGet, "/tallies/1", nil)
+			r.Header.Set(HeaderStartBy, StartBy(time.Now().Add(test.deadline)))
+			w := httptest.NewRecorder()
+			upstream.Handler().ServeHTTP(w, r)
+			assert.Equal(t, w.Code, test.want)
+			assert.Equal(t, len(upstream.Ledger()) == 1, test.want == http.StatusOK)
+			if test.want != http.StatusOK {
+				assert.Equal(t, w.Header().Get(target.HeaderShed), target.ShedNotRun)
+			}
+		})
+	}
+}
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -23,6 +23,9 @@
 	HeaderLoad = "Target-Load"
 	// HeaderRequestID is the id under which a run stands in the ledger.
 	HeaderRequestID = "Tamarack-Request-Id"
+	// HeaderStartBy is the moment of SinceBoot, in milliseconds, after which a
+	// request is shed.
+	HeaderStartBy = "Tamarack-Start-By-Ms"
 )
 
 // Mode says how the target behaves; the zero value behaves well.
@@ -182,7 +185,7 @@
 func (t *Target) begin(r *http.Request) (Mode, int, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.mode.Draining || t.running >= t.slots {
+	if t.mode.Draining || t.running >= t.slots || isLate(r) {
 		return t.mode, 0, false
 	}
 	t.running++
@@ -204,6 +207,12 @@
 	return t.mode, len(t.ledger) - 1, true
 }
 
+// isLate reports whether a request came too late to begin.
+func isLate(r *http.Request) bool {
+	by, err := strconv.ParseInt(r.Header.Get(HeaderStartBy), 10, 64)
+	return err == nil && SinceBoot().Milliseconds() > by
+}
+
 func (t *Target) end(index int, whole bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
