--- a/internal/adapter/feedws/feedws.go
+++ b/internal/adapter/feedws/feedws.go
@@ -66,16 +66,16 @@
 		}
 		defer conn.CloseNow()
 		conn.SetReadLimit(maxNotice)
-		host := follow.HostOf(r.RemoteAddr)
+		feed := notices.Open()
 		// The read ends when the follower has gone.
 		ctx, cancel := context.WithCancel(r.Context())
 		defer cancel()
 		go func() {
 			defer cancel()
-			takeNotices(ctx, conn, notices, host)
+			takeNotices(ctx, conn, notices, feed)
 		}()
-		go sendNotices(ctx, conn, notices, host, sent)
-		err = source.Serve(ctx, host, held, func(update *mesh.Update) error {
+		go sendNotices(ctx, conn, notices, feed, sent)
+		err = source.Serve(ctx, follow.HostOf(r.RemoteAddr), held, func(update *mesh.Update) error {
 			raw, err := encoder.encode(update)
 			if err != nil {
 				return err
@@ -92,7 +92,7 @@
 
 // takeNotices reads a follower's notices until the connection ends. What can't be read ends
 // it; the follower then opens another feed.
-func takeNotices(ctx context.Context, conn *websocket.Conn, notices follow.Notices, from string) {
+func takeNotices(ctx context.Context, conn *websocket.Conn, notices follow.Notices, from quarantine.Feed) {
 	for {
 		_, raw, err := conn.Read(ctx)
 		if err != nil {
@@ -108,7 +108,7 @@
 
 // sendNotices sends a neighbour what it lacks until the connection ends, which its reader
 // sees.
-func sendNotices(ctx context.Context, conn *websocket.Conn, notices follow.Notices, to string, sent func(bytes int)) {
+func sendNotices(ctx context.Context, conn *websocket.Conn, notices follow.Notices, to quarantine.Feed, sent func(bytes int)) {
 	_ = follow.SendNotices(ctx, notices, to, func(notice *quarantine.Notice) error {
 		raw, err := encodeNotice(notice)
 		if err != nil {
@@ -166,15 +166,15 @@
 	conn.SetReadLimit(maxUpdate)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	host := follow.HostOf(address)
-	go sendNotices(ctx, conn, c.notices, host, c.sent)
+	feed := c.notices.Open()
+	go sendNotices(ctx, conn, c.notices, feed, c.sent)
 	for {
 		update, notice, err := read(ctx, conn)
 		if err != nil {
 			return err
 		}
 		if notice != nil {
-			c.notices.Merge(host, notice)
+			c.notices.Merge(feed, notice)
 			continue
 		}
 		if err := take(update); err != nil {
--- a/internal/adapter/feedws/notices_test.go
+++ b/internal/adapter/feedws/notices_test.go
@@ -59,6 +59,31 @@
 	assert.Assert(t, bytes > 0)
 }
 
+// Guards against crashes that don't pass from one follower to another which has the same
+// address, as behind a relay.
+func TestNoticesPassBetweenFollowers(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go http.Serve(listener, NewHandler(sourceOf{&mesh.Update{}}, quarantine.NewShared(wallClock{}), func(int) {}))
+	defer listener.Close()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	followers := []*quarantine.Shared{quarantine.NewShared(wallClock{}), quarantine.NewShared(wallClock{})}
+	for _, crashes := range followers {
+		client := NewClient(&http.Transport{}, crashes, func(int) {})
+		go func() {
+			_ = client.Follow(ctx, listener.Addr().String(), mesh.Held{}, func(*mesh.Update) error { return nil })
+		}()
+	}
+	crashed(followers[0], 1, 2, 3)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if followers[1].Quarantined(poison) > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("the other follower doesn't know")
+	})
+}
+
 // Guards against a follower that sends what nobody can read, or too much.
 func TestBrokenNoticeEndsTheFeed(t *testing.T) {
 	for _, test := range []struct {
--- a/internal/follow/notices.go
+++ b/internal/follow/notices.go
@@ -9,16 +9,18 @@
 // Notices are what nodes tell each other of crashes. They go both ways on each feed, so that
 // they reach every node from any.
 type Notices interface {
-	// Since returns what a neighbour lacks that was told everything up to a position, its
-	// position after that, and a channel that is closed when there is more.
-	Since(position uint64, to string) (notice *quarantine.Notice, next uint64, changed <-chan struct{})
-	// Merge takes what a neighbour tells.
-	Merge(from string, notice *quarantine.Notice)
+	// Open returns the name of a new feed.
+	Open() quarantine.Feed
+	// Since returns what the neighbour on a feed lacks that was told everything up to a
+	// position, its position after that, and a channel that is closed when there is more.
+	Since(position uint64, to quarantine.Feed) (notice *quarantine.Notice, next uint64, changed <-chan struct{})
+	// Merge takes what comes by a feed.
+	Merge(from quarantine.Feed, notice *quarantine.Notice)
 }
 
-// SendNotices sends a neighbour the notices that it lacks, all at first, until ctx ends or
+// SendNotices sends the neighbour on a feed the notices that it lacks, all at first, until ctx ends or
 // send fails.
-func SendNotices(ctx context.Context, notices Notices, to string, send func(*quarantine.Notice) error) error {
+func SendNotices(ctx context.Context, notices Notices, to quarantine.Feed, send func(*quarantine.Notice) error) error {
 	var position uint64
 	for {
 		notice, next, changed := notices.Since(position, to)
--- a/internal/follow/world_link_test.go
+++ b/internal/follow/world_link_test.go
@@ -168,8 +168,9 @@
 	var noticing sync.WaitGroup
 	defer noticing.Wait()
 	defer cancel()
-	noticing.Go(func() { w.passNotices(ctx, l.node, address, own, theirs) })
-	noticing.Go(func() { w.passNotices(ctx, address, l.node, theirs, own) })
+	near, far := end{l.node, own, own.Open()}, end{address, theirs, theirs.Open()}
+	noticing.Go(func() { w.passNotices(ctx, near, far) })
+	noticing.Go(func() { w.passNotices(ctx, far, near) })
 	silence := time.AfterFunc(1200*time.Millisecond, cancel)
 	queue := make(chan queuedUpdate, 64)
 	var delivering sync.WaitGroup
--- a/internal/follow/world_notices_test.go
+++ b/internal/follow/world_notices_test.go
@@ -10,21 +10,28 @@
 	"tamarackquay/internal/wait"
 )
 
+// end is one end of a feed.
+type end struct {
+	node    string
+	crashes *quarantine.Shared
+	feed    quarantine.Feed
+}
+
 // passNotices sends one node's notices to another, over the link of the first.
-func (w *world) passNotices(ctx context.Context, from, to string, sender, receiver *quarantine.Shared) {
-	_ = SendNotices(ctx, sender, to, func(notice *quarantine.Notice) error {
+func (w *world) passNotices(ctx context.Context, from, to end) {
+	_ = SendNotices(ctx, from.crashes, from.feed, func(notice *quarantine.Notice) error {
 		raw, err := cbor.Marshal(notice)
 		if err != nil {
 			return err
 		}
 		w.mu.Lock()
-		w.noticed[from] += len(raw)
+		w.noticed[from.node] += len(raw)
 		w.mu.Unlock()
-		if !wait.Sleep(ctx, time.Until(w.carryBytes(from, len(raw)))) {
+		if !wait.Sleep(ctx, time.Until(w.carryBytes(from.node, len(raw)))) {
 			return ctx.Err()
 		}
-		if !w.isCut(from, to) {
-			receiver.Merge(from, notice)
+		if !w.isCut(from.node, to.node) {
+			to.crashes.Merge(to.feed, notice)
 		}
 		return nil
 	})
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -84,6 +84,9 @@
 		f.tellFailed(o.attempt, err)
 		return o.answer, err
 	}
+	if o.answer.rest == nil && o.answer.response.Status < failedStatus {
+		p.crashes.Completed(f.fingerprint)
+	}
 	return o.answer, nil
 }
 
--- a/internal/proxy/crash_test.go
+++ b/internal/proxy/crash_test.go
@@ -277,3 +277,15 @@
 	waitForCount(t, crashes, fingerprint, 0)
 	assert.Assert(t, crashes.Quarantined(fingerprint) > 0)
 }
+
+// Guards against an innocent request that stays suspected at a node which hears of crashes and
+// of no run elsewhere: the answers that it passes on itself clear it.
+func TestAnswerClearsItsRequest(t *testing.T) {
+	f := newFleet(t, 2)
+	crashes := quarantine.NewShared(wallClock{})
+	f.proxies[0].crashes = crashes
+	f.proxies[0].stats["t0"].Avoid(time.Now())
+	suspect(crashes, 1, "/idempotent/x")
+	assert.Equal(t, f.ask(0, "GET", "/idempotent/x", "").Body.String(), "t1 ran /idempotent/x ")
+	assert.Equal(t, crashes.Count(fingerprintOfPath("/idempotent/x")), 0)
+}
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -58,11 +58,15 @@
 	dropped int
 }
 
+// Feed is one connection to a neighbour. Neighbours are told apart by it and not by their
+// addresses, which several may share behind a relay.
+type Feed uint64
+
 // entry says how a part of a ledger came to be.
 type entry struct {
 	number uint64
-	// from is the neighbour that told of it; empty for this node itself.
-	from string
+	// from is the feed that it came by; 0 for this node itself.
+	from Feed
 	at   time.Time
 }
 
@@ -123,7 +127,7 @@
 }
 
 // Crashed takes a crash that this node saw.
-func (l *Ledger) Crashed(now time.Time, c Crash) { l.Merge(now, "", &Notice{Crashes: []Crash{c}}) }
+func (l *Ledger) Crashed(now time.Time, c Crash) { l.Merge(now, 0, &Notice{Crashes: []Crash{c}}) }
 
 // Completed takes a run to its end that this node saw, and reports whether it clears the
 // request of anything.
@@ -131,11 +135,11 @@
 	if l.counts[request] == 0 && l.sentences[request] == nil {
 		return false
 	}
-	return l.Merge(now, "", &Notice{Completed: []Completion{{Request: request}}})
+	return l.Merge(now, 0, &Notice{Completed: []Completion{{Request: request}}})
 }
 
-// Merge takes what a neighbour tells, and reports whether anything of it is new.
-func (l *Ledger) Merge(now time.Time, from string, n *Notice) bool {
+// Merge takes what comes by a feed, and reports whether anything of it is new.
+func (l *Ledger) Merge(now time.Time, from Feed, n *Notice) bool {
 	l.expire(now)
 	before := l.number
 	judge := len(n.Sentences) > 0 || len(n.Crashes) > 0
@@ -166,7 +170,7 @@
 }
 
 // next is the origin of an entry that may be added next.
-func (l *Ledger) next(from string, now time.Time, age time.Duration) entry {
+func (l *Ledger) next(from Feed, now time.Time, age time.Duration) entry {
 	return entry{number: l.number + 1, from: from, at: now.Add(-max(0, age))}
 }
 
@@ -269,11 +273,11 @@
 	}
 }
 
-// Since returns what a neighbour lacks that was told everything up to a position, and its
-// position after that. What came from the neighbour isn't told to it.
-func (l *Ledger) Since(now time.Time, position uint64, to string) (*Notice, uint64) {
+// Since returns what the neighbour on a feed lacks that was told everything up to a position,
+// and its position after that. What came by the feed isn't sent back.
+func (l *Ledger) Since(now time.Time, position uint64, to Feed) (*Notice, uint64) {
 	notice := &Notice{}
-	lacks := func(e *entry) bool { return e.number > position && (to == "" || e.from != to) }
+	lacks := func(e *entry) bool { return e.number > position && e.from != to }
 	for _, c := range l.crashes {
 		if lacks(&c.entry) {
 			notice.Crashes = append(notice.Crashes, Crash{ID: c.id, Age: now.Sub(c.at), Proven: c.proven, Suspects: slices.Clone(c.suspects)})
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -123,7 +122,7 @@
 		for _, request := range c.Suspects[:maxSuspects] {
 			l.Completed(now, request)
 		}
-		l.Merge(now, "n", &Notice{Sentences: []Sentence{{Request: Fingerprint(id), Times: 1}}})
+		l.Merge(now, 1, &Notice{Sentences: []Sentence{{Request: Fingerprint(id), Times: 1}}})
 	}
 	assert.Equal(t, len(l.crashes), maxCrashes)
 	assert.Assert(t, len(l.completed) <= maxCompleted)
@@ -139,7 +138,7 @@
 	taken := 0
 	for id := range uint64(seconds * perSecond) {
 		now := at(float64(id) / perSecond)
-		if l.Merge(now, "n", &Notice{Crashes: []Crash{{ID: id, Suspects: suspects}}}) {
+		if l.Merge(now, 1, &Notice{Crashes: []Crash{{ID: id, Suspects: suspects}}}) {
 			taken++
 		}
 	}
@@ -164,14 +163,14 @@
 			again = false
 			for i := range joined {
 				for _, j := range []int{(i + 1) % joined, (i + joined - 1) % joined} {
-					notice, next := ledgers[i].Since(now, positions[[2]int{i, j}], fmt.Sprint(j))
+					notice, next := ledgers[i].Since(now, positions[[2]int{i, j}], Feed(j+1))
 					positions[[2]int{i, j}] = next
 					if notice.Empty() {
 						continue
 					}
 					told++
 					again = true
-					ledgers[j].Merge(now, fmt.Sprint(i), notice)
+					ledgers[j].Merge(now, Feed(i+1), notice)
 				}
 			}
 		}
--- a/internal/quarantine/shared.go
+++ b/internal/quarantine/shared.go
@@ -15,6 +15,7 @@
 
 	mu      sync.Mutex
 	ledger  *Ledger
+	feeds   Feed
 	changed chan struct{}
 }
 
@@ -38,7 +39,7 @@
 }
 
 // Crashed takes a crash that this node saw.
-func (s *Shared) Crashed(c Crash) { s.Merge("", &Notice{Crashes: []Crash{c}}) }
+func (s *Shared) Crashed(c Crash) { s.Merge(0, &Notice{Crashes: []Crash{c}}) }
 
 // Completed takes a run to its end that this node saw.
 func (s *Shared) Completed(request Fingerprint) {
@@ -49,8 +50,16 @@
 	}
 }
 
-// Merge takes what a neighbour tells.
-func (s *Shared) Merge(from string, n *Notice) {
+// Open returns a feed that has not been used before.
+func (s *Shared) Open() Feed {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.feeds++
+	return s.feeds
+}
+
+// Merge takes what comes by a feed.
+func (s *Shared) Merge(from Feed, n *Notice) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ledger.Merge(s.clock.Now(), from, n) {
@@ -64,9 +73,9 @@
 	s.changed = make(chan struct{})
 }
 
-// Since returns what a neighbour lacks that was told everything up to a position, its
+// Since returns what the neighbour on a feed lacks that was told everything up to a position, its
 // position after that, and a channel that is closed when there is more.
-func (s *Shared) Since(position uint64, to string) (notice *Notice, next uint64, changed <-chan struct{}) {
+func (s *Shared) Since(position uint64, to Feed) (notice *Notice, next uint64, changed <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	notice, next = s.ledger.Since(s.clock.Now(), position, to)
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -145,7 +145,7 @@
 
 func (c *caller) askFor(r Record) Record {
 	size := smallAnswer
-	if c.random.Float64() < largePart {
+	if r.Crashes == "" && c.random.Float64() < largePart {
 		size = largeAnswer
 	}
 	method, body := http.MethodGet, io.Reader(nil)
--- a/internal/soak/cli/cli.go
+++ b/internal/soak/cli/cli.go
@@ -192,7 +192,7 @@
 	if o.output != "text" {
 		return
 	}
-	fmt.Fprintf(out, "seed %d: %d faults, %s, %d findings\n", r.Seed, len(r.Plan), outcomes(r.Outcomes), len(r.Findings))
+	fmt.Fprintf(out, "seed %d: %d faults, %s, %d targets crashed, %d findings\n", r.Seed, len(r.Plan), outcomes(r.Outcomes), r.Crashes, len(r.Findings))
 	for i, f := range r.Findings {
 		if i == shownFindings {
 			fmt.Fprintln(out, "  ...")
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -33,7 +33,9 @@
 	Seed     uint64          `json:"seed"`
 	Plan     []Fault         `json:"plan"`
 	Outcomes map[Outcome]int `json:"outcomes"`
-	Findings []Finding       `json:"findings"`
+	// Crashes counts the targets that a request crashed.
+	Crashes  int       `json:"crashes"`
+	Findings []Finding `json:"findings"`
 }
 
 // Run plays one seed. The error is for runs that could not be made; broken
@@ -75,6 +77,11 @@
 	for _, r := range records {
 		result.Outcomes[r.Outcome]++
 	}
+	for i := range history.Events {
+		if history.Events[i].What == TargetCrashed {
+			result.Crashes++
+		}
+	}
 	if len(result.Findings) == 0 {
 		return result, nil
 	}
