--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"tamarackquay/internal/logfield"
+	"tamarackquay/internal/mesh"
 	"tamarackquay/internal/port"
 	"tamarackquay/internal/quarantine"
 )
@@ -19,9 +20,10 @@
 // proxy's mutex guards them.
 type ownRuns struct {
 	running map[string]ownRun
-	// broken holds runs whose connection ended without an answer, until the target was
-	// looked at.
+	// broken holds runs whose connection ended without an answer, the first of them at
+	// brokeAt, until the target was looked at.
 	broken  []ownRun
+	brokeAt time.Time
 	looking bool
 	// crashed is when the target crashed last. Proven says that it has answered since.
 	crashed time.Time
@@ -68,6 +70,7 @@
 	p.runs.broken = append(p.runs.broken, run)
 	if !p.runs.looking {
 		p.runs.looking = true
+		p.runs.brokeAt = p.ports.Clock.Now()
 		time.AfterFunc(settleTime, p.lookAtOwn)
 	}
 }
@@ -91,31 +94,36 @@
 	ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
 	defer cancel()
 	ended := p.ports.Target.Refused(ctx, p.config.TargetAddress)
-	p.mu.Lock()
-	broken := p.runs.broken
-	p.runs.broken, p.runs.looking = nil, false
-	if !ended {
-		p.mu.Unlock()
-		return
-	}
-	now := p.ports.Clock.Now()
-	crash := quarantine.Crash{ID: p.random.Uint64(), Proven: p.runs.proven, Suspects: p.suspects(broken)}
-	p.runs.crashed, p.runs.proven = now, false
-	p.mu.Unlock()
-	if p.ownLeaves() {
+	crash, crashed := p.endLook(ended)
+	own := p.staying()
+	if !crashed || own == nil {
 		return
 	}
 	p.ports.Meter.Count(port.MetricTargetCrashes, "", 1)
-	p.tellCrash(&crash)
+	p.tellCrash(own, &crash)
 	p.crashes.Crashed(crash)
 }
 
-// suspects returns the requests that ran when the target ended, the latest first. It must be
-// called with the mutex held.
-func (p *Proxy) suspects(broken []ownRun) []quarantine.Fingerprint {
-	runs := slices.Clone(broken)
+// endLook takes what a look at the target showed, and returns its crash if it has ended.
+func (p *Proxy) endLook(ended bool) (quarantine.Crash, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	suspects := p.suspects()
+	p.runs.broken, p.runs.looking = nil, false
+	if !ended {
+		return quarantine.Crash{}, false
+	}
+	crash := quarantine.Crash{ID: p.random.Uint64(), Proven: p.runs.proven, Suspects: suspects}
+	p.runs.crashed, p.runs.proven = p.ports.Clock.Now(), false
+	return crash, true
+}
+
+// suspects returns the requests that ran when the first connection broke, the latest first.
+// It must be called with the mutex held.
+func (p *Proxy) suspects() []quarantine.Fingerprint {
+	runs := slices.Clone(p.runs.broken)
 	for _, run := range p.runs.running {
-		if run.began.Before(broken[0].began.Add(settleTime)) {
+		if run.began.Before(p.runs.brokeAt) {
 			runs = append(runs, run)
 		}
 	}
@@ -129,19 +137,22 @@
 	return suspects
 }
 
-// ownLeaves reports whether the VM's own target was to end: the requests that it ran are
-// not to blame.
-func (p *Proxy) ownLeaves() bool {
+// staying returns the VM's own target, or nil if it was to end: the requests that it ran are
+// not to blame then.
+func (p *Proxy) staying() *mesh.Member {
 	picture := p.picture.Load()
-	return picture == nil || picture.Own == nil || !picture.Own.DrainingSince.IsZero() || !picture.Own.UsableUntil.IsZero()
+	if picture == nil || picture.Own == nil || !picture.Own.DrainingSince.IsZero() || !picture.Own.UsableUntil.IsZero() {
+		return nil
+	}
+	return picture.Own
 }
 
-func (p *Proxy) tellCrash(c *quarantine.Crash) {
+func (p *Proxy) tellCrash(own *mesh.Member, c *quarantine.Crash) {
 	var texts []string
 	for _, request := range c.Suspects[:min(len(c.Suspects), mostLoggedSuspects)] {
 		texts = append(texts, request.String())
 	}
-	p.ports.Log.Warn().Str(logfield.Target, p.picture.Load().Own.ID).Bool(logfield.Proven, c.Proven).
+	p.ports.Log.Warn().Str(logfield.Target, own.ID).Bool(logfield.Proven, c.Proven).
 		Int(logfield.Running, len(c.Suspects)).Str(logfield.Fingerprint, strings.Join(texts, " ")).Msg("target crashed")
 }
 
