--- a/internal/adapter/feedws/notices_test.go
+++ b/internal/adapter/feedws/notices_test.go
@@ -20,7 +20,7 @@
 
 func crashed(crashes *quarantine.Shared, ids ...uint64) {
 	for _, id := range ids {
-		crashes.Crashed(quarantine.Crash{ID: id, Proven: true, Suspects: []quarantine.Fingerprint{poison}})
+		crashes.Crashed(quarantine.Crash{ID: id, Answered: true, Suspects: []quarantine.Fingerprint{poison}})
 	}
 }
 
--- a/internal/follow/world_notices_test.go
+++ b/internal/follow/world_notices_test.go
@@ -55,5 +55,5 @@
 	w.mu.Lock()
 	crashes := w.crashes[node]
 	w.mu.Unlock()
-	crashes.Crashed(quarantine.Crash{ID: id, Proven: true, Suspects: suspects})
+	crashes.Crashed(quarantine.Crash{ID: id, Answered: true, Suspects: suspects})
 }
--- a/internal/logfield/logfield.go
+++ b/internal/logfield/logfield.go
@@ -54,10 +54,10 @@
 	State     Name = "state"
 	Lines     Name = "lines"
 	Kind      Name = "kind"
-	// Proven says that a target had answered requests since its start, Running how many
-	// different requests it ran.
-	Proven  Name = "proven"
-	Running Name = "running"
+	// HadAnswered says that a target had answered requests since its start, Running how
+	// many different requests it ran.
+	HadAnswered Name = "had_answered"
+	Running     Name = "running"
 	// Late is how long an update was in transit, in milliseconds: since the platform
 	// answered, or beyond the quickest message of the feed.
 	Late Name = "late_ms"
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -25,9 +25,9 @@
 	broken  []ownRun
 	brokeAt time.Time
 	looking bool
-	// crashed is when the target crashed last. Proven says that it has answered since.
-	crashed time.Time
-	proven  bool
+	// crashed is when the target crashed last. Answered says that it has since.
+	crashed  time.Time
+	answered bool
 }
 
 type ownRun struct {
@@ -61,7 +61,7 @@
 	run := p.runs.running[t.attempt]
 	delete(p.runs.running, t.attempt)
 	if err == nil {
-		p.runs.proven = true
+		p.runs.answered = true
 		return
 	}
 	if ctx.Err() != nil || !brokenOff(err) || !run.began.After(p.runs.crashed) {
@@ -113,8 +113,8 @@
 	if !ended {
 		return quarantine.Crash{}, false
 	}
-	crash := quarantine.Crash{ID: p.random.Uint64(), Proven: p.runs.proven, Suspects: suspects}
-	p.runs.crashed, p.runs.proven = p.ports.Clock.Now(), false
+	crash := quarantine.Crash{ID: p.random.Uint64(), Answered: p.runs.answered, Suspects: suspects}
+	p.runs.crashed, p.runs.answered = p.ports.Clock.Now(), false
 	return crash, true
 }
 
@@ -152,7 +152,7 @@
 	for _, request := range c.Suspects[:min(len(c.Suspects), mostLoggedSuspects)] {
 		texts = append(texts, request.String())
 	}
-	p.ports.Log.Warn().Str(logfield.Target, own.ID).Bool(logfield.Proven, c.Proven).
+	p.ports.Log.Warn().Str(logfield.Target, own.ID).Bool(logfield.HadAnswered, c.Answered).
 		Int(logfield.Running, len(c.Suspects)).Str(logfield.Fingerprint, strings.Join(texts, " ")).Msg("target crashed")
 }
 
--- a/internal/proxy/crash_test.go
+++ b/internal/proxy/crash_test.go
@@ -95,7 +95,7 @@
 	var crashed atomic.Int32
 	f.crashesUnder(&crashed, 20*time.Millisecond)
 	var beside sync.WaitGroup
-	var blamed atomic.Int32
+	var refused atomic.Int32
 	for i := range 60 {
 		beside.Go(func() {
 			time.Sleep(time.Duration(i) * 5 * time.Millisecond)
@@ -103,7 +103,7 @@
 			for range 4 {
 				w := f.ask(i%len(f.proxies), "GET", path, "")
 				if reasonOf(w) == port.ReasonQuarantined {
-					blamed.Add(1)
+					refused.Add(1)
 				}
 				if w.Code == http.StatusOK {
 					return
@@ -136,7 +136,7 @@
 	}
 	beside.Wait()
 	assert.Equal(t, crashed.Load(), reached)
-	assert.Equal(t, blamed.Load(), int32(0))
+	assert.Equal(t, refused.Load(), int32(0))
 }
 
 func fingerprintOfPath(path string) quarantine.Fingerprint {
@@ -147,7 +147,7 @@
 	return f
 }
 
-// Guards against blaming requests for connections that break while the target lives, and for
+// Guards against suspecting requests for connections that break while the target lives, and for
 // a target that was to leave.
 func TestWhatIsNoCrash(t *testing.T) {
 	for _, test := range []struct {
@@ -206,7 +206,7 @@
 // suspect lets requests have run beside so many crashes, each of them beside others.
 func suspect(crashes *quarantine.Shared, times int, paths ...string) {
 	for i := range times {
-		c := quarantine.Crash{ID: uint64(i + 1), Proven: true, Suspects: []quarantine.Fingerprint{quarantine.Fingerprint(i + 1)}}
+		c := quarantine.Crash{ID: uint64(i + 1), Answered: true, Suspects: []quarantine.Fingerprint{quarantine.Fingerprint(i + 1)}}
 		for _, path := range paths {
 			c.Suspects = append(c.Suspects, fingerprintOfPath(path))
 		}
@@ -278,7 +278,7 @@
 	assert.Assert(t, crashes.Quarantined(fingerprint) > 0)
 }
 
-// Guards against an innocent request that stays suspected at a node which hears of crashes and
+// Guards against a request that stays suspected at a node which hears of crashes and
 // of no run elsewhere: the answers that it passes on itself clear it.
 func TestAnswerClearsItsRequest(t *testing.T) {
 	f := newFleet(t, 2)
--- a/internal/quarantine/cost_test.go
+++ b/internal/quarantine/cost_test.go
@@ -14,7 +14,7 @@
 	l := NewLedger()
 	random := rand.New(rand.NewPCG(1, 1))
 	for id := range uint64(maxCrashes) {
-		c := Crash{ID: id, Proven: true}
+		c := Crash{ID: id, Answered: true}
 		for range slots {
 			c.Suspects = append(c.Suspects, Fingerprint(random.Uint64()))
 		}
@@ -40,14 +40,14 @@
 	runtime.KeepAlive(l)
 }
 
-// BenchmarkJudge is what a node spends on one crash more.
-func BenchmarkJudge(b *testing.B) {
+// BenchmarkDecide is what a node spends on one crash more.
+func BenchmarkDecide(b *testing.B) {
 	for _, slots := range []int{12, maxSuspects} {
 		b.Run(fmt.Sprint("slots-", slots), func(b *testing.B) {
 			l := fullLedger(slots)
 			b.ReportAllocs()
 			for b.Loop() {
-				l.judge()
+				l.decide()
 			}
 		})
 	}
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -13,7 +13,7 @@
 	maxCrashes   = 64
 	maxSuspects  = 128
 	maxCompleted = 1024
-	maxSentences = 256
+	maxBlocks    = 256
 	// remembered is for how long crashes and completions count.
 	remembered = time.Hour
 	// expireInterval is the pause between two looks for what is older.
@@ -29,19 +29,19 @@
 	crashWeight = 4
 )
 
-// Times of a sentence. A request that was mended at its targets is tried again, and the
+// Times of a block. A request that was mended at its targets is tried again, and the
 // pauses grow so that one which wasn't costs few targets a day.
 const (
-	firstSentence  = time.Hour
-	sentenceGrowth = 3
-	longestTerm    = 7 * 24 * time.Hour
+	firstBlock   = time.Hour
+	blockGrowth  = 3
+	longestBlock = 7 * 24 * time.Hour
 )
 
 // Ledger is what a node knows of crashes. Each node keeps all of it, and decides by itself;
 // nodes that know the same decide the same. It is not safe for concurrent use.
 //
 // A target that crashes takes all requests with it that it ran, so one crash says little.
-// A request is sentenced once three crashes that nothing else explains have it as a suspect,
+// A request is blocked once three crashes that nothing else explains have it as a suspect,
 // two of them of targets that had worked before. A request that runs to its end is cleared:
 // those that merely ran beside a crash do so when they are sent again.
 type Ledger struct {
@@ -49,7 +49,7 @@
 	number    uint64
 	crashes   []*crash
 	completed map[Fingerprint]*completion
-	sentences map[Fingerprint]*sentence
+	blocks    map[Fingerprint]*block
 	// counts holds the suspects' unexplained crashes.
 	counts  map[Fingerprint]int
 	inflow  *rate.Limiter
@@ -73,13 +73,13 @@
 type crash struct {
 	entry
 	id       uint64
-	proven   bool
+	answered bool
 	suspects []Fingerprint
 }
 
 type completion struct{ entry }
 
-type sentence struct {
+type block struct {
 	entry
 	times int
 }
@@ -87,7 +87,7 @@
 // NewLedger returns a ledger that knows nothing.
 func NewLedger() *Ledger {
 	return &Ledger{
-		completed: map[Fingerprint]*completion{}, sentences: map[Fingerprint]*sentence{}, counts: map[Fingerprint]int{},
+		completed: map[Fingerprint]*completion{}, blocks: map[Fingerprint]*block{}, counts: map[Fingerprint]int{},
 		inflow: rate.NewLimiter(weightPerSecond, weightBurst),
 	}
 }
@@ -97,17 +97,17 @@
 
 // Quarantined returns for how long yet a request is kept from targets; zero if it isn't.
 func (l *Ledger) Quarantined(now time.Time, request Fingerprint) time.Duration {
-	s := l.sentences[request]
+	s := l.blocks[request]
 	if s == nil {
 		return 0
 	}
 	return max(0, s.ends().Sub(now))
 }
 
-// Sentences returns how many requests are kept from targets.
-func (l *Ledger) Sentences(now time.Time) int {
+// Blocks returns how many requests are kept from targets.
+func (l *Ledger) Blocked(now time.Time) int {
 	count := 0
-	for _, s := range l.sentences {
+	for _, s := range l.blocks {
 		if now.Before(s.ends()) {
 			count++
 		}
@@ -116,12 +116,12 @@
 }
 
 // ends is when the request may be tried again.
-func (s *sentence) ends() time.Time { return s.at.Add(s.term()) }
+func (s *block) ends() time.Time { return s.at.Add(s.term()) }
 
-func (s *sentence) term() time.Duration {
-	term := firstSentence
+func (s *block) term() time.Duration {
+	term := firstBlock
 	for range s.times - 1 {
-		term = min(term*sentenceGrowth, longestTerm)
+		term = min(term*blockGrowth, longestBlock)
 	}
 	return term
 }
@@ -132,7 +132,7 @@
 // Completed takes a run to its end that this node saw, and reports whether it clears the
 // request of anything.
 func (l *Ledger) Completed(now time.Time, request Fingerprint) bool {
-	if l.counts[request] == 0 && l.sentences[request] == nil {
+	if l.counts[request] == 0 && l.blocks[request] == nil {
 		return false
 	}
 	return l.Merge(now, 0, &Notice{Completed: []Completion{{Request: request}}})
@@ -142,31 +142,31 @@
 func (l *Ledger) Merge(now time.Time, from Feed, n *Notice) bool {
 	l.expire(now)
 	before := l.number
-	judge := len(n.Sentences) > 0 || len(n.Crashes) > 0
+	decide := len(n.Blocks) > 0 || len(n.Crashes) > 0
 	for i := range n.Completed {
-		judge = l.decides(n.Completed[i].Request) || judge
+		decide = l.decides(n.Completed[i].Request) || decide
 		l.addCompletion(n.Completed[i].Request, l.next(from, now, n.Completed[i].Age))
 	}
-	for i := range n.Sentences {
-		s := &n.Sentences[i]
-		l.addSentence(s.Request, &sentence{entry: l.next(from, now, s.Age), times: s.Times})
+	for i := range n.Blocks {
+		s := &n.Blocks[i]
+		l.addBlock(s.Request, &block{entry: l.next(from, now, s.Age), times: s.Times})
 	}
 	for i := range n.Crashes {
 		c := &n.Crashes[i]
-		l.addCrash(now, &crash{entry: l.next(from, now, c.Age), id: c.ID, proven: c.Proven, suspects: c.Suspects})
+		l.addCrash(now, &crash{entry: l.next(from, now, c.Age), id: c.ID, answered: c.Answered, suspects: c.Suspects})
 	}
 	if l.number == before {
 		return false
 	}
-	if judge {
-		l.judge()
+	if decide {
+		l.decide()
 	}
 	return true
 }
 
 // decides reports whether it makes a difference for other requests that one is cleared.
 func (l *Ledger) decides(request Fingerprint) bool {
-	return l.counts[request] >= crashesToSentence || l.sentences[request] != nil
+	return l.counts[request] >= crashesToBlock || l.blocks[request] != nil
 }
 
 // next is the origin of an entry that may be added next.
@@ -201,20 +201,20 @@
 	}
 }
 
-// addCompletion clears a request of all crashes before it, and of its sentence.
+// addCompletion clears a request of all crashes before it, and of its block.
 func (l *Ledger) addCompletion(request Fingerprint, e entry) {
-	news := false
+	cleared := false
 	for _, c := range l.crashes {
 		if !c.at.After(e.at) && slices.Contains(c.suspects, request) {
 			c.clear(request)
-			news = true
+			cleared = true
 		}
 	}
-	if s := l.sentences[request]; s != nil && !s.at.After(e.at) {
-		delete(l.sentences, request)
-		news = true
+	if s := l.blocks[request]; s != nil && !s.at.After(e.at) {
+		delete(l.blocks, request)
+		cleared = true
 	}
-	if !news {
+	if !cleared {
 		return
 	}
 	delete(l.counts, request)
@@ -225,17 +225,17 @@
 	l.number = e.number
 }
 
-func (l *Ledger) addSentence(request Fingerprint, s *sentence) {
+func (l *Ledger) addBlock(request Fingerprint, s *block) {
 	if done := l.completed[request]; done != nil && !done.at.Before(s.at) {
 		return
 	}
-	if known := l.sentences[request]; known != nil && known.times >= s.times {
+	if known := l.blocks[request]; known != nil && known.times >= s.times {
 		return
 	}
-	if len(l.sentences) == maxSentences {
-		delete(l.sentences, oldest(l.sentences))
+	if len(l.blocks) == maxBlocks {
+		delete(l.blocks, oldest(l.blocks))
 	}
-	l.sentences[request] = s
+	l.blocks[request] = s
 	l.number = s.number
 }
 
@@ -253,7 +253,7 @@
 	return first
 }
 
-// expire drops what is too old to count. A sentence outlasts its term, so that the next one
+// expire drops what is too old to count. A block outlasts its term, so that the next one
 // is longer.
 func (l *Ledger) expire(now time.Time) {
 	if now.Sub(l.expired) < expireInterval {
@@ -266,9 +266,9 @@
 			delete(l.completed, request)
 		}
 	}
-	for request, s := range l.sentences {
-		if now.Sub(s.at) > longestTerm {
-			delete(l.sentences, request)
+	for request, s := range l.blocks {
+		if now.Sub(s.at) > longestBlock {
+			delete(l.blocks, request)
 		}
 	}
 }
@@ -280,7 +280,7 @@
 	lacks := func(e *entry) bool { return e.number > position && e.from != to }
 	for _, c := range l.crashes {
 		if lacks(&c.entry) {
-			notice.Crashes = append(notice.Crashes, Crash{ID: c.id, Age: now.Sub(c.at), Proven: c.proven, Suspects: slices.Clone(c.suspects)})
+			notice.Crashes = append(notice.Crashes, Crash{ID: c.id, Age: now.Sub(c.at), Answered: c.answered, Suspects: slices.Clone(c.suspects)})
 		}
 	}
 	for request, done := range l.completed {
@@ -288,9 +288,9 @@
 			notice.Completed = append(notice.Completed, Completion{Request: request, Age: now.Sub(done.at)})
 		}
 	}
-	for request, s := range l.sentences {
+	for request, s := range l.blocks {
 		if lacks(&s.entry) {
-			notice.Sentences = append(notice.Sentences, Sentence{Request: request, Age: now.Sub(s.at), Times: s.times})
+			notice.Blocks = append(notice.Blocks, Block{Request: request, Age: now.Sub(s.at), Times: s.times})
 		}
 	}
 	return notice, l.number
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -21,20 +21,20 @@
 func crashes(suspects ...[]Fingerprint) []Crash {
 	made := make([]Crash, len(suspects))
 	for i := range made {
-		made[i] = Crash{ID: uint64(i + 1), Proven: true, Suspects: suspects[i]}
+		made[i] = Crash{ID: uint64(i + 1), Answered: true, Suspects: suspects[i]}
 	}
 	return made
 }
 
-func TestWhoIsSentenced(t *testing.T) {
+func TestWhichRequestIsBlocked(t *testing.T) {
 	type step struct {
 		crash     Crash
 		completed Fingerprint
 	}
 	crashed := func(id uint64, suspects ...Fingerprint) step {
-		return step{crash: Crash{ID: id, Proven: true, Suspects: suspects}}
+		return step{crash: Crash{ID: id, Answered: true, Suspects: suspects}}
 	}
-	unproven := func(id uint64, suspects ...Fingerprint) step {
+	unanswered := func(id uint64, suspects ...Fingerprint) step {
 		return step{crash: Crash{ID: id, Suspects: suspects}}
 	}
 	completed := func(request Fingerprint) step { return step{completed: request} }
@@ -50,9 +50,9 @@
 		{"two that are told apart by a fourth crash", []step{crashed(1, 1, 2), crashed(2, 1, 2), crashed(3, 1, 2), crashed(4, 1)}, []Fingerprint{1}},
 		{"one of them runs to its end", []step{crashed(1, 1, 2), crashed(2, 1, 2), crashed(3, 1, 2), completed(2)}, []Fingerprint{1}},
 		{"an end between the crashes", []step{crashed(1, 1), crashed(2, 1), completed(1), crashed(3, 1), crashed(4, 1)}, nil},
-		{"an end after the sentence", []step{crashed(1, 1), crashed(2, 1), crashed(3, 1), completed(1)}, nil},
-		{"targets that never answered anything", []step{unproven(1, 1), unproven(2, 1), unproven(3, 1), unproven(4, 1)}, nil},
-		{"one of three that hadn't answered yet", []step{crashed(1, 1), unproven(2, 1), crashed(3, 1)}, []Fingerprint{1}},
+		{"an end after the block", []step{crashed(1, 1), crashed(2, 1), crashed(3, 1), completed(1)}, nil},
+		{"targets that never answered anything", []step{unanswered(1, 1), unanswered(2, 1), unanswered(3, 1), unanswered(4, 1)}, nil},
+		{"one of three that hadn't answered yet", []step{crashed(1, 1), unanswered(2, 1), crashed(3, 1)}, []Fingerprint{1}},
 		{"two independent ones", []step{crashed(1, 1, 9), crashed(2, 2, 9), crashed(3, 1), crashed(4, 2), crashed(5, 1), crashed(6, 2)}, []Fingerprint{1, 2}},
 		{
 			"one that ran beside two others in turn",
@@ -80,17 +80,17 @@
 	}
 }
 
-// Guards against an innocent request that is blamed for crashes that a sentenced one explains.
-func TestSentenceExplainsItsCrashes(t *testing.T) {
+// Guards against a request that is suspected for crashes which a blocked one explains.
+func TestBlockExplainsItsCrashes(t *testing.T) {
 	l := NewLedger()
 	for i, c := range crashes([]Fingerprint{poison, 2}, []Fingerprint{poison, 2}, []Fingerprint{poison}) {
 		l.Crashed(at(float64(i)), c)
 	}
 	assert.Equal(t, l.Count(2), 0)
-	// Requests that were under way when the sentence was passed crash targets yet.
-	l.Crashed(at(4), Crash{ID: 9, Proven: true, Suspects: []Fingerprint{poison, 2}})
+	// Requests that were under way when it was blocked crash targets yet.
+	l.Crashed(at(4), Crash{ID: 9, Answered: true, Suspects: []Fingerprint{poison, 2}})
 	assert.Equal(t, l.Count(2), 0)
-	assert.Equal(t, l.Quarantined(at(4), poison), firstSentence-2*time.Second)
+	assert.Equal(t, l.Quarantined(at(4), poison), firstBlock-2*time.Second)
 }
 
 // Guards against a request that is never tried again, and against one that is tried again as
@@ -100,10 +100,10 @@
 	for i, c := range crashes([]Fingerprint{poison}, []Fingerprint{poison}, []Fingerprint{poison}) {
 		l.Crashed(at(float64(i)), c)
 	}
-	free := at(2).Add(firstSentence)
+	free := at(2).Add(firstBlock)
 	assert.Equal(t, l.Quarantined(free, poison), time.Duration(0))
-	l.Crashed(free, Crash{ID: 7, Proven: true, Suspects: []Fingerprint{poison, 2}})
-	assert.Equal(t, l.Quarantined(free, poison), sentenceGrowth*firstSentence)
+	l.Crashed(free, Crash{ID: 7, Answered: true, Suspects: []Fingerprint{poison, 2}})
+	assert.Equal(t, l.Quarantined(free, poison), blockGrowth*firstBlock)
 	assert.Equal(t, l.Quarantined(free, 2), time.Duration(0))
 }
 
@@ -112,9 +112,9 @@
 	l := NewLedger()
 	random := rand.New(rand.NewPCG(1, 1))
 	now := start
-	for id := range uint64(maxSentences + 50) {
+	for id := range uint64(maxBlocks + 50) {
 		now = now.Add(time.Second)
-		c := Crash{ID: id, Proven: true}
+		c := Crash{ID: id, Answered: true}
 		for range 2 * maxSuspects {
 			c.Suspects = append(c.Suspects, Fingerprint(random.Uint64()))
 		}
@@ -122,11 +122,11 @@
 		for _, request := range c.Suspects[:maxSuspects] {
 			l.Completed(now, request)
 		}
-		l.Merge(now, 1, &Notice{Sentences: []Sentence{{Request: Fingerprint(id), Times: 1}}})
+		l.Merge(now, 1, &Notice{Blocks: []Block{{Request: Fingerprint(id), Times: 1}}})
 	}
 	assert.Equal(t, len(l.crashes), maxCrashes)
 	assert.Assert(t, len(l.completed) <= maxCompleted)
-	assert.Equal(t, len(l.sentences), maxSentences)
+	assert.Equal(t, len(l.blocks), maxBlocks)
 	assert.Assert(t, len(l.counts) <= maxCrashes*maxSuspects)
 }
 
--- a/internal/quarantine/shared.go
+++ b/internal/quarantine/shared.go
@@ -82,11 +82,11 @@
 	return notice, next, s.changed
 }
 
-// Sentences returns how many requests are kept from targets.
-func (s *Shared) Sentences() int {
+// Blocks returns how many requests are kept from targets.
+func (s *Shared) Blocked() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.ledger.Sentences(s.clock.Now())
+	return s.ledger.Blocked(s.clock.Now())
 }
 
 // TakeDropped returns how many crashes were left out since it was last asked.
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -35,8 +35,8 @@
 	StaysUp Promise = "stays-up"
 	// Contained: a request under which targets crash is soon kept from further ones.
 	Contained Promise = "contained"
-	// NotBlamed: no other request is refused for such crashes.
-	NotBlamed Promise = "not-blamed"
+	// OthersServed: no other request is refused for such crashes.
+	OthersServed Promise = "others-served"
 	// Recovered: the fleet serves again after the last fault.
 	Recovered Promise = "recovered"
 )
@@ -45,7 +45,7 @@
 // short of processors can break by itself.
 func (p Promise) Timed() bool {
 	switch p {
-	case OwnAnswer, Once, TrueRefusal, Route, Contained, NotBlamed:
+	case OwnAnswer, Once, TrueRefusal, Route, Contained, OthersServed:
 		return false
 	}
 	return true
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -114,7 +114,7 @@
 		{"a request is refused that only ran beside one", func(h *History) {
 			h.record("read7").Outcome, h.entry("read7").Ran = Refused, false
 			h.record("read7").Detail = `{"reason":"quarantined"}`
-		}, NotBlamed},
+		}, OthersServed},
 		{"no service after the last fault", func(h *History) {
 			for i := range h.Records {
 				if r := &h.Records[i]; r.Begin > 50*time.Second {
--- a/internal/soak/crash.go
+++ b/internal/soak/crash.go
@@ -76,15 +76,15 @@
 	}
 	for i := range x.Records {
 		r := &x.Records[i]
-		if r.Crashes == "" && r.Outcome == Refused && strings.Contains(r.Detail, blamedReason) {
-			found = append(found, finding(NotBlamed, r, "refused with status %d: %s", r.Status, r.Detail)...)
+		if r.Crashes == "" && r.Outcome == Refused && strings.Contains(r.Detail, quarantinedReason) {
+			found = append(found, finding(OthersServed, r, "refused with status %d: %s", r.Status, r.Detail)...)
 		}
 	}
 	return found
 }
 
-// blamedReason stands in the refusals of requests that are taken to crash targets.
-const blamedReason = `"reason":"quarantined"`
+// quarantinedReason stands in the refusals of requests that are taken to crash targets.
+const quarantinedReason = `"reason":"quarantined"`
 
 // furtherSends checks one request by the targets' entries of it.
 func (x *index) furtherSends(name string, entries []usertarget.Entry) []Finding {
