--- a/internal/adapter/feedws/feedws.go
+++ b/internal/adapter/feedws/feedws.go
@@ -100,6 +100,8 @@
 		}
 		_, notice, err := decode(raw)
 		if err != nil || notice == nil {
+			// The follower logs the reason.
+			_ = conn.Close(websocket.StatusInvalidFramePayloadData, "no notice that can be read")
 			return
 		}
 		notices.Merge(from, notice)
--- a/internal/follow/notices.go
+++ b/internal/follow/notices.go
@@ -18,8 +18,8 @@
 	Merge(from quarantine.Feed, notice *quarantine.Notice)
 }
 
-// SendNotices sends the neighbour on a feed the notices that it lacks, all at first, until ctx ends or
-// send fails.
+// SendNotices sends the neighbour on a feed the notices that it lacks, all at first, until ctx
+// ends or send fails.
 func SendNotices(ctx context.Context, notices Notices, to quarantine.Feed, send func(*quarantine.Notice) error) error {
 	var position uint64
 	for {
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -104,7 +104,7 @@
 	return max(0, s.ends().Sub(now))
 }
 
-// Blocks returns how many requests are kept from targets.
+// Blocked returns how many requests are kept from targets.
 func (l *Ledger) Blocked(now time.Time) int {
 	count := 0
 	for _, s := range l.blocks {
@@ -120,7 +120,7 @@
 
 func (s *block) term() time.Duration {
 	term := firstBlock
-	for range s.times - 1 {
+	for times := 1; times < s.times && term < longestBlock; times++ {
 		term = min(term*blockGrowth, longestBlock)
 	}
 	return term
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -107,6 +107,16 @@
 	assert.Equal(t, l.Quarantined(free, 2), time.Duration(0))
 }
 
+// Guards against a broken neighbour whose count of blocks takes a node for ever to work out.
+func TestAnyCountOfBlocksHasATerm(t *testing.T) {
+	for _, times := range []int{-1, 0, 1, 1 << 62} {
+		l := NewLedger()
+		l.Merge(start, 1, &Notice{Blocks: []Block{{Request: poison, Times: times}}})
+		left := l.Quarantined(start, poison)
+		assert.Assert(t, left >= firstBlock && left <= longestBlock, "%d: %s", times, left)
+	}
+}
+
 // Guards against memory that grows with crashes, with requests or with a target's slots.
 func TestLedgerIsBounded(t *testing.T) {
 	l := NewLedger()
--- a/internal/quarantine/shared.go
+++ b/internal/quarantine/shared.go
@@ -82,7 +82,7 @@
 	return notice, next, s.changed
 }
 
-// Blocks returns how many requests are kept from targets.
+// Blocked returns how many requests are kept from targets.
 func (s *Shared) Blocked() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
