--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -364,23 +364,31 @@
 	return m.order(client, "/mode", body)
 }
 
-// order tells a target something. One that has crashed is told nothing.
+// order tells a target something. One that has crashed is told nothing, and one that has
+// just been started is told once it listens.
 func (m *member) order(client *http.Client, path string, body []byte) error {
 	_, running := m.processes()
-	response, err := client.Post("http://"+at(m.private, portControl)+path, "application/json", bytes.NewReader(body))
-	if err == nil {
-		return response.Body.Close()
-	}
-	select {
-	case <-running.done:
-		return nil
-	case <-time.After(orderPatience):
-		return err
+	for until := time.Now().Add(orderPatience); ; {
+		response, err := client.Post("http://"+at(m.private, portControl)+path, "application/json", bytes.NewReader(body))
+		if err == nil {
+			return response.Body.Close()
+		}
+		select {
+		case <-running.done:
+			return nil
+		case <-time.After(orderPause):
+		}
+		if time.Now().After(until) {
+			return err
+		}
 	}
 }
 
-// orderPatience is how long after a failed order the end of a target may show.
-const orderPatience = 100 * time.Millisecond
+// orderPatience bounds the start of a target, orderPause is between two tries.
+const (
+	orderPatience = 5 * time.Second
+	orderPause    = 20 * time.Millisecond
+)
 
 func (m *member) reload() {
 	node, _ := m.processes()
