admission: limit how fast a queue starts requests

Cause: a target that warms up tolerates fewer requests a second than its slots allow, and falls over under more. Slots alone can't express that.

Change: StartRate, by the generic cell rate algorithm, bounds the starts in any span; the estimate of waits, the retry times and the refusals count it, so that what can't start in time is refused on arrival. The gate starts waiting requests by a timer. Without a rate nothing changes.

Ruled out: lowering the slots, which bounds a rate only if the service time is known, and a sliding window of starts, whose whole count may start at one moment.

--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -74,15 +74,16 @@
 // estimateWait estimates when a request starts if the given number of requests of its
 // customer are ahead of it, from the measured rate at which slots become free; zero if
 // nothing has been measured. A customer below its guarantee gets the next slots that
-// anyone frees. Other customers get slots at the rate at which their own become free.
-func (q *Queue) estimateWait(c *customer, ahead int, long bool) time.Duration {
+// anyone frees. Other customers get slots at the rate at which their own become free. The
+// start rate may delay the start further.
+func (q *Queue) estimateWait(now time.Time, c *customer, ahead int, long bool) time.Duration {
 	needed := float64(ahead + 1)
 	perSlot := q.holdOf(c, long) / c.usableSlots(long)
 	if lacking := c.guaranteed - float64(c.held); lacking > 0 && needed <= math.Ceil(lacking) {
 		needed += float64(q.tiers.heaps[heapGuaranteed].Len())
 		perSlot = q.meanRunningHold() / float64(max(q.running, 1))
 	}
-	return secondsToDuration(needed * perSlot)
+	return max(secondsToDuration(needed*perSlot), q.starts.wait(now, ahead))
 }
 
 // meanRunningHold returns the mean hold time of the requests that run now, in seconds.
@@ -123,13 +124,18 @@
 	return jitter(c.lastRetryAt.Sub(now), q.random)
 }
 
-// retryInterval returns the mean time between two of the customer's slots becoming free.
+// retryInterval returns the mean time between two of the customer's slots becoming free, or
+// between two starts if the start rate allows fewer.
 func (q *Queue) retryInterval(c *customer, long bool) time.Duration {
 	hold := q.holdOf(c, long)
 	if hold == 0 {
 		hold = defaultHold.Seconds()
 	}
-	return min(secondsToDuration(hold/c.usableSlots(long)), maxRetryAfter)
+	interval := secondsToDuration(hold / c.usableSlots(long))
+	if q.starts.limited() {
+		interval = max(interval, q.starts.interval())
+	}
+	return min(interval, maxRetryAfter)
 }
 
 func jitter(d time.Duration, random *rand.Rand) time.Duration {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -37,6 +37,7 @@
 	contendedSeconds float64
 	lastEvent        time.Time
 
+	starts    startLimiter
 	shortHold meanHold
 	longHold  meanHold
 	random    *rand.Rand
@@ -82,7 +83,7 @@
 	q.levels.observe(now, &r)
 	c.levels.observe(now, &r)
 	e := q.newEntry(c, r)
-	if q.running < q.slots {
+	if q.mayStart(now) {
 		// There may be enough free slots for waiting requests as well: after sheds, a
 		// target regains slots without any request ending.
 		q.enqueue(e)
@@ -168,7 +169,7 @@
 	}
 	q.dropExpired(now, c)
 	waiting := c.queueFor(e.request.Long)
-	if wait := q.estimateWait(c, waiting.countAhead(e.bucket), e.request.Long); now.Add(wait).After(e.request.Deadline) {
+	if wait := q.estimateWait(now, c, waiting.countAhead(e.bucket), e.request.Long); now.Add(wait).After(e.request.Deadline) {
 		return ReasonDeadline
 	}
 	if c.waiting() < c.queueBound || q.displace(now, e) {
@@ -222,7 +223,7 @@
 // dropped and not started: after a pause the queue may be full of requests whose callers
 // have disconnected, and the remaining requests must not wait behind them.
 func (q *Queue) startWaiting(now time.Time) {
-	for q.running < q.slots {
+	for q.mayStart(now) {
 		e, from := q.next(now)
 		if e == nil {
 			return
@@ -235,6 +236,11 @@
 	}
 }
 
+// mayStart reports whether there is a free slot and the start rate allows to use it.
+func (q *Queue) mayStart(now time.Time) bool {
+	return q.running < q.slots && q.starts.wait(now, 0) == 0
+}
+
 // next returns the request that gets the next free slot, and the tier of its customer,
 // or nil.
 func (q *Queue) next(now time.Time) (*entry, int) {
@@ -259,6 +265,7 @@
 	q.unlink(e)
 	e.running = true
 	e.started = now
+	q.starts.record(now)
 	q.adjustHeld(c, e.request.Long, 1)
 	q.tiers.update(c)
 	q.changes.Started = append(q.changes.Started, e.request)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -22,6 +22,8 @@
 	queue   *admission.Queue
 	breaker admission.Breaker
 	waiters map[string]*waiter
+	// startTimer is set while a timer runs that starts waiting requests.
+	startTimer bool
 }
 
 // waiter is a goroutine that waits for a slot. done is closed when its request has
@@ -52,6 +54,29 @@
 		drop := &changes.Dropped[i]
 		g.finish(drop.Request.ID, newRefusal(drop.Reason, drop.RetryAfter))
 	}
+	g.scheduleStart()
+}
+
+// scheduleStart sets a timer for the next start if requests wait for the start rate alone.
+func (g *Gate) scheduleStart() {
+	wait := g.queue.UntilStart(g.clock.Now())
+	if wait <= 0 || g.startTimer {
+		return
+	}
+	g.startTimer = true
+	time.AfterFunc(wait, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.startTimer = false
+		g.notifyWaiters(g.queue.Tick(g.clock.Now()))
+	})
+}
+
+// SetStartRate limits how fast requests are started; see admission.StartRate.
+func (g *Gate) SetStartRate(rate admission.StartRate) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.notifyWaiters(g.queue.SetStartRate(g.clock.Now(), rate))
 }
 
 func (g *Gate) finish(id string, refusal *port.Refusal) {
@@ -109,6 +134,7 @@
 	}
 	w := &waiter{done: make(chan struct{})}
 	g.waiters[r.ID] = w
+	g.scheduleStart()
 	return decision, w
 }
 
