mesh, follow, platform: learn allowed regions, evacuations and warm-up rates

Cause: the shifted deployment's configuration names regions of routes and warm-up rates of services, and its operators evacuate failure domains; the view held none of them.

Change: routes carry AllowedRegions, services a warm-up rate. An evacuation travels like a departure, ahead of parts of a configuration; by revision the newest word wins, and a complete listing that lacks one withdraws it. Targets of an evacuated domain aren't ready.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -25,19 +25,21 @@
 
 // Listing is the complete contents of the platform, as of Revision or later.
 type Listing struct {
-	Config   *mesh.Config
-	Targets  []mesh.Target
-	Revision uint64
+	Config      *mesh.Config
+	Targets     []mesh.Target
+	Evacuations []mesh.Evacuation
+	Revision    uint64
 	// RespondedAt is when the platform began to respond.
 	RespondedAt time.Time
 }
 
 // Changes holds the changes of the platform's contents after a revision.
 type Changes struct {
-	Config   *mesh.Config
-	Targets  []mesh.Target
-	Removed  []mesh.Removal
-	Revision uint64
+	Config      *mesh.Config
+	Targets     []mesh.Target
+	Removed     []mesh.Removal
+	Evacuations []mesh.Evacuation
+	Revision    uint64
 	// RespondedAt is when the platform began to respond.
 	RespondedAt time.Time
 }
@@ -185,6 +187,7 @@
 	defer f.mu.Unlock()
 	before, version := f.view.Generation(), f.view.Version()
 	members := f.statesOf(update)
+	evacuated := f.view.Evacuations()
 	now := f.clock.Now()
 	age := f.view.Age(now)
 	outage := f.view.Outage(now)
@@ -195,6 +198,7 @@
 	changed := f.view.Generation() != before
 	if changed {
 		f.logTransitions(members, age, now.Sub(sent))
+		f.logEvacuations(evacuated, now.Sub(sent))
 	}
 	current := f.view.Age(now) >= 0
 	if first := current && age < 0; first || current && changed {
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -72,7 +72,7 @@
 
 func (f *Follower) applyBootstrap(listing *Listing) {
 	f.bootstrappedAt = f.clock.Now()
-	update := &mesh.Update{Targets: listing.Targets, Age: -1, Revision: listing.Revision}
+	update := &mesh.Update{Targets: listing.Targets, Evacuations: listing.Evacuations, Age: -1, Revision: listing.Revision}
 	f.addConfig(update, listing.Config)
 	if err := f.apply(update, listing.RespondedAt); err != nil {
 		f.log.Warn().Err(err).Msg("stale listing could not be applied")
@@ -180,7 +180,7 @@
 		return false, err
 	}
 	f.revision = max(f.revision, changes.Revision)
-	update := &mesh.Update{Targets: changes.Targets, Removed: changes.Removed, RTT: f.platform.RTT(), Revision: f.revision}
+	update := &mesh.Update{Targets: changes.Targets, Removed: changes.Removed, Evacuations: changes.Evacuations, RTT: f.platform.RTT(), Revision: f.revision}
 	grace := f.removalGrace()
 	for i := range update.Removed {
 		update.Removed[i].Grace = grace
@@ -202,10 +202,11 @@
 	if err != nil {
 		return err
 	}
-	update := &mesh.Update{Targets: listing.Targets, RTT: f.platform.RTT(), Revision: listing.Revision}
+	update := &mesh.Update{Targets: listing.Targets, Evacuations: listing.Evacuations, RTT: f.platform.RTT(), Revision: listing.Revision}
 	grace := f.removalGrace()
 	f.mu.Lock()
 	update.Removed = f.view.ImpliedRemovals(listing.Targets, listing.Revision, grace)
+	update.Evacuations = append(update.Evacuations, f.view.ImpliedEvacuationEnds(listing.Evacuations, listing.Revision)...)
 	f.mu.Unlock()
 	f.addConfig(update, listing.Config)
 	f.revision = listing.Revision
--- a/internal/follow/states.go
+++ b/internal/follow/states.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"slices"
 	"time"
 
 	"tamarackquay/internal/logfield"
@@ -65,3 +66,26 @@
 		line.Msg("target")
 	}
 }
+
+// logEvacuations logs the failure domains whose evacuation was requested or withdrawn. Before
+// holds the domains that were evacuated, late is the time that the update was in transit.
+func (f *Follower) logEvacuations(before []string, late time.Duration) {
+	after := f.view.Evacuations()
+	log := func(domain string, evacuated bool) {
+		line := f.log.Info()
+		if _, known := f.config.Regions[domain]; !known {
+			line = f.log.Warn().Str(logfield.Error, "unknown failure domain")
+		}
+		line.Str(logfield.FailureDomain, domain).Bool(logfield.Evacuated, evacuated).Int64(logfield.UpdateDelay, late.Milliseconds()).Msg("evacuation")
+	}
+	for _, domain := range after {
+		if !slices.Contains(before, domain) {
+			log(domain, true)
+		}
+	}
+	for _, domain := range before {
+		if !slices.Contains(after, domain) {
+			log(domain, false)
+		}
+	}
+}
--- a/internal/follow/world_link_test.go
+++ b/internal/follow/world_link_test.go
@@ -55,6 +55,9 @@
 	for _, target := range w.targets {
 		listing.Targets = append(listing.Targets, target)
 	}
+	for _, evacuation := range w.evacuations {
+		listing.Evacuations = append(listing.Evacuations, evacuation)
+	}
 	w.mu.Unlock()
 	return listing, l.awaitResponse(ctx)
 }
@@ -145,6 +148,7 @@
 			changes.Revision = revision
 			changes.Targets = append(changes.Targets, update.Targets...)
 			changes.Removed = append(changes.Removed, update.Removed...)
+			changes.Evacuations = append(changes.Evacuations, update.Evacuations...)
 			if update.Config != nil {
 				changes.Config, _ = update.Config.Apply(nil)
 			}
--- a/internal/follow/world_test.go
+++ b/internal/follow/world_test.go
@@ -37,8 +37,10 @@
 	recorded []time.Time
 	config   *mesh.Config
 	targets  map[string]mesh.Target
-	changed  chan struct{}
-	reads    int
+	// evacuations holds the active evacuations by failure domain.
+	evacuations map[string]mesh.Evacuation
+	changed     chan struct{}
+	reads       int
 	// lists counts the reads that were full listings.
 	lists int
 	// rejectedCalls counts the calls that the platform rejected.
@@ -89,7 +91,7 @@
 		propagationBound: bound,
 		endedAt:          map[string]time.Time{},
 		linkFreeAt:       map[string]time.Time{}, sentBytes: map[string]int{},
-		targets: map[string]mesh.Target{}, changed: make(chan struct{}), revision: 1,
+		targets: map[string]mesh.Target{}, evacuations: map[string]mesh.Evacuation{}, changed: make(chan struct{}), revision: 1,
 		crashes: map[string]*quarantine.SharedLedger{}, noticeBytes: map[string]int{},
 		rejected: map[string]bool{}, cut: map[string]bool{}, nodes: map[string]*Follower{}, stops: map[string]context.CancelFunc{}, processes: map[string]context.Context{},
 	}
@@ -170,6 +172,20 @@
 	w.record(mesh.Update{Removed: []mesh.Removal{{ID: id, Revision: w.revision}}, Age: time.Duration(w.revision)})
 }
 
+// evacuate requests the evacuation of a failure domain, or withdraws the request.
+func (w *world) evacuate(domain string, active bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.revision++
+	evacuation := mesh.Evacuation{FailureDomain: domain, Active: active, Revision: w.revision}
+	if active {
+		w.evacuations[domain] = evacuation
+	} else {
+		delete(w.evacuations, domain)
+	}
+	w.record(mesh.Update{Evacuations: []mesh.Evacuation{evacuation}, Age: time.Duration(w.revision)})
+}
+
 // announce returns a function that adds the sender as a hint at the node of an address.
 func (w *world) announce(from string) func(context.Context, string) {
 	return func(_ context.Context, address string) {
--- a/internal/logfield/logfield.go
+++ b/internal/logfield/logfield.go
@@ -66,6 +66,12 @@
 	// UsableFor is the time for which a target stays in use after its entry was
 	// removed, in milliseconds.
 	UsableFor Name = "usable_ms"
+	// FailureDomain is the failure domain that an operator evacuates, or no longer does,
+	// as Evacuated says.
+	FailureDomain Name = "failure_domain"
+	Evacuated     Name = "evacuated"
+	// Warmup is how long a target still warms up, in milliseconds.
+	Warmup Name = "warmup_ms"
 )
 
 // Ending is the result of a decision about a request.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -49,13 +49,22 @@
 	// MaxAttempts bounds the number of targets that one request may reach.
 	MaxAttempts int     `cbor:"a"`
 	Shares      []Share `cbor:"s"`
+	// AllowedRegions are the only regions in which requests may run and to which their
+	// bodies may be sent; empty means all.
+	AllowedRegions []string `cbor:"g,omitempty"`
+}
+
+// AllowsRegion reports whether requests of the route may run in a region.
+func (r *Route) AllowsRegion(region string) bool {
+	return len(r.AllowedRegions) == 0 || slices.Contains(r.AllowedRegions, region)
 }
 
 // Equal reports whether two routes have the same fields.
 func (r *Route) Equal(o *Route) bool {
 	return r.Name == o.Name && r.Host == o.Host && r.Prefix == o.Prefix && r.Kind == o.Kind &&
 		r.Timeout == o.Timeout && r.TargetLatency == o.TargetLatency && r.Priority == o.Priority &&
-		r.MaxAttempts == o.MaxAttempts && slices.Equal(r.Shares, o.Shares)
+		r.MaxAttempts == o.MaxAttempts && slices.Equal(r.Shares, o.Shares) &&
+		slices.Equal(r.AllowedRegions, o.AllowedRegions)
 }
 
 // Service holds the settings that apply to all targets of a service.
@@ -65,6 +74,10 @@
 	HealthPath string `cbor:"h"`
 	// MaxConnections bounds the connections of all nodes to one target.
 	MaxConnections int `cbor:"c"`
+	// WarmupTime is how long a target is slow after its start, and WarmupRate the requests
+	// per second that it tolerates during that time; a rate of 0 means no limit.
+	WarmupTime time.Duration `cbor:"w,omitempty"`
+	WarmupRate float64       `cbor:"r,omitempty"`
 }
 
 // Limits bounds the requests and connections of callers. Zero means unlimited.
@@ -119,6 +132,16 @@
 	Revision uint64 `cbor:"r"`
 }
 
+// Evacuation is an operator's request to send nothing to the targets of a failure domain, or
+// the end of such a request.
+type Evacuation struct {
+	FailureDomain string `cbor:"f"`
+	// Active is false once the operator has withdrawn the request.
+	Active bool `cbor:"a"`
+	// Revision is the platform's revision at the last change of the entry.
+	Revision uint64 `cbor:"r"`
+}
+
 // Removal records that a target's entry did not exist at a revision of the platform.
 type Removal struct {
 	ID       string `cbor:"i"`
--- a/internal/mesh/since.go
+++ b/internal/mesh/since.go
@@ -56,6 +56,7 @@
 	if position.Generation != v.generation {
 		update.Targets = v.targetsSince(now, position)
 		update.Removed = v.removedSince(now, position)
+		update.Evacuations = v.evacuationsSince(position)
 		position.Generation = v.generation
 		position.Revision = 0
 	}
--- a/internal/mesh/table.go
+++ b/internal/mesh/table.go
@@ -12,15 +12,20 @@
 	// hosts holds the routes of each host, longest prefix first.
 	hosts    map[string][]*Route
 	services map[string]*Service
+	// restricted holds the routes with allowed regions, by name.
+	restricted map[string]*Route
 }
 
 // NewTable indexes a configuration.
 func NewTable(config *Config) *Table {
-	t := &Table{Config: config, hosts: map[string][]*Route{}, services: map[string]*Service{}}
+	t := &Table{Config: config, hosts: map[string][]*Route{}, services: map[string]*Service{}, restricted: map[string]*Route{}}
 	for i := range config.Routes {
 		route := &config.Routes[i]
 		host := strings.ToLower(route.Host)
 		t.hosts[host] = append(t.hosts[host], route)
+		if len(route.AllowedRegions) > 0 {
+			t.restricted[route.Name] = route
+		}
 	}
 	for _, routes := range t.hosts {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -45,3 +50,11 @@
 
 // Service returns the settings of a service, or nil if it isn't configured.
 func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Restricted returns the named route if it has allowed regions, or nil. A nil table has none.
+func (t *Table) Restricted(name string) *Route {
+	if t == nil {
+		return nil
+	}
+	return t.restricted[name]
+}
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -58,9 +58,12 @@
 	recent  []*Config
 	members map[string]*Member
 	removed map[string]removedTarget
+	// evacuations holds the last known request for each failure domain that was ever
+	// evacuated.
+	evacuations map[string]evacuationState
 	// generation counts the changes of the view. Neighbours' positions refer to it.
 	generation uint64
-	// membersGeneration counts the changes of members alone.
+	// membersGeneration counts the changes of members and evacuations alone.
 	membersGeneration uint64
 	// latest maps each address to the target that started last there, as of
 	// latestGeneration.
@@ -87,7 +90,7 @@
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{members: map[string]*Member{}, removed: map[string]removedTarget{}}
+	return &View{members: map[string]*Member{}, removed: map[string]removedTarget{}, evacuations: map[string]evacuationState{}}
 }
 
 // Update holds the changes from one message of a neighbour or one read of the platform.
@@ -95,6 +98,8 @@
 	Config  *ConfigDelta `cbor:"c,omitempty"`
 	Targets []Target     `cbor:"t,omitempty"`
 	Removed []Removal    `cbor:"r,omitempty"`
+	// Evacuations holds the evacuations that were requested or withdrawn.
+	Evacuations []Evacuation `cbor:"e,omitempty"`
 	// Age is how long ago the sender's view was known to be current, except for a
 	// configuration that it doesn't hold yet (ConfigPending); negative if it never was. RTT
 	// is the round trip to the platform of the node that read it.
@@ -115,7 +120,9 @@
 }
 
 // Empty reports whether the update contains no changes.
-func (u *Update) Empty() bool { return u.Config == nil && len(u.Targets) == 0 && len(u.Removed) == 0 }
+func (u *Update) Empty() bool {
+	return u.Config == nil && len(u.Targets) == 0 && len(u.Removed) == 0 && len(u.Evacuations) == 0
+}
 
 // Table returns the active routes, or nil before the first configuration.
 func (v *View) Table() *Table { return v.table }
@@ -123,7 +130,8 @@
 // Generation returns a number that grows with each change of the view.
 func (v *View) Generation() uint64 { return v.generation }
 
-// MembersGeneration returns a number that grows with each change of the known targets.
+// MembersGeneration returns a number that grows with each change of the known targets and of
+// evacuated failure domains.
 func (v *View) MembersGeneration() uint64 { return v.membersGeneration }
 
 // Version returns the version of the active configuration, or 0 if there is none.
@@ -193,14 +201,14 @@
 // view, and callers must not modify it.
 func (v *View) Members() map[string]*Member { return v.members }
 
-// ReadyByService returns the ready targets by service. Of several entries with the same
+// ReadyByService returns the ready targets outside evacuated failure domains, by service. Of several entries with the same
 // address, only that of the latest start counts: a restarted target has a new entry, and
 // the old one remains until its lease expires. Otherwise, after a power loss of a whole
 // fleet, every second attempt would go to a target that no longer runs.
 func (v *View) ReadyByService() map[string][]*Member {
 	ready := map[string][]*Member{}
 	for _, member := range v.latestByAddress() {
-		if member.State == Ready {
+		if member.State == Ready && !v.Evacuated(member.FailureDomain) {
 			ready[member.Service] = append(ready[member.Service], member)
 		}
 	}
@@ -227,6 +235,9 @@
 	for _, removal := range update.Removed {
 		v.remove(sent, removal)
 	}
+	for _, evacuation := range update.Evacuations {
+		v.applyEvacuation(evacuation)
+	}
 	v.expire(sent)
 	if update.FailedReadAge > 0 {
 		v.RecordFailedRead(sent.Add(-update.FailedReadAge))
