proxy: keep to allowed regions, evacuations and what a warming target tolerates

Change: the entry node chooses only targets in the regions of both the request's and the active configuration; the owner node checks its own region and its domain's evacuation once more, so that a stale entry costs a refusal. The owner node limits the start rate of its target while it may warm up: from any sign of a restart (a refused or broken connection, a kept one found closed, another id or start time, an evacuation, its own start) until the target's health response says for how long. Nothing is asked where the configuration names no warm-up rate. Load reports show the slots that the rate can fill.

Ruled out: enforcing at the entry node alone, since nodes learn of changes at different times; periodic health checks, which are paid for and too rare to catch a restart within its warm-up.

--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -159,9 +159,12 @@
 	}
 	c := &sidecar{
 		settings: s, log: logger, output: output, meter: metrics.New(),
-		peers: exchange.NewPool(peerConnections), target: exchange.NewPool(targetConnections),
+		peers:   exchange.NewPool(peerConnections),
 		crashes: quarantine.NewSharedLedger(wallClock{}),
 	}
+	targetOptions := targetConnections
+	targetOptions.PeerClosed = func(address string) { c.proxy.DoubtTarget(address) }
+	c.target = exchange.NewPool(targetOptions)
 	c.proxy = proxy.New(proxyConfig(s, options), proxy.Ports{
 		Clock: wallClock{}, Peers: c.peers, Target: c.target, Log: logger, Meter: c.meter, Crashes: c.crashes,
 		ViewAge: func() time.Duration { return c.follower.Age() },
@@ -186,6 +189,7 @@
 		TargetAddress: s.TargetAddress, PeerPort: s.PeerPort,
 		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 		HalfBytes: options.halfBytes, LinkRate: s.LinkRate,
+		WarmupOverage: s.WarmupOverage, WarmupSlack: s.WarmupSlack,
 		DrainGrace: follow.DrainGrace(propagationBound(s)), Seed: uint64(time.Now().UnixNano()),
 	}
 }
@@ -193,10 +197,13 @@
 // propagationBound returns the shorter of the platform's bounds on how long changes
 // in its store may take to reach the nodes; zero if it sets none.
 func propagationBound(s platform.Settings) time.Duration {
-	if s.DrainBound == 0 || s.ApplyBound == 0 {
-		return max(s.DrainBound, s.ApplyBound)
+	shortest := time.Duration(0)
+	for _, bound := range []time.Duration{s.DrainBound, s.ApplyBound, s.EvacuationBound} {
+		if bound > 0 && (shortest == 0 || bound < shortest) {
+			shortest = bound
+		}
 	}
-	return min(s.DrainBound, s.ApplyBound)
+	return shortest
 }
 
 // feedDialTimeout is long enough for one lost packet to be retransmitted.
--- a/cmd/tamarackd/sidecar_loop.go
+++ b/cmd/tamarackd/sidecar_loop.go
@@ -43,6 +43,7 @@
 
 func (c *sidecar) buildSnapshot(view *mesh.View) proxy.Snapshot {
 	snapshot := proxy.Snapshot{Services: view.ReadyByService(), Local: view.MemberAt(c.settings.TargetAddress), MembersGeneration: view.MembersGeneration()}
+	snapshot.LocalEvacuated = view.Evacuated(c.settings.FailureDomain)
 	hosts := make(map[string]bool, len(view.Members()))
 	for _, member := range view.Members() {
 		hosts[follow.HostOf(member.Address)] = true
--- a/internal/adapter/exchange/pool.go
+++ b/internal/adapter/exchange/pool.go
@@ -26,6 +26,9 @@
 	AckTimeout time.Duration
 	// MaxIdle limits the number of idle connections per address.
 	MaxIdle int
+	// PeerClosed is called when an idle connection is found closed by the receiver before
+	// its announced timeout; it may be nil.
+	PeerClosed func(address string)
 }
 
 // Pool holds connections by address. It is safe for concurrent use.
@@ -122,10 +125,14 @@
 // if there is none. It closes the unusable ones that it finds.
 func (p *Pool) takeUsable(address string) *conn {
 	for c := p.take(address); c != nil; c = p.take(address) {
-		if time.Now().Before(c.idleUntil) && c.usable() {
+		expired := !time.Now().Before(c.idleUntil)
+		if !expired && c.usable() {
 			return c
 		}
 		c.close(false)
+		if !expired && p.options.PeerClosed != nil {
+			p.options.PeerClosed(address)
+		}
 	}
 	return nil
 }
--- a/internal/explain/reason.go
+++ b/internal/explain/reason.go
@@ -23,6 +23,8 @@
 	port.ReasonUnknownRoute:   {"the customer's contract has no route for the path", "add a [[contract.route]] or correct the path"},
 	port.ReasonMethod:         {"the route does not take the method", "add it to the route's methods"},
 	port.ReasonNoTarget:       {"no live target of the service is within the route's spill", "see the members of the node, and widen spill if it bars them"},
+	port.ReasonRegion:         {"no usable target of the service is in a region that the route allows", "see tamarack_targets_usable in the allowed regions, or allow another one"},
+	port.ReasonEvacuated:      {"an operator evacuates the target's failure domain", "come back after Retry-After; the evacuation lines of the log tell since when"},
 	port.ReasonQueueFull:      {"all slots and the customer's places in the queue were taken", "come back after Retry-After; compare demand with the share"},
 	port.ReasonDeadline:       {"the route's deadline came before a slot was free", "come back after Retry-After; compare demand with the share"},
 	port.ReasonBusy:           {"the target would have made the request wait, and the entry node asked it not to", "nothing to do: the entry node tries the next target; as a final answer, come back after Retry-After"},
--- a/internal/port/refusal.go
+++ b/internal/port/refusal.go
@@ -22,6 +22,10 @@
 	ReasonMethod Reason = "method-not-allowed"
 	// ReasonNoTarget: no usable target of the service is within the route's reach.
 	ReasonNoTarget Reason = "no-target"
+	// ReasonRegion: no usable target of the service is in a region that the route allows.
+	ReasonRegion Reason = "region-not-allowed"
+	// ReasonEvacuated: an operator evacuates the target's failure domain.
+	ReasonEvacuated Reason = "evacuated"
 	// ReasonQueueFull: all slots are in use, and the customer's queue is full.
 	ReasonQueueFull Reason = "queue-full"
 	// ReasonDeadline: no slot became free before the deadline.
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -10,6 +10,7 @@
 // choose returns the usable target with the lowest cost that was not tried yet, or nil.
 func (f *forwarder) choose(now time.Time) *mesh.Member {
 	p := f.proxy
+	f.restrictions = f.currentRestrictions()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	request := &placement.Request{
@@ -64,12 +65,37 @@
 // eligible reports whether a target may get the next attempt. If includeAvoided is set,
 // targets in backoff and targets with unreachable nodes are eligible as well.
 func (f *forwarder) eligible(now time.Time, c candidate, includeAvoided bool) bool {
-	if f.tried[c.member.ID] || !c.member.Usable(now) {
+	if f.tried[c.member.ID] || !c.member.Usable(now) || !f.allowsDomain(c.member.FailureDomain) {
 		return false
 	}
 	return includeAvoided || c.stats.Available(now) && !f.proxy.isUnreachable(c.member)
 }
 
+// currentRestrictions returns the versions of the route that restrict its regions: that of the
+// configuration with which the request began, and that of the active one. While a change of
+// the regions spreads, the request keeps to both.
+func (f *forwarder) currentRestrictions() []*mesh.Route {
+	var restrictions []*mesh.Route
+	if len(f.route.AllowedRegions) > 0 {
+		restrictions = append(restrictions, f.route)
+	}
+	active := f.proxy.snapshot.Load().Table.Restricted(f.route.Name)
+	if active != nil && active != f.route {
+		restrictions = append(restrictions, active)
+	}
+	return restrictions
+}
+
+// allowsDomain reports whether the request may run in a failure domain.
+func (f *forwarder) allowsDomain(domain string) bool {
+	for _, route := range f.restrictions {
+		if !route.AllowsRegion(f.proxy.config.Regions[domain]) {
+			return false
+		}
+	}
+	return true
+}
+
 // tieBreak is the random part of a cost. Without it, nodes with the same information
 // about two equal targets would all choose the same one.
 const tieBreak = 0.02
--- a/internal/proxy/flight.go
+++ b/internal/proxy/flight.go
@@ -45,6 +45,8 @@
 	// running, as of its arrival at this node.
 	crashCount int
 
+	// restrictions holds the versions of the route whose regions bind the next attempt.
+	restrictions []*mesh.Route
 	// tried holds the ids of the targets that got an attempt.
 	tried map[string]bool
 	// lastTarget is the target of the last attempt.
@@ -148,6 +150,9 @@
 	case f.refusal != nil:
 		return nil, f.refusal
 	}
+	if len(f.restrictions) > 0 {
+		return nil, port.Refuse(port.ReasonRegion, retryNoTarget, "no usable target of service %s in the regions of route %s", f.service, f.route.Name)
+	}
 	return nil, port.Refuse(port.ReasonNoTarget, retryNoTarget, "no usable target of service %s", f.service)
 }
 
@@ -271,7 +276,7 @@
 	switch refusal.Reason {
 	case port.ReasonStopping, port.ReasonNotReady, port.ReasonUnreachable:
 		stats.BackOffRestart(now)
-	case port.ReasonDraining, port.ReasonWrongOwner, port.ReasonMisdirected:
+	case port.ReasonDraining, port.ReasonEvacuated, port.ReasonWrongOwner, port.ReasonMisdirected:
 		stats.BackOff(now)
 	case port.ReasonShed, port.ReasonShedWithRoom:
 		stats.RecordFailure(now)
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -120,6 +120,13 @@
 	if snapshot == nil || snapshot.Local == nil {
 		return port.Refuse(port.ReasonNotReady, retryUnreachable, "no target is listed on this VM")
 	}
+	if snapshot.LocalEvacuated {
+		return port.Refuse(port.ReasonEvacuated, retryUnreachable, "the target's failure domain is evacuated")
+	}
+	if route := snapshot.Table.Restricted(meta.route); route != nil && !route.AllowsRegion(p.config.Region) {
+		// The entry node's configuration may be older.
+		return port.Refuse(port.ReasonRegion, retryUnreachable, "route %s is not allowed in region %s", meta.route, p.config.Region)
+	}
 	local := snapshot.Local
 	if expected := r.Header.Get(p.config.Headers.ExpectedTarget); expected != "" && expected != local.ID && meta.revision < local.Revision {
 		return port.Refuse(port.ReasonWrongOwner, retryUnreachable, "this VM's target is another one")
@@ -149,9 +156,15 @@
 	ctx, cancel := context.WithTimeout(ctx, left)
 	response, err := p.ports.Target.Do(ctx, p.config.TargetAddress, r)
 	if err != nil {
+		if ctx.Err() == nil {
+			p.doubtWarmup()
+		}
 		cancel()
 		return nil, p.classifyError(err)
 	}
+	if response.Status == http.StatusMisdirectedRequest {
+		p.doubtWarmup()
+	}
 	if refusal := p.notExecuted(response); refusal != nil {
 		p.discard(response.Body)
 		cancel()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -47,6 +47,10 @@
 	NotExecuted string
 	// Load is the load reported by the target: running, waiting, slots.
 	Load string
+	// TargetID is the target's id and Warmup its remaining warm-up time in milliseconds, in
+	// responses to health checks.
+	TargetID string
+	Warmup   string
 }
 
 // Config holds the settings of a proxy.
@@ -75,7 +79,11 @@
 	// on their way. Entry nodes may learn of the drain slightly later than the target's
 	// own node.
 	DrainGrace time.Duration
-	Seed       uint64
+	// WarmupOverage and WarmupSlack limit the requests that the local target receives in
+	// any second while it warms up: to a multiple of its service's warm-up rate, plus a
+	// fixed number.
+	WarmupOverage, WarmupSlack float64
+	Seed                       uint64
 }
 
 // Ports holds the external dependencies of the proxy.
@@ -100,6 +108,8 @@
 	Services map[string][]*mesh.Member
 	// Local is the local target, nil while the platform doesn't list it.
 	Local *mesh.Member
+	// LocalEvacuated reports whether an operator evacuates this VM's failure domain.
+	LocalEvacuated bool
 	// Nodes is the number of VMs in the mesh.
 	Nodes int
 	// MembersGeneration increases with each change of the targets: two snapshots with the
@@ -142,6 +152,7 @@
 	localRuns     localRuns
 	callerRetries *clientretry.Tracker
 	localStats    localStats
+	warmup        warmup
 	reachability  reachability
 	link          *link.Pacer
 	// transfers schedules large responses to other nodes. transferReady holds a channel
@@ -179,6 +190,11 @@
 // SetSnapshot replaces the active snapshot.
 func (p *Proxy) SetSnapshot(snapshot *Snapshot) {
 	previous := p.snapshot.Swap(snapshot)
+	if targetReplaced(previous, snapshot) {
+		p.doubtWarmup()
+	} else {
+		p.refreshWarmup()
+	}
 	if snapshot.Local != nil && (previous == nil || previous.Local == nil || previous.Local.Slots != snapshot.Local.Slots) {
 		p.gate.Configure(admissionTerms(snapshot.Local.Slots))
 	}
@@ -304,7 +320,10 @@
 
 // Tick starts waiting requests for which slots have become available by the passing of
 // time alone.
-func (p *Proxy) Tick() { p.gate.Tick() }
+func (p *Proxy) Tick() {
+	p.refreshWarmup()
+	p.gate.Tick()
+}
 
 // LogDroppedLines logs how many log lines were dropped since the last call.
 func (p *Proxy) LogDroppedLines() { p.requestLog.logDropped() }
