exchange: send paths that begin with two slashes as they came

Cause: rawURL put the escaped path into URL.Path, and net/url escaped it again: //a%2fb reached the target as //a%252fb. An opaque URL can't be used there, since net/url takes two slashes for a host.

Change: RawPath holds the path as it came, and a lone question mark is kept. TestPathReachesTheReceiverUnchanged is red before.

--- a/internal/adapter/exchange/exchange.go
+++ b/internal/adapter/exchange/exchange.go
@@ -157,13 +157,19 @@
 	return c.writer.Flush()
 }
 
-// rawURL returns a URL that preserves the bytes of the path as sent by the caller.
+// rawURL returns a URL that preserves the bytes of the path as sent by the caller. An opaque
+// URL does, unless it begins with two slashes, which net/url takes for a host.
 func rawURL(uri string) *url.URL {
-	if strings.HasPrefix(uri, "//") {
-		path, query, _ := strings.Cut(uri, "?")
-		return &url.URL{Path: path, RawQuery: query}
+	if !strings.HasPrefix(uri, "//") {
+		return &url.URL{Opaque: uri}
 	}
-	return &url.URL{Opaque: uri}
+	escaped, query, hasQuery := strings.Cut(uri, "?")
+	path, err := url.PathUnescape(escaped)
+	if err != nil {
+		// net/http refuses requests with such a path before they get here.
+		path = escaped
+	}
+	return &url.URL{Path: path, RawPath: escaped, RawQuery: query, ForceQuery: hasQuery}
 }
 
 // readResponse returns the response to the request once its header is read. Responses to
--- a/internal/adapter/exchange/exchange_test.go
+++ b/internal/adapter/exchange/exchange_test.go
@@ -294,3 +294,21 @@
 	assert.NilError(t, listener.Close())
 	assert.Assert(t, p.ConnectionRefused(context.Background(), listener.Addr().String()))
 }
+
+// Guards against a target that gets another path than the caller sent, for paths that begin with
+// two slashes or contain escapes.
+func TestPathReachesTheReceiverUnchanged(t *testing.T) {
+	got := make(chan string, 1)
+	address, _ := server(t, func(c net.Conn, request *http.Request, _ int) {
+		got <- request.RequestURI
+		_, _ = io.WriteString(c, responseText("1", ""))
+	})
+	p := pool()
+	for _, uri := range []string{"/a%2fb?q=%2f", "//a%2fb/c", "//x//y?", "//h%20i/?a=1&b", "//%e2%82%ac/%2F%2f", "/a//b"} {
+		response, err := p.Do(t.Context(), address, &Request{Method: "GET", URI: uri, Host: "h", Header: http.Header{}})
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, <-got, uri)
+	}
+}
