node: ask a lone target for the rest of its own broken body

Cause: the first continuation excluded the target whose response broke, and with no other within the route's reach the body ended broken although the target could send the rest.

Change: if there is no other target, the same one is asked. TestLoneTargetResumesItsOwnBody is red before.

--- a/internal/node/resume.go
+++ b/internal/node/resume.go
@@ -79,8 +79,11 @@
 	// request would hold two slots.
 	b.current.release()
 	b.current = &openResponse{response: &port.Response{Body: http.NoBody}, release: func() {}}
-	next := b.forwarder.continuation(b.plan, b.offset, b.resumes)
-	resp, err := next.dispatch(b.ctx)
+	resp, err := b.forwarder.continuation(b.plan, b.offset, b.resumes == 1).dispatch(b.ctx)
+	if isNoTarget(err) {
+		// The target whose response broke is the only one within the route's reach.
+		resp, err = b.forwarder.continuation(b.plan, b.offset, false).dispatch(b.ctx)
+	}
 	if err != nil {
 		return err
 	}
@@ -93,12 +96,16 @@
 	return nil
 }
 
+// isNoTarget reports whether a request was refused because no target could be tried.
+func isNoTarget(err error) bool {
+	var refusal *port.Refusal
+	return errors.As(err, &refusal) && refusal.Reason == port.ReasonNoTarget
+}
+
 // continuation returns the forwarder of the request for the rest of the body,
-// with a deadline of its own. The first continuation excludes the target whose
-// response broke; if the route reaches no other, the body isn't resumed. Later
-// ones, needed if a resumed body breaks in turn, exclude no target: the one that
-// broke may be the only one left.
-func (f *forwarder) continuation(plan *resume.Plan, offset int64, number int) *forwarder {
+// with a deadline of its own. The target whose response broke is excluded on
+// request: another one is more likely to send the rest.
+func (f *forwarder) continuation(plan *resume.Plan, offset int64, excludeBroken bool) *forwarder {
 	call := *f.call
 	call.ID = f.node.newID()
 	call.Deadline = f.node.ports.Clock.Now().Add(f.route.Deadline.Std())
@@ -112,7 +119,7 @@
 	next.call = &call
 	next.refusal, next.unknown = nil, nil
 	next.tried = nil
-	if broken := f.tried; len(broken) > 0 && number == 1 {
+	if broken := f.tried; len(broken) > 0 && excludeBroken {
 		next.tried = append(next.tried, broken[len(broken)-1])
 	}
 	return &next
--- a/internal/node/resume_test.go
+++ b/internal/node/resume_test.go
@@ -112,6 +112,27 @@
 	}
 }
 
+// A service has one target, and its response breaks halfway. The rest is had from the same
+// target, since there is no other.
+func TestLoneTargetResumesItsOwnBody(t *testing.T) {
+	text := strings.Repeat("0123456789", 5000)
+	owners := &fakeOwners{respond: func(_ context.Context, number int, _ membership.VM, call *port.Call) (*port.Response, error) {
+		response := archiveResponse(text, `"a"`, call)
+		if number == 0 {
+			response.Body = brokenBody(text, 20_000, false)
+		}
+		return response, nil
+	}}
+	n := newEntry(t, owners)
+	view := viewOf(1)
+	view.Targets["tally"] = view.Targets["tally"][:1]
+	n.view.Store(view)
+	content, _, err := fetch(t, n, "")
+	assert.NilError(t, err)
+	assert.Assert(t, content == text, "got %d bytes, want %d", len(content), len(text))
+	assert.DeepEqual(t, len(owners.to), 2)
+}
+
 // A caller requests an archive and stops reading. Its connection must be aborted
 // after the stall timeout, and the target's slot released.
 func TestSlowReaderFreesItsSlot(t *testing.T) {
