requestbody: revoke the earlier reader of a body that was read in part

Cause: once a large body was read in part, a further reader was refused and the earlier one stayed valid, although its attempt was over. Nothing showed a request that was harmed by it.

Change: a further reader or a rewind revokes the earlier one in each case. The extended test of package node is red before.

--- a/internal/node/request_test.go
+++ b/internal/node/request_test.go
@@ -464,8 +464,11 @@
 
 	read, _, err := requestbody.Read(strings.NewReader(large), int64(len(large)))
 	assert.NilError(t, err)
-	_, err = read.Reader().Read(make([]byte, 1))
+	first := read.Reader()
+	_, err = first.Read(make([]byte, 1))
 	assert.NilError(t, err)
 	_, err = read.Reader().Read(make([]byte, 1))
 	assert.ErrorIs(t, err, requestbody.ErrRevoked)
+	_, err = first.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, requestbody.ErrRevoked)
 }
--- a/internal/requestbody/requestbody.go
+++ b/internal/requestbody/requestbody.go
@@ -69,9 +69,9 @@
 }
 
 // Reader returns the body for the next attempt, or nil if there is no body. For a large
-// body, the reader of the previous attempt is revoked unless it has begun to read. If it
-// has, it isn't revoked, and the new reader returns ErrRevoked instead of the rest, which
-// the target would take for the whole body.
+// body, the reader of the previous attempt is revoked. If that has begun to read, the new
+// reader returns ErrRevoked as well, instead of the rest, which the target would take for
+// the whole body.
 func (b *Body) Reader() io.Reader {
 	if b.stream == nil {
 		if len(b.buffered) == 0 {
@@ -82,23 +82,22 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	next := &bodyReader{body: b}
-	if !b.consumed {
-		b.current = next
+	b.current = next
+	if b.consumed {
+		b.current = nil
 	}
 	return next
 }
 
-// Rewind reports whether another attempt can read the whole body. If it returns true for
-// a large body, earlier attempts can't read the body any more.
+// Rewind reports whether another attempt can read the whole body. Earlier attempts can't read
+// a large body any more.
 func (b *Body) Rewind() bool {
 	if b.stream == nil {
 		return true
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.consumed {
-		b.current = nil
-	}
+	b.current = nil
 	return !b.consumed
 }
 
