proxy: make attempt ids of all processes differ by construction

Cause: an id was a counter and 24 bits of the clock, so those of two nodes, or of two starts of one, could be the same; the owner node then refused the second attempt as a duplicate.

Change: the VM's address, the start of the process and a counter. It costs some 16 bytes an attempt.

--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -190,7 +190,7 @@
 		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 		HalfBytes: options.halfBytes, LinkRate: s.LinkRate,
 		WarmupOverage: s.WarmupOverage, WarmupSlack: s.WarmupSlack,
-		DrainGrace: follow.DrainGrace(propagationBound(s)), Seed: uint64(time.Now().UnixNano()),
+		DrainGrace: follow.DrainGrace(propagationBound(s)), Seed: uint64(time.Now().UnixNano()), Started: time.Now(),
 	}
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -8,6 +8,7 @@
 package proxy
 
 import (
+	"encoding/binary"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -84,6 +85,9 @@
 	// fixed number.
 	WarmupOverage, WarmupSlack float64
 	Seed                       uint64
+	// Started is the start of this process. It distinguishes the process from earlier ones
+	// on the VM.
+	Started time.Time
 }
 
 // Ports holds the external dependencies of the proxy.
@@ -135,7 +139,10 @@
 	localStopped atomic.Bool
 	stopDeadline atomic.Pointer[time.Time]
 	inFlight     atomic.Int64
-	attemptCount atomic.Uint64
+	// attemptPrefix distinguishes the attempt ids of this process from those of other
+	// nodes and of this node's earlier starts.
+	attemptPrefix string
+	attemptCount  atomic.Uint64
 	// peerAddresses caches the address of each target's node, by target address.
 	peerAddresses sync.Map
 
@@ -177,6 +184,7 @@
 		link:          link.NewPacer(config.LinkRate),
 		transferReady: map[*link.Transfer]chan struct{}{},
 	}
+	p.attemptPrefix = attemptPrefix(config.TargetAddress, config.Started)
 	if p.crashes == nil {
 		p.crashes = quarantine.NewSharedLedger(ports.Clock)
 	}
@@ -331,9 +339,23 @@
 // Counts returns the number of requests running and waiting at the local target.
 func (p *Proxy) Counts() (running, waiting int) { return p.gate.Counts() }
 
-// nextAttemptID returns an id that is unique among the attempts of this node since its
-// start. The low 24 bits of the clock in nanoseconds make it unlikely, but not impossible,
-// that it equals an id of another node or of this node before a restart.
-func (p *Proxy) nextAttemptID(now time.Time) string {
-	return strconv.FormatUint(p.attemptCount.Add(1), 36) + "." + strconv.FormatInt(now.UnixNano()&0xffffff, 36)
+// attemptPrefix returns the prefix of the attempt ids of a process: the VM's address and the
+// time of the start in microseconds.
+func attemptPrefix(targetAddress string, started time.Time) string {
+	host, _, err := net.SplitHostPort(targetAddress)
+	if err != nil {
+		host = targetAddress
+	}
+	if ip := net.ParseIP(host).To4(); ip != nil {
+		host = strconv.FormatUint(uint64(binary.BigEndian.Uint32(ip)), attemptIDBase)
+	}
+	return host + "." + strconv.FormatInt(started.UnixMicro(), attemptIDBase) + "."
+}
+
+// attemptIDBase is the base of the numbers in attempt ids.
+const attemptIDBase = 36
+
+// nextAttemptID returns an id that no other attempt of any node has.
+func (p *Proxy) nextAttemptID() string {
+	return p.attemptPrefix + strconv.FormatUint(p.attemptCount.Add(1), attemptIDBase)
 }
--- a/internal/proxy/rank.go
+++ b/internal/proxy/rank.go
@@ -71,7 +71,7 @@
 	left := f.deadline.Sub(now)
 	maxWait := left - time.Duration(workMargin*float64(hold))
 	meta := attemptMeta{
-		attemptID: f.proxy.nextAttemptID(now), route: f.route.Name, rank: f.route.Priority * ranksPerPriority,
+		attemptID: f.proxy.nextAttemptID(), route: f.route.Name, rank: f.route.Priority * ranksPerPriority,
 		budget: left, dueIn: f.dueIn(now), responseSize: size, revision: member.Revision,
 		urgency: urgency(f.route.TargetLatency), retryable: f.route.Kind.IsIdempotent(),
 		retryProbability: f.retryProbability(), fingerprint: f.fingerprint,
--- a/internal/proxy/terms.go
+++ b/internal/proxy/terms.go
@@ -25,10 +25,9 @@
 // attemptMeta is the metadata that the entry node sends to the owner node with each
 // attempt, in addition to the HTTP request.
 type attemptMeta struct {
-	// attemptID identifies the attempt at the owner node while it waits and runs there.
-	// It consists of a counter of the entry node and 24 bits of its clock, so ids from
-	// two nodes, or from before and after a restart, may collide. The owner node refuses
-	// an attempt as a duplicate while another one with the same id waits or runs.
+	// attemptID identifies the attempt at the owner node while it waits and runs there. The
+	// owner node refuses an attempt as a duplicate while another one with the same id waits
+	// or runs.
 	attemptID string
 	route     string
 	// rank orders requests that wait for a slot; 0 comes first.
