--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Disables one mechanism in a scratch copy of the repository, to measure its effect:
-# scripts/ablation.sh NAME FOLDER. Without arguments it lists the names.
+# scripts/ablation.sh NAME FOLDER. Without arguments it lists the names; --check reports
+# those whose expression changes nothing.
 set -euo pipefail
 
 # off NAME FILE EXPRESSION registers the sed expression that disables the mechanism.
@@ -18,13 +19,25 @@
 off ill-targets-avoided internal/placement/placement.go 's/^\tcost += failureRate \* failureRate/\tcost += 0 * failureRate/'
 off cold-targets-avoided internal/placement/placement.go 's/^\tcoldHoldFactor = 2/\tcoldHoldFactor = 1/'
 off signs-of-life internal/proxy/reach.go 's/^\tif !needsPing {/\tif true || !needsPing {/'
-off away-until-probed internal/proxy/reach.go 's/return p.reachability.unreachable\[p.peerAddress(member)\]/return false/'
+off away-until-probed internal/proxy/reach.go 's/return len(p.reachability.unreachable) > 0 \&\& .*/return false/'
 off own-speed-in-waits internal/proxy/rank.go 's/if stats := p.stats\[member.ID\]; stats != nil {/if stats := p.stats[member.ID]; false {/'
 off time-behind-a-wait internal/proxy/rank.go 's/^const workMargin = 1.5/const workMargin = 1.0/'
 off repeats internal/proxy/repeat.go 's/if arrivals >= f.route.MaxAttempts {/if true {/'
+off slow-start internal/slowstart/slowstart.go 's/return t.doubted || now.Before(t.warmAt)/return false/'
+off allowed-regions internal/proxy/choose.go 's/if !route.AllowsRegion(/if false \&\& !route.AllowsRegion(/'
 off pace-of-large-answers internal/link/link.go 's/return \&Pacer{rate: responseShare \* bytesPerSecond}/return \&Pacer{rate: 0 * bytesPerSecond}/'
 off deadline-order-of-large-answers internal/proxy/pace.go 's/transfer := \&link.Transfer{Deadline: due}/transfer := \&link.Transfer{}/'
 
+if [ "${1:-}" = --check ]; then
+  status=0
+  for name in "${!file[@]}"; do
+    if sed "${expression[$name]}" "${file[$name]}" | cmp -s - "${file[$name]}"; then
+      echo "$name: nothing changes in ${file[$name]}"
+      status=1
+    fi
+  done
+  exit $status
+fi
 if [ $# -ne 2 ]; then
   printf '%s\n' "${!file[@]}" | sort
   exit 0
