--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -29,6 +29,7 @@
 off deadline-order-of-large-answers internal/proxy/pace.go 's/transfer := \&link.Transfer{Deadline: due}/transfer := \&link.Transfer{}/'
 
 if [ "${1:-}" = --check ]; then
+  cd "$(dirname "$0")/.."
   status=0
   for name in "${!file[@]}"; do
     if sed "${expression[$name]}" "${file[$name]}" | cmp -s - "${file[$name]}"; then
--- a/test/docs/docs_test.go
+++ b/test/docs/docs_test.go
@@ -9,6 +9,7 @@
 	"go/token"
 	"io/fs"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"reflect"
 	"regexp"
@@ -265,3 +266,10 @@
 		}
 	})
 }
+
+// Guards against an ablation whose expression no longer matches the code: it would measure
+// nothing.
+func TestAblationsMatchTheCode(t *testing.T) {
+	output, err := exec.Command("../../scripts/ablation.sh", "--check").CombinedOutput()
+	assert.NilError(t, err, "%s", output)
+}
