slowstart: start requests evenly at the whole limit

Hypothesis: a fleet that comes back cold is held back by its pace alone, so the pace should be the most that the limit allows in a second.

TestWarmingTargetGetsNoMoreThanItTolerates asks for 8 of 14 requests in the first second now, and for 2 before.

--- a/internal/proxy/promises_test.go
+++ b/internal/proxy/promises_test.go
@@ -152,7 +152,7 @@
 		most, least int
 	}{
 		{"warm", 0, 200, 100},
-		{"warms up", 60_000, 10 + 4, 2},
+		{"warms up", 60_000, 10 + 4, 8},
 	} {
 		t.Run(test.desc, func(t *testing.T) {
 			f := newFleet(t, 1)
--- a/internal/slowstart/slowstart.go
+++ b/internal/slowstart/slowstart.go
@@ -14,19 +14,17 @@
 	Slack   float64
 }
 
-// minBurst is the smallest burst with which a request can start at all.
-const minBurst = 1
+// burst is the number of requests that may start at once: the smallest with which one can start
+// at all. An even pace gets more requests through a second than a burst and a slower pace.
+const burst = 1
 
 // Pace returns the rate, in requests per second, and the burst with which requests may start
 // under the limit. A zero rate means that the limit allows none.
 //
-// Requests start evenly, with half of the slack as the burst. After a restart of its node, a
-// target may receive the burst of the ended process and that of the new one within the same
-// second; both together stay within the limit.
-func (l Limit) Pace() (rate float64, burst int) {
-	allowed := l.Rate*max(l.Overage, 1) + l.Slack
-	burst = max(minBurst, int(l.Slack/2))
-	return max(0, min(l.Rate*max(l.Overage, 1), allowed-2*float64(burst))), burst
+// After a restart of its node, a target may receive the burst of the ended process and that of
+// the new one within the same second; both together stay within the limit.
+func (l Limit) Pace() (perSecond float64, atOnce int) {
+	return max(0, l.Rate*max(l.Overage, 1)+l.Slack-2*burst), burst
 }
 
 // warmupMargin is added to the warm-up time that a target reports, for the time that the
--- a/internal/slowstart/slowstart_test.go
+++ b/internal/slowstart/slowstart_test.go
@@ -16,9 +16,9 @@
 			Rate: rapid.Float64Range(0.5, 50).Draw(t, "rate"), Overage: rapid.Float64Range(1, 3).Draw(t, "overage"),
 			Slack: rapid.Float64Range(2, 20).Draw(t, "slack"),
 		}
-		rate, burst := limit.Pace()
-		assert.Assert(t, rate >= 0 && burst >= 1)
-		if sent := rate + 2*float64(burst); sent > limit.Rate*limit.Overage+limit.Slack+1e-6 {
+		rate, atOnce := limit.Pace()
+		assert.Assert(t, rate >= 0 && atOnce >= 1)
+		if sent := rate + 2*float64(atOnce); sent > limit.Rate*limit.Overage+limit.Slack+1e-6 {
 			t.Fatalf("%v requests in a second under %+v", sent, limit)
 		}
 	})
