placement: take a target without a recent report for as loaded as its service

Cause: an entry node gets a few requests a second and has recent reports of few of a service's targets.

Change: the moving average of a service's reported load stands for a target without a report; it halves in a second without reports, so that targets are tried again.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -115,6 +115,8 @@
 	Slots int
 	// WarmAt is the time at which a target that has just started reaches its full speed.
 	WarmAt time.Time
+	// Service is shared by all targets of the service; it may be nil.
+	Service *ServiceLoad
 
 	openAttempts   int
 	openAtReport   int
@@ -139,6 +141,7 @@
 	s.load = load
 	s.loadReportedAt = now
 	s.openAtReport = s.openAttempts
+	s.Service.record(now, load)
 	s.decayFailureRate(now)
 	s.failureRate = max(s.failureRate, load.FailureRate)
 }
@@ -290,6 +293,9 @@
 			hold = s.load.Hold
 		}
 	}
+	if now.Sub(s.loadReportedAt) >= maxReportAge {
+		ahead += int(s.Service.perSlot(now) * float64(slots))
+	}
 	if slots <= 0 || ahead < slots {
 		return 0
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -151,6 +151,8 @@
 	splitter mesh.Splitter
 	// stats holds the statistics of targets, by target id.
 	stats map[string]*placement.Stats
+	// serviceLoads holds the mean load of the targets of each service.
+	serviceLoads map[string]*placement.ServiceLoad
 	// candidates holds the usable targets by service.
 	candidates map[string]*candidates
 	// routeStats holds the statistics of routes, by name.
@@ -175,6 +177,7 @@
 		random:        rand.New(rand.NewPCG(config.Seed, 1)),
 		stats:         map[string]*placement.Stats{},
 		routeStats:    map[string]*placement.RouteStats{},
+		serviceLoads:  map[string]*placement.ServiceLoad{},
 		retries:       retry.NewFleetBudget(config.RetryWindow),
 		localRuns:     localRuns{running: map[string]localRun{}},
 		crashes:       ports.Crashes,
@@ -228,7 +231,7 @@
 func (p *Proxy) statsFor(member *mesh.Member) *placement.Stats {
 	stats := p.stats[member.ID]
 	if stats == nil {
-		stats = &placement.Stats{Distance: p.distance(member)}
+		stats = &placement.Stats{Distance: p.distance(member), Service: p.serviceLoadFor(member.Service)}
 		p.stats[member.ID] = stats
 	}
 	stats.Slots = member.Slots
@@ -236,6 +239,16 @@
 	return stats
 }
 
+// serviceLoadFor returns the mean load of a service. It must be called with the mutex held.
+func (p *Proxy) serviceLoadFor(service string) *placement.ServiceLoad {
+	load := p.serviceLoads[service]
+	if load == nil {
+		load = &placement.ServiceLoad{}
+		p.serviceLoads[service] = load
+	}
+	return load
+}
+
 // dropRemoved drops the state of targets that are no longer listed.
 func (p *Proxy) dropRemoved(snapshot *Snapshot) {
 	listed := map[string]bool{}
