proxy, slowstart: mend two faults of slow starts found by reading

A target's answer to a health check was taken for its state also if a sign of a restart came after the question: the answer of the ended process lifted the limit for the new one. 2.

Changes: an answer covers only the signs before its question; a start that is older than 50 ms is refused as not run while the target may be warming up, and runs elsewhere.

Deployments without warm-up rates run the same code as before.

--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -87,7 +87,7 @@
 		return nil, p.loadReport(received, 0), refusal
 	}
 	p.trackRun(began, meta)
-	response, err := p.sendLocal(ctx, meta, r, deadline)
+	response, err := p.sendLocal(ctx, meta, r, began, deadline)
 	held := p.ports.Clock.Now().Sub(began)
 	p.recordHold(held, response, err)
 	if err != nil {
@@ -142,13 +142,18 @@
 	return nil
 }
 
-// sendLocal sends the request to the target and reads the response header.
-func (p *Proxy) sendLocal(ctx context.Context, meta *attemptMeta, r *exchange.Request, deadline time.Time) (*exchange.Response, error) {
+// sendLocal sends a request that got its slot at started to the target, and reads the response
+// header.
+func (p *Proxy) sendLocal(ctx context.Context, meta *attemptMeta, r *exchange.Request, started, deadline time.Time) (*exchange.Response, error) {
 	if refusal := p.checkRunnable(meta, r); refusal != nil {
 		// The state may have changed while the request waited for the slot.
 		return nil, refusal
 	}
-	left := deadline.Sub(p.ports.Clock.Now())
+	now := p.ports.Clock.Now()
+	if p.startedTooLate(now, started) {
+		return nil, port.Refuse(port.ReasonBusy, retryShed, "this node was paused, and the target warms up")
+	}
+	left := deadline.Sub(now)
 	if left < minBudget {
 		return nil, port.Refuse(port.ReasonDeadline, 0, "the deadline passed before the target took the request")
 	}
--- a/internal/proxy/warmup.go
+++ b/internal/proxy/warmup.go
@@ -112,25 +112,47 @@
 		p.mu.Unlock()
 	}()
 	for pause := minWarmupCheckPause; p.mayAskTarget(); pause = min(2*pause, maxWarmupCheckPause) {
+		p.mu.Lock()
+		question := p.warmup.tracker.Ask()
+		p.mu.Unlock()
 		remaining, err := p.readWarmup()
-		if err == nil {
-			p.recordWarmup(remaining)
+		if err != nil {
+			p.ports.Log.Debug().Err(err).Msg("target did not report its warm-up")
+			time.Sleep(pause)
+			continue
+		}
+		if p.recordWarmup(question, remaining) {
 			return
 		}
-		p.ports.Log.Debug().Err(err).Msg("target did not report its warm-up")
-		time.Sleep(pause)
 	}
 }
 
-func (p *Proxy) recordWarmup(remaining time.Duration) {
+// recordWarmup records the target's answer to a question. It returns false if the target has to
+// be asked again.
+func (p *Proxy) recordWarmup(question slowstart.Question, remaining time.Duration) bool {
 	now := p.ports.Clock.Now()
 	p.mu.Lock()
-	p.warmup.tracker.Report(now, remaining)
+	p.warmup.tracker.Report(question, now, remaining)
+	answered := !p.warmup.tracker.Doubted()
 	p.mu.Unlock()
 	if remaining > 0 {
 		p.ports.Log.Info().Int64(logfield.Warmup, millis(remaining)).Msg("target warms up")
 	}
 	p.refreshWarmup()
+	return answered
+}
+
+// maxStartDelay is the longest time from the start of a request until it is sent to a target that
+// warms up. It is below the time between two starts at usual rates, so that the starts of a
+// process that was paused don't reach the target all at once.
+const maxStartDelay = 50 * time.Millisecond
+
+// startedTooLate reports whether a request that started at the given time must not be sent to the
+// local target any more, because the target may be warming up.
+func (p *Proxy) startedTooLate(now, started time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.warmup.rate.PerSecond > 0 && now.Sub(started) > maxStartDelay
 }
 
 var errNoWarmup = errors.New("the answer names another target or none")
--- a/internal/slowstart/slowstart.go
+++ b/internal/slowstart/slowstart.go
@@ -35,21 +35,29 @@
 // without an announcement. After each sign of it, the target counts as warming up until it
 // reports how long it does.
 type Tracker struct {
-	doubted bool
+	// doubts counts the signs of a restart, answered those that the last report covers.
+	doubts, answered uint64
 	// warmAt is when the last reported warm-up ends.
 	warmAt time.Time
 }
 
 // Doubt records a sign that the target may have restarted.
-func (t *Tracker) Doubt() { t.doubted = true }
+func (t *Tracker) Doubt() { t.doubts++ }
 
 // Doubted reports whether the target has to be asked for its state.
-func (t *Tracker) Doubted() bool { return t.doubted }
+func (t *Tracker) Doubted() bool { return t.answered != t.doubts }
+
+// Question identifies a question to the target. It must be taken before the question is sent.
+type Question uint64
+
+// Ask returns the next question.
+func (t *Tracker) Ask() Question { return Question(t.doubts) }
 
 // Report records the remaining warm-up time that the target reported at the given time, zero
-// if it doesn't warm up.
-func (t *Tracker) Report(at time.Time, remaining time.Duration) {
-	t.doubted = false
+// if it doesn't warm up. After a sign of a restart that is later than the question, the answer
+// may come from the ended process, and another question is needed.
+func (t *Tracker) Report(question Question, at time.Time, remaining time.Duration) {
+	t.answered = uint64(question)
 	t.warmAt = time.Time{}
 	if remaining > 0 {
 		t.warmAt = at.Add(remaining + warmupMargin)
@@ -57,4 +65,4 @@
 }
 
 // Limited reports whether the target may be warming up.
-func (t *Tracker) Limited(now time.Time) bool { return t.doubted || now.Before(t.warmAt) }
+func (t *Tracker) Limited(now time.Time) bool { return t.Doubted() || now.Before(t.warmAt) }
--- a/internal/slowstart/slowstart_test.go
+++ b/internal/slowstart/slowstart_test.go
@@ -35,14 +35,19 @@
 	}{
 		{"no sign of a restart", func(*Tracker) {}, 0, false, false},
 		{"doubted", func(tracker *Tracker) { tracker.Doubt() }, time.Hour, true, true},
-		{"warms up", func(tracker *Tracker) { tracker.Report(now, time.Second) }, time.Second, true, false},
-		{"has warmed up", func(tracker *Tracker) { tracker.Report(now, time.Second) }, time.Second + warmupMargin, false, false},
+		{"warms up", func(tracker *Tracker) { tracker.Report(tracker.Ask(), now, time.Second) }, time.Second, true, false},
+		{"has warmed up", func(tracker *Tracker) { tracker.Report(tracker.Ask(), now, time.Second) }, time.Second + warmupMargin, false, false},
 		{"doubted and warm", func(tracker *Tracker) {
 			tracker.Doubt()
-			tracker.Report(now, 0)
+			tracker.Report(tracker.Ask(), now, 0)
 		}, 0, false, false},
+		{"the answer is older than the doubt", func(tracker *Tracker) {
+			question := tracker.Ask()
+			tracker.Doubt()
+			tracker.Report(question, now, 0)
+		}, time.Hour, true, true},
 		{"doubted while it warms up", func(tracker *Tracker) {
-			tracker.Report(now, time.Second)
+			tracker.Report(tracker.Ask(), now, time.Second)
 			tracker.Doubt()
 		}, time.Minute, true, true},
 	} {
--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -23,7 +23,7 @@
 off own-speed-in-waits internal/proxy/rank.go 's/if stats := p.stats\[member.ID\]; stats != nil {/if stats := p.stats[member.ID]; false {/'
 off time-behind-a-wait internal/proxy/rank.go 's/^const workMargin = 1.5/const workMargin = 1.0/'
 off repeats internal/proxy/retry_budget.go 's/if arrivals >= f.route.MaxAttempts {/if true {/'
-off slow-start internal/slowstart/slowstart.go 's/return t.doubted || now.Before(t.warmAt)/return false/'
+off slow-start internal/slowstart/slowstart.go 's/return t.Doubted() || now.Before(t.warmAt)/return false/'
 off allowed-regions internal/proxy/choose.go 's/if !route.AllowsRegion(/if false \&\& !route.AllowsRegion(/'
 off pace-of-large-answers internal/link/link.go 's/return \&Pacer{rate: responseShare \* bytesPerSecond}/return \&Pacer{rate: 0 * bytesPerSecond}/'
 off deadline-order-of-large-answers internal/proxy/transfer.go 's/transfer := \&link.Transfer{Deadline: due}/transfer := \&link.Transfer{}/'
