--- a/internal/follow/states.go
+++ b/internal/follow/states.go
@@ -71,7 +71,7 @@
 // holds the domains that were evacuated, late is the time that the update was in transit.
 func (f *Follower) logEvacuations(before []string, late time.Duration) {
 	after := f.view.Evacuations()
-	log := func(domain string, evacuated bool) {
+	write := func(domain string, evacuated bool) {
 		line := f.log.Info()
 		if _, known := f.config.Regions[domain]; !known {
 			line = f.log.Warn().Str(logfield.Error, "unknown failure domain")
@@ -80,12 +80,12 @@
 	}
 	for _, domain := range after {
 		if !slices.Contains(before, domain) {
-			log(domain, true)
+			write(domain, true)
 		}
 	}
 	for _, domain := range before {
 		if !slices.Contains(after, domain) {
-			log(domain, false)
+			write(domain, false)
 		}
 	}
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -49,14 +49,14 @@
 	// MaxAttempts bounds the number of targets that one request may reach.
 	MaxAttempts int     `cbor:"a"`
 	Shares      []Share `cbor:"s"`
-	// AllowedRegions are the only regions in which requests may run and to which their
+	// Regions are the only regions in which requests may run and to which their
 	// bodies may be sent; empty means all.
-	AllowedRegions []string `cbor:"g,omitempty"`
+	Regions []string `cbor:"g,omitempty"`
 }
 
 // AllowsRegion reports whether requests of the route may run in a region.
 func (r *Route) AllowsRegion(region string) bool {
-	return len(r.AllowedRegions) == 0 || slices.Contains(r.AllowedRegions, region)
+	return len(r.Regions) == 0 || slices.Contains(r.Regions, region)
 }
 
 // Equal reports whether two routes have the same fields.
@@ -64,7 +64,7 @@
 	return r.Name == o.Name && r.Host == o.Host && r.Prefix == o.Prefix && r.Kind == o.Kind &&
 		r.Timeout == o.Timeout && r.TargetLatency == o.TargetLatency && r.Priority == o.Priority &&
 		r.MaxAttempts == o.MaxAttempts && slices.Equal(r.Shares, o.Shares) &&
-		slices.Equal(r.AllowedRegions, o.AllowedRegions)
+		slices.Equal(r.Regions, o.Regions)
 }
 
 // Service holds the settings that apply to all targets of a service.
--- a/internal/mesh/table.go
+++ b/internal/mesh/table.go
@@ -23,7 +23,7 @@
 		route := &config.Routes[i]
 		host := strings.ToLower(route.Host)
 		t.hosts[host] = append(t.hosts[host], route)
-		if len(route.AllowedRegions) > 0 {
+		if len(route.Regions) > 0 {
 			t.restricted[route.Name] = route
 		}
 	}
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -201,10 +201,11 @@
 // view, and callers must not modify it.
 func (v *View) Members() map[string]*Member { return v.members }
 
-// ReadyByService returns the ready targets outside evacuated failure domains, by service. Of several entries with the same
-// address, only that of the latest start counts: a restarted target has a new entry, and
-// the old one remains until its lease expires. Otherwise, after a power loss of a whole
-// fleet, every second attempt would go to a target that no longer runs.
+// ReadyByService returns the ready targets outside evacuated failure domains, by service.
+// Of several entries with the same address, only that of the latest start counts: a
+// restarted target has a new entry, and the old one remains until its lease expires.
+// Otherwise, after a power loss of a whole fleet, every second attempt would go to a target
+// that no longer runs.
 func (v *View) ReadyByService() map[string][]*Member {
 	ready := map[string][]*Member{}
 	for _, member := range v.latestByAddress() {
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -76,7 +76,7 @@
 // the regions spreads, the request keeps to both.
 func (f *forwarder) currentRestrictions() []*mesh.Route {
 	var restrictions []*mesh.Route
-	if len(f.route.AllowedRegions) > 0 {
+	if len(f.route.Regions) > 0 {
 		restrictions = append(restrictions, f.route)
 	}
 	active := f.proxy.snapshot.Load().Table.Restricted(f.route.Name)
--- a/internal/proxy/region_test.go
+++ b/internal/proxy/region_test.go
@@ -39,7 +39,7 @@
 
 func restrictedConfig(version uint64, regions ...string) *mesh.Config {
 	route := testRoute("/once/", mesh.NonIdempotent)
-	route.AllowedRegions = regions
+	route.Regions = regions
 	return &mesh.Config{Version: version, Routes: []mesh.Route{route}}
 }
 
