--- a/internal/command/explain/print.go
+++ b/internal/command/explain/print.go
@@ -74,7 +74,7 @@
 		value explain.LocatedValue
 	}{
 		{"share", route.Share}, {"limit", route.Limit}, {"long", route.LongLimit}, {"class", route.Class}, {"deadline", route.Deadline},
-		{"stall", route.StallTimeout}, {"runs", route.Execution}, {"spill", route.Spill},
+		{"stall", route.StallTimeout}, {"runs", route.Execution}, {"spill", route.Spill}, {"domains", route.Domains},
 	} {
 		if line.value.Value != "" {
 			fmt.Fprintf(w, "  %-9s %s%s\n", line.name, line.value.Value, formatLocation(line.value.Location))
--- a/internal/command/root/root_test.go
+++ b/internal/command/root/root_test.go
@@ -230,6 +230,8 @@
 		{"no live target", dir, status, []string{"--path", "/tallies/1"}, "refused: no-target"},
 		{"spill bars the only target", copyContracts(t, "long = true", "long = true\nspill = \"region\""), status,
 			[]string{"--path", "/archive/7"}, "refused: no-target"},
+		{"domains bar the only target", copyContracts(t, "long = true", "long = true\ndomains = [\"north-1\"]"), status,
+			[]string{"--path", "/archive/7"}, "refused: region-not-allowed"},
 		{"node not ready", dir, node.Status{Health: node.Health{State: node.HealthNotReady}}, nil, "refused: not-ready"},
 	} {
 		t.Run(test.desc, func(t *testing.T) {
--- a/internal/contract/check.go
+++ b/internal/contract/check.go
@@ -21,6 +21,8 @@
 	CodeNoGrant        finding.Code = "route-without-grant"
 	CodeBadToken       finding.Code = "bad-token-hash"
 	CodeBadSpill       finding.Code = "bad-spill"
+	CodeUnknownDomain  finding.Code = "unknown-domain"
+	CodeNoTarget       finding.Code = "route-without-target"
 	CodeBadMethod      finding.Code = "bad-method"
 	CodeBadPrefix      finding.Code = "bad-prefix"
 	CodeOverlap        finding.Code = "prefixes-overlap"
--- a/internal/contract/check_route.go
+++ b/internal/contract/check_route.go
@@ -31,6 +31,7 @@
 		c.prefix(locate, key("prefix"), route.Prefix, prefixes)
 		c.methods(locate, route, key)
 		c.routeReferences(locate, contract, route, key)
+		c.domains(locate, route, key)
 		c.timeout(locate, key("deadline"), route.Deadline.Std(), false)
 		c.timeout(locate, key("stall"), route.StallTimeout.Std(), false)
 	}
@@ -52,6 +53,37 @@
 	}
 }
 
+// domains reports allowed failure domains in which nothing is committed, and routes whose service
+// has nothing committed in any of them: all their requests would be refused.
+func (c *checker) domains(locate Locator, route *Route, key func(string) string) {
+	reachable := false
+	for i, domain := range route.Domains {
+		at := fmt.Sprintf("%s[%d]", key("domains"), i)
+		if slices.Index(route.Domains, domain) != i {
+			c.add(locate, CodeDuplicate, at, "list each failure domain once", "failure domain %q is listed twice", domain)
+			continue
+		}
+		if !c.isCommitted(domain) {
+			c.add(locate, CodeUnknownDomain, at, "name a failure domain in which a service has committed upstreams", "nothing is committed in failure domain %q", domain)
+		}
+		service := c.set.Service(route.Service)
+		reachable = reachable || service == nil || service.Committed[domain] > 0
+	}
+	if len(route.Domains) > 0 && !reachable {
+		c.add(locate, CodeNoTarget, key("domains"), "allow a failure domain of the service", "service %q has no upstream in the allowed failure domains", route.Service)
+	}
+}
+
+// isCommitted reports whether any service has committed upstreams in a failure domain.
+func (c *checker) isCommitted(domain string) bool {
+	for i := range c.set.Services {
+		if c.set.Services[i].Committed[domain] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // prefix reports prefixes that no request path can match, and pairs of prefixes
 // that differ only in the trailing slash: one of the two would match a single
 // path only, which is never intended. A longer prefix below a shorter one is
--- a/internal/contract/check_test.go
+++ b/internal/contract/check_test.go
@@ -71,6 +71,15 @@
 		}, []finding.Code{CodeOvercommitted}},
 		{"too many classes", func(_ *Set, c *Contract, _ *Service) { c.Classes = strings.Split("crew,b,c,d,e,f,g,h,i", ",") },
 			[]finding.Code{CodeTooMany}},
+		{"allowed failure domain", func(_ *Set, c *Contract, _ *Service) { c.Routes[0].Domains = []string{"north-1"} }, nil},
+		{"unknown failure domain", func(_ *Set, c *Contract, _ *Service) { c.Routes[0].Domains = []string{"north-1", "moon"} },
+			[]finding.Code{CodeUnknownDomain}},
+		{"failure domain listed twice", func(_ *Set, c *Contract, _ *Service) { c.Routes[0].Domains = []string{"north-1", "north-1"} },
+			[]finding.Code{CodeDuplicate}},
+		{"no upstream in the allowed failure domains", func(set *Set, c *Contract, _ *Service) {
+			set.Services = append(set.Services, Service{Name: "archive", Slots: 1, MaxConnections: 1, Committed: map[string]int{"south-1": 1}})
+			c.Routes[0].Domains = []string{"south-1"}
+		}, []finding.Code{CodeNoTarget}},
 		{"unknown class", func(_ *Set, c *Contract, _ *Service) { c.Routes[0].Class = "boss" }, []finding.Code{CodeUnknownClass}},
 		{"lower-case method", func(_ *Set, c *Contract, _ *Service) { c.Routes[0].Methods = []string{"get"} }, []finding.Code{CodeBadMethod}},
 		{"method for proxies only", func(_ *Set, c *Contract, _ *Service) { c.Routes[0].Methods = []string{"CONNECT"} }, []finding.Code{CodeBadMethod}},
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -103,6 +103,14 @@
 	Long bool `toml:"long" cbor:"long"`
 	// Spill limits the distance between entry node and target.
 	Spill Spill `toml:"spill" cbor:"spill"`
+	// Domains lists the failure domains in which requests may run and to whose VMs,
+	// besides the entry node, their bodies may be sent; empty means all.
+	Domains []string `toml:"domains" cbor:"domains,omitempty"`
+}
+
+// AllowsDomain reports whether requests of the route may run in a failure domain.
+func (r *Route) AllowsDomain(domain string) bool {
+	return len(r.Domains) == 0 || slices.Contains(r.Domains, domain)
 }
 
 // Spill is the greatest distance from the entry node at which a request may be
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"tamarackquay/internal/admission"
 	"tamarackquay/internal/contract"
@@ -62,6 +63,8 @@
 	// Execution states whether a request may run more than once.
 	Execution LocatedValue `json:"runs"`
 	Spill     LocatedValue `json:"spill"`
+	// Domains lists the allowed failure domains; it is empty if all are allowed.
+	Domains LocatedValue `json:"domains"`
 	// Share, Limit and LongLimit are in slots, both of one target and of all
 	// committed targets. LongLimit is empty for routes that are not long.
 	Share     LocatedValue `json:"share"`
@@ -205,6 +208,10 @@
 			Detail: fmt.Sprintf("route %s does not take %s", route.Name, e.query.Method)}
 	}
 	if !slices.ContainsFunc(routes[0].Reach, func(d Domain) bool { return d.InReach && d.hasTarget(e.Members) }) {
+		if len(route.Domains) > 0 {
+			return &Refusal{Reason: port.ReasonRegion, Location: routes[0].Domains.Location,
+				Detail: fmt.Sprintf("no target of service %s within reach in %s", route.Service, routes[0].Domains.Value)}
+		}
 		return &Refusal{Reason: port.ReasonNoTarget, Location: routes[0].Spill.Location,
 			Detail: fmt.Sprintf("no target of service %s within reach", route.Service)}
 	}
@@ -233,6 +240,9 @@
 		Spill:        LocatedValue{string(cmp.Or(route.Spill, contract.SpillAnywhere)), key("spill")},
 		Reach:        e.reach(route),
 	}
+	if len(route.Domains) > 0 {
+		result.Domains = LocatedValue{strings.Join(route.Domains, ", "), key("domains")}
+	}
 	result.Share, result.Limit, result.LongLimit = e.slotLimits(route)
 	result.Conditions = loadConditions(result)
 	return result
@@ -295,7 +305,7 @@
 		distance, known := e.distance(name)
 		domains = append(domains, Domain{
 			Name: name, Committed: service.Committed[name], Slots: service.Committed[name] * service.Slots,
-			Distance: distanceText(distance, known), InReach: !known || routing.Within(route.Spill, distance),
+			Distance: distanceText(distance, known), InReach: route.AllowsDomain(name) && (!known || routing.Within(route.Spill, distance)),
 			Location: locate("committed." + name), Live: targets[name],
 		})
 	}
--- a/internal/explain/reason.go
+++ b/internal/explain/reason.go
@@ -23,7 +23,7 @@
 	port.ReasonUnknownRoute:   {"the customer's contract has no route for the path", "add a [[contract.route]] or correct the path"},
 	port.ReasonMethod:         {"the route does not take the method", "add it to the route's methods"},
 	port.ReasonNoTarget:       {"no live target of the service is within the route's spill", "see the members of the node, and widen spill if it bars them"},
-	port.ReasonRegion:         {"no usable target of the service is in a region that the route allows", "see tamarack_targets_usable in the allowed regions, or allow another one"},
+	port.ReasonRegion:         {"no usable target of the service is in a region or failure domain that the route allows", "see the targets that are allowed, or allow others"},
 	port.ReasonEvacuated:      {"an operator evacuates the target's failure domain", "come back after Retry-After; the evacuation lines of the log tell since when"},
 	port.ReasonQueueFull:      {"all slots and the customer's places in the queue were taken", "come back after Retry-After; compare demand with the share"},
 	port.ReasonDeadline:       {"the route's deadline came before a slot was free", "come back after Retry-After; compare demand with the share"},
@@ -63,10 +63,14 @@
 
 // loadConditions returns the refusals that depend on the current load or state.
 func loadConditions(route Route) []Condition {
-	return []Condition{
+	conditions := []Condition{
 		{port.ReasonLimit, "the customer holds its limit at the target: " + route.Limit.Value, route.Limit.Location},
 		{port.ReasonQueueFull, "all slots are in use and the customer's queue is full: requests.queue_per_slot (settings) for each slot that it is guaranteed", ""},
 		{port.ReasonDeadline, "no slot is free within " + route.Deadline.Value, route.Deadline.Location},
 		{port.ReasonNoTarget, "no target within spill \"" + route.Spill.Value + "\" is live", route.Spill.Location},
 	}
+	if route.Domains.Value != "" {
+		conditions = append(conditions, Condition{port.ReasonRegion, "no target is live in " + route.Domains.Value, route.Domains.Location})
+	}
+	return conditions
 }
--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -54,7 +54,7 @@
 	var buffer [routing.SubsetSize]*target
 	eligible := buffer[:0]
 	for _, t := range group {
-		if !slices.Contains(f.tried, t) && (!available || t.available(now)) {
+		if !slices.Contains(f.tried, t) && f.route.AllowsDomain(t.vm.FailureDomain) && (!available || t.available(now)) {
 			eligible = append(eligible, t)
 		}
 	}
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -104,6 +104,9 @@
 	case f.refusal != nil:
 		return f.refusal
 	}
+	if len(f.route.Domains) > 0 {
+		return port.Refuse(port.ReasonRegion, retryWhenNotReady, "no live target of service %s in the failure domains of route %s", f.call.Service, f.route.Name)
+	}
 	return port.Refuse(port.ReasonNoTarget, retryWhenNotReady, "no live target of service %s", f.call.Service)
 }
 
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -52,6 +52,9 @@
 	if refusal := n.checkVersion(call); refusal != nil {
 		return nil, nil, refusal
 	}
+	if refusal := n.checkDomain(call); refusal != nil {
+		return nil, nil, refusal
+	}
 	if refusal := n.gate.Acquire(ctx, n.admissionRequest(call)); refusal != nil {
 		return nil, nil, refusal
 	}
@@ -90,6 +93,21 @@
 	return port.Refuse(port.ReasonBehind, retryWhenBehind, "this node has version %s, the call has %s", current.Version(), call.Version)
 }
 
+// checkDomain refuses a call whose route doesn't allow this node's failure domain. The entry
+// node's version may be older than this node's.
+func (n *Node) checkDomain(call *port.Call) *port.Refusal {
+	current := n.current.Load().Contract(call.Customer)
+	if current == nil {
+		return nil
+	}
+	for i := range current.Routes {
+		if route := &current.Routes[i]; route.Name == call.Route && !route.AllowsDomain(n.config.Self.FailureDomain) {
+			return port.Refuse(port.ReasonRegion, retryWhenBehind, "route %s is not allowed in failure domain %s", route.Name, n.config.Self.FailureDomain)
+		}
+	}
+	return nil
+}
+
 // retryWhenBehind is about the time that a version takes to reach every node.
 const retryWhenBehind = time.Second
 
--- a/internal/node/resume.go
+++ b/internal/node/resume.go
@@ -99,7 +99,7 @@
 // isNoTarget reports whether a request was refused because no target could be tried.
 func isNoTarget(err error) bool {
 	var refusal *port.Refusal
-	return errors.As(err, &refusal) && refusal.Reason == port.ReasonNoTarget
+	return errors.As(err, &refusal) && (refusal.Reason == port.ReasonNoTarget || refusal.Reason == port.ReasonRegion)
 }
 
 // continuation returns the forwarder of the request for the rest of the body,
