Show what a target asks for in its responses

So none of the three hypotheses could be told from another.

A limit of 0 in tamarack_target_limit says hypothesis 1 (not read); a start rate of 0 beside a limit, hypothesis 1 or 2 (not applied where it counts); a start rate that comes and goes, hypothesis 3.

--- a/internal/logfield/logfield.go
+++ b/internal/logfield/logfield.go
@@ -72,6 +72,13 @@
 	Evacuated     Name = "evacuated"
 	// Warmup is how long a target still warms up, in milliseconds.
 	Warmup Name = "warmup_ms"
+	// Limited is true if a target limits its requests, and Limit the number that it takes
+	// per second.
+	Limited Name = "limited"
+	Limit   Name = "limit_per_s"
+	// Header is the name of a header of a target's response, and Value its value.
+	Header Name = "header"
+	Value  Name = "value"
 )
 
 // Ending is the result of a decision about a request.
--- a/internal/port/metric.go
+++ b/internal/port/metric.go
@@ -32,6 +32,13 @@
 	MetricLinkWait Metric = "tamarack_link_wait_seconds"
 	// MetricTargetCrashes counts the crashes of the VM's own target.
 	MetricTargetCrashes Metric = "tamarack_target_crashes_total"
+	// MetricTargetRequests counts the requests sent to the VM's own target.
+	MetricTargetRequests Metric = "tamarack_target_requests_total"
+	// MetricTargetLimit is the number of requests per second that the VM's own target
+	// reports to take, and MetricStartRate the rate at which the node starts requests
+	// there; 0 without a limit.
+	MetricTargetLimit Metric = "tamarack_target_limit"
+	MetricStartRate   Metric = "tamarack_target_start_rate"
 	// MetricQuarantined is the number of quarantined requests, which are not sent to
 	// targets.
 	MetricQuarantined Metric = "tamarack_requests_quarantined"
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -159,6 +159,7 @@
 	}
 	r.Header[p.config.Headers.Deadline] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
 	ctx, cancel := context.WithTimeout(ctx, left)
+	p.ports.Meter.Count(port.MetricTargetRequests, "", 1)
 	response, err := p.ports.Target.Do(ctx, p.config.TargetAddress, r)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -167,6 +168,7 @@
 		cancel()
 		return nil, p.classifyError(err)
 	}
+	p.recordTargetReport(now, response)
 	if response.Status == http.StatusMisdirectedRequest {
 		p.doubtWarmup()
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -52,6 +52,20 @@
 	// responses to health checks.
 	TargetID string
 	Warmup   string
+	// RequestLimit is the number of requests per second, as a decimal number, that the target
+	// takes from all nodes together. Leaving is "1" once the target is about to end.
+	RequestLimit string
+	Leaving      string
+}
+
+// includes reports whether name is one of the headers.
+func (h *Headers) includes(name string) bool {
+	switch name {
+	case h.RequestID, h.Deadline, h.ExpectedTarget, h.CallerService, h.Signature, h.NotExecuted, h.Load,
+		h.TargetID, h.Warmup, h.RequestLimit, h.Leaving:
+		return true
+	}
+	return false
 }
 
 // Config holds the settings of a proxy.
@@ -144,7 +158,8 @@
 	attemptPrefix string
 	attemptCount  atomic.Uint64
 	// peerAddresses caches the address of each target's node, by target address.
-	peerAddresses sync.Map
+	peerAddresses  sync.Map
+	unknownHeaders unknownHeaders
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -162,6 +177,7 @@
 	callerRetries *clientretry.Tracker
 	localStats    localStats
 	warmup        warmup
+	localReports  localReports
 	reachability  reachability
 	link          *link.Pacer
 	// transfers schedules large responses to other nodes. transferReady holds a channel
@@ -201,6 +217,11 @@
 // SetSnapshot replaces the active snapshot.
 func (p *Proxy) SetSnapshot(snapshot *Snapshot) {
 	previous := p.snapshot.Swap(snapshot)
+	if local := snapshot.Local; local != nil {
+		p.mu.Lock()
+		p.localReports.reset(targetInstance{local.ID, local.Started})
+		p.mu.Unlock()
+	}
 	if targetReplaced(previous, snapshot) {
 		p.doubtWarmup()
 	} else {
--- /dev/null
+++ b/internal/proxy/target_report.go
@@ -0,0 +1,134 @@
+package proxy
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"tamarackquay/internal/adapter/exchange"
+	"tamarackquay/internal/logfield"
+	"tamarackquay/internal/port"
+	"tamarackquay/internal/targetreport"
+)
+
+// targetInstance identifies one start of a target.
+type targetInstance struct {
+	id      string
+	started int64
+}
+
+// localReports holds what the local target has reported in its responses. It is guarded by the
+// proxy's mutex.
+type localReports struct {
+	instance targetInstance
+	tracker  targetreport.Tracker
+}
+
+// reset forgets the reports of an earlier start of the target.
+func (l *localReports) reset(instance targetInstance) {
+	if l.instance != instance {
+		*l = localReports{instance: instance}
+	}
+}
+
+// recordTargetReport records what a response of the local target reports. sent is when its
+// request was sent.
+func (p *Proxy) recordTargetReport(sent time.Time, response *exchange.Response) {
+	if response.Status == http.StatusMisdirectedRequest {
+		return
+	}
+	p.unknownHeaders.log(p, response.Header)
+	report := p.readTargetReport(response.Header)
+	p.mu.Lock()
+	before := p.localReports.tracker.Current()
+	p.localReports.tracker.Record(sent, p.ports.Clock.Now(), report)
+	after := p.localReports.tracker.Current()
+	p.mu.Unlock()
+	if before != after {
+		p.logTargetReport(before, after)
+	}
+}
+
+// readTargetReport returns what a response reports. A limit that is no number counts as none.
+func (p *Proxy) readTargetReport(header http.Header) targetreport.Report {
+	var report targetreport.Report
+	if text := header.Get(p.config.Headers.RequestLimit); text != "" {
+		limit, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(limit >= 0) || math.IsInf(limit, 1) {
+			p.ports.Log.Warn().Str(logfield.Header, p.config.Headers.RequestLimit).Str(logfield.Value, text).Msg("target reports an invalid limit")
+		} else {
+			report.Limited, report.Limit = true, limit
+		}
+	}
+	report.Leaving = header.Get(p.config.Headers.Leaving) == leavingValue
+	return report
+}
+
+// leavingValue is the value of the header with which a target reports that it leaves.
+const leavingValue = "1"
+
+func (p *Proxy) logTargetReport(before, after targetreport.Report) {
+	if before.Limited != after.Limited || before.Limit != after.Limit {
+		p.ports.Log.Info().Bool(logfield.Limited, after.Limited).Float64(logfield.Limit, after.Limit).
+			Float64(logfield.Before, before.Limit).Msg("target limits its requests")
+	}
+	if before.Leaving != after.Leaving {
+		p.ports.Log.Info().Msg("target leaves")
+	}
+}
+
+// MeasureTarget sets the gauges of what the local target asks for and what it gets.
+func (p *Proxy) MeasureTarget() {
+	p.mu.Lock()
+	limit := p.localReports.tracker.Current().Limit
+	rate := p.warmup.rate.PerSecond
+	p.mu.Unlock()
+	p.ports.Meter.Set(port.MetricTargetLimit, "", limit)
+	p.ports.Meter.Set(port.MetricStartRate, "", rate)
+}
+
+// unknownHeaders remembers the headers that were logged as not understood.
+type unknownHeaders struct {
+	mu   sync.Mutex
+	seen map[string]bool
+}
+
+// maxUnknownHeaders limits how many different headers are logged.
+const maxUnknownHeaders = 32
+
+// log logs each header name that the node doesn't understand, once. Targets may ask for something
+// by a header that is newer than the node.
+func (u *unknownHeaders) log(p *Proxy, header http.Header) {
+	for name := range header {
+		if standardHeaders[name] || p.config.Headers.includes(name) || !u.add(name) {
+			continue
+		}
+		p.ports.Log.Info().Str(logfield.Header, name).Str(logfield.Value, header.Get(name)).Msg("target sends an unknown header")
+	}
+}
+
+// add returns false if the name was added before or the limit is reached.
+func (u *unknownHeaders) add(name string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.seen[name] || len(u.seen) >= maxUnknownHeaders {
+		return false
+	}
+	if u.seen == nil {
+		u.seen = map[string]bool{}
+	}
+	u.seen[name] = true
+	return true
+}
+
+// standardHeaders are the response headers that concern callers or the connection alone.
+var standardHeaders = map[string]bool{
+	"Accept-Ranges": true, "Age": true, "Allow": true, "Cache-Control": true, "Connection": true,
+	"Content-Disposition": true, "Content-Encoding": true, "Content-Language": true, "Content-Length": true,
+	"Content-Location": true, "Content-Range": true, "Content-Type": true, "Date": true, "Etag": true,
+	"Expires": true, "Keep-Alive": true, "Last-Modified": true, "Link": true, "Location": true, "Pragma": true,
+	"Retry-After": true, "Server": true, "Set-Cookie": true, "Trailer": true, "Transfer-Encoding": true,
+	"Vary": true, "Via": true, "Www-Authenticate": true, "X-Content-Type-Options": true,
+}
--- /dev/null
+++ b/internal/targetreport/targetreport.go
@@ -0,0 +1,51 @@
+// Package targetreport tracks what a target reports about itself in its responses: the rate of
+// requests that it takes, and whether it is leaving. The package is pure: the caller passes
+// the current time.
+package targetreport
+
+import "time"
+
+// Report is what one response of a target reports.
+type Report struct {
+	// Limited reports whether the target limits its requests, and Limit is the number of
+	// requests per second that it takes from all nodes together.
+	Limited bool
+	Limit   float64
+	// Leaving reports whether the target is about to end and must get no new requests.
+	Leaving bool
+}
+
+// Tracker holds what a target has reported. Responses may be received in another order than
+// that in which the target sent them. The zero value is a target that has not responded yet.
+type Tracker struct {
+	current Report
+	// responded is set once a response was recorded.
+	responded bool
+	// limitedAt is when the last report of a limit was received.
+	limitedAt    time.Time
+	leavingSince time.Time
+}
+
+// Current returns the reports in force.
+func (t *Tracker) Current() Report { return t.current }
+
+// LeavingSince returns when the target first reported that it leaves, or zero.
+func (t *Tracker) LeavingSince() time.Time { return t.leavingSince }
+
+// Record records the report of a response. A limit holds until a response to a request that was
+// sent after the limit was last received reports none: an earlier response may have been
+// overtaken. A target that leaves doesn't come back before its next start.
+func (t *Tracker) Record(sent, received time.Time, report Report) {
+	t.responded = true
+	switch {
+	case report.Limited:
+		t.current.Limited, t.current.Limit = true, report.Limit
+		t.limitedAt = received
+	case t.current.Limited && sent.After(t.limitedAt):
+		t.current.Limited, t.current.Limit = false, 0
+	}
+	if report.Leaving && !t.current.Leaving {
+		t.current.Leaving = true
+		t.leavingSince = received
+	}
+}
--- /dev/null
+++ b/internal/targetreport/targetreport_test.go
@@ -0,0 +1,53 @@
+package targetreport
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(millis int) time.Time { return start.Add(time.Duration(millis) * time.Millisecond) }
+
+// Guards against a limit that is lost because a response sent before it is received after it, and
+// against one that outlives the target's need.
+func TestLimitHoldsUntilLaterResponseReportsNone(t *testing.T) {
+	limit := func(l float64) Report { return Report{Limited: true, Limit: l} }
+	type response struct {
+		sent, received int
+		report         Report
+	}
+	for _, test := range []struct {
+		desc      string
+		responses []response
+		want      Report
+	}{
+		{"no limit", []response{{0, 10, Report{}}}, Report{}},
+		{"a limit", []response{{0, 10, limit(9.5)}}, limit(9.5)},
+		{"an overtaken response without it", []response{{0, 10, limit(9.5)}, {5, 11, Report{}}}, limit(9.5)},
+		{"the limit is lifted", []response{{0, 10, limit(9.5)}, {11, 20, Report{}}}, Report{}},
+		{"another limit", []response{{0, 10, limit(9.5)}, {5, 11, limit(3)}}, limit(3)},
+		{"a limit of zero", []response{{0, 10, limit(0)}}, limit(0)},
+		{"lifted and named again", []response{{0, 10, limit(9.5)}, {11, 20, Report{}}, {12, 21, limit(4)}}, limit(4)},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			var tracker Tracker
+			for _, r := range test.responses {
+				tracker.Record(at(r.sent), at(r.received), r.report)
+			}
+			assert.DeepEqual(t, tracker.Current(), test.want)
+		})
+	}
+}
+
+// Guards against requests to a target that said once that it leaves.
+func TestLeavingIsFinal(t *testing.T) {
+	var tracker Tracker
+	tracker.Record(at(0), at(10), Report{Leaving: true})
+	tracker.Record(at(20), at(30), Report{})
+	tracker.Record(at(40), at(50), Report{Leaving: true})
+	assert.Assert(t, tracker.Current().Leaving)
+	assert.Equal(t, tracker.LeavingSince(), at(10))
+}
