proxy: tests of targets that limit their requests or leave, red

The bound is the users' rule, one and a half times the limit and five requests, in any span of the test.

--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -26,7 +26,7 @@
 var headers = Headers{
 	RequestID: "X-Id", Deadline: "X-Deadline-Ms", ExpectedTarget: "X-Expected", CallerService: "X-Caller",
 	Signature: "X-Proof", NotExecuted: "X-Did-Not-Run", Load: "X-Load",
-	TargetID: "X-Target", Warmup: "X-Warmup-Ms",
+	TargetID: "X-Target", Warmup: "X-Warmup-Ms", RequestLimit: "X-Limit", Leaving: "X-Leaving",
 }
 
 // testDrainGrace is the DrainGrace of the nodes; requests are much faster.
--- /dev/null
+++ b/internal/proxy/target_report_test.go
@@ -0,0 +1,222 @@
+package proxy
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tamarackquay/internal/mesh"
+)
+
+// arrivalLog holds the times at which requests reached a target.
+type arrivalLog struct {
+	mu    sync.Mutex
+	times []time.Time
+}
+
+func (l *arrivalLog) add() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.times = append(l.times, time.Now())
+}
+
+// since returns the arrivals after a time.
+func (l *arrivalLog) since(after time.Time) []time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var later []time.Time
+	for _, arrival := range l.times {
+		if arrival.After(after) {
+			later = append(later, arrival)
+		}
+	}
+	return later
+}
+
+// assertWithinLimit checks that no span of the arrivals has more than one and a half times the
+// limit, plus five requests.
+func assertWithinLimit(t *testing.T, arrivals []time.Time, limit float64) {
+	t.Helper()
+	for i, first := range arrivals {
+		for j, last := range arrivals[i:] {
+			if allowed := 1.5*limit*last.Sub(first).Seconds() + 5; float64(j+1) > allowed {
+				t.Fatalf("%d requests in %v with a limit of %v a second; allowed %.1f", j+1, last.Sub(first), limit, allowed)
+			}
+		}
+	}
+}
+
+// testWork is how long the targets of these tests work on a request.
+const testWork = 5 * time.Millisecond
+
+// limitRequests makes a target name a limit in each response. limit returns it, given the number
+// of responses so far.
+func (f *fleet) limitRequests(target int, limit func(responses int) float64) *arrivalLog {
+	arrivals := &arrivalLog{}
+	var responses atomic.Int32
+	f.targets[target].serve = func(w http.ResponseWriter, r *http.Request) {
+		arrivals.add()
+		time.Sleep(testWork)
+		w.Header().Set(headers.RequestLimit, fmt.Sprint(limit(int(responses.Add(1)))))
+		f.targets[target].respond(w, r)
+	}
+	return arrivals
+}
+
+// press sends requests through all nodes, one after another from each caller, for some time.
+func (f *fleet) press(callersPerNode int, duration time.Duration) {
+	var callers sync.WaitGroup
+	end := time.Now().Add(duration)
+	for node := range f.proxies {
+		for range callersPerNode {
+			callers.Go(func() {
+				for time.Now().Before(end) {
+					f.send(node, "GET", "/idempotent/x", "")
+					time.Sleep(testWork)
+				}
+			})
+		}
+	}
+	callers.Wait()
+}
+
+// withSlots changes the number of slots of all targets.
+func (f *fleet) withSlots(slots int) {
+	for _, p := range f.proxies {
+		snapshot := *p.snapshot.Load()
+		members := make([]*mesh.Member, len(snapshot.Services["s"]))
+		for i, member := range snapshot.Services["s"] {
+			changed := *member
+			changed.Slots = slots
+			members[i] = &changed
+			if snapshot.Local == member {
+				snapshot.Local = &changed
+			}
+		}
+		snapshot.Services = map[string][]*mesh.Member{"s": members}
+		p.SetSnapshot(&snapshot)
+	}
+}
+
+// Guards against a target in need that gets more requests, from all nodes together, than the limit
+// that it names in its responses.
+func TestTargetGetsNoMoreThanItsNamedLimit(t *testing.T) {
+	for _, test := range []struct {
+		desc  string
+		limit func(responses int) float64
+		most  float64
+	}{
+		{"a fixed limit", func(int) float64 { return 10 }, 10},
+		{"a limit that changes with each response", func(responses int) float64 { return 10 + float64(responses%4)/10 }, 10.3},
+		{"no requests at all", func(int) float64 { return 0 }, 0},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			f := newFleet(t, 3)
+			arrivals := f.limitRequests(1, test.limit)
+			f.press(1, 100*time.Millisecond)
+			named := time.Now()
+			assert.Assert(t, len(arrivals.since(time.Time{})) > 0, "no request reached the target")
+			f.press(4, 1500*time.Millisecond)
+			assertWithinLimit(t, arrivals.since(named), test.most)
+		})
+	}
+}
+
+// Guards against a restart of the owner node that makes the fleet forget the limit of its target.
+func TestRestartedOwnerKeepsToNamedLimit(t *testing.T) {
+	const limit = 2
+	f := newFleet(t, 2)
+	f.withSlots(64)
+	f.proxies[0].stats["t0"].RecordFailure(time.Now())
+	arrivals := f.limitRequests(1, func(int) float64 { return limit })
+	f.send(0, "GET", "/idempotent/x", "")
+	assert.Equal(t, len(arrivals.since(time.Time{})), 1)
+	f.proxies[1].restartOwner()
+	restarted := time.Now()
+	var callers sync.WaitGroup
+	for range 60 {
+		callers.Go(func() { f.send(0, "GET", "/idempotent/x", "") })
+	}
+	callers.Wait()
+	assertWithinLimit(t, arrivals.since(restarted), limit)
+}
+
+// restartOwner forgets what the node knows of its local target.
+func (p *Proxy) restartOwner() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.localReports = localReports{instance: p.localReports.instance}
+}
+
+// Guards against new requests to a target that says in its responses that it leaves, while the
+// platform still lists it as ready.
+func TestLeavingTargetGetsNoNewRequests(t *testing.T) {
+	const grace = 30 * time.Millisecond
+	for _, test := range []struct {
+		desc string
+		// nodes is the number of nodes, told the one whose caller gets the response that
+		// names the departure, and entry the one that gets the next request.
+		nodes, told, entry int
+		wait               time.Duration
+		restart            func(f *fleet)
+		want               int
+	}{
+		{"a request through the node that was told", 2, 0, 0, 2 * grace, nil, http.StatusOK},
+		{"a request through another node", 2, 1, 0, 2 * grace, nil, http.StatusOK},
+		{"the owner node has restarted", 2, 0, 0, 2 * grace, func(f *fleet) { f.proxies[1].restartOwner() }, http.StatusOK},
+		{"there is no other target", 1, 0, 0, 2 * grace, nil, http.StatusServiceUnavailable},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			f := newFleet(t, test.nodes)
+			leaving := f.targets[test.nodes-1]
+			leaving.serve = func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(headers.Leaving, "1")
+				leaving.respond(w, r)
+			}
+			for _, p := range f.proxies {
+				p.config.DrainGrace = grace
+				if test.nodes > 1 {
+					p.stats["t0"].RecordFailure(time.Now())
+				}
+			}
+			assert.Equal(t, f.send(test.told, "POST", "/once/x", "").Code, http.StatusOK)
+			assert.Equal(t, leaving.arrived.Load(), int32(1))
+			time.Sleep(test.wait)
+			if test.restart != nil {
+				test.restart(f)
+			}
+			w := f.send(test.entry, "POST", "/once/x", "")
+			assert.Equal(t, w.Code, test.want, w.Body.String())
+			assert.Equal(t, leaving.arrived.Load(), int32(1))
+		})
+	}
+}
+
+// Guards against a target that is kept from requests for good because its earlier start left.
+func TestRestartedTargetIsUsedAgain(t *testing.T) {
+	f := newFleet(t, 1)
+	target := f.targets[0]
+	target.serve = func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headers.Leaving, "1")
+		w.Header().Set(headers.RequestLimit, "0.1")
+		target.respond(w, r)
+	}
+	f.proxies[0].config.DrainGrace = time.Millisecond
+	assert.Equal(t, f.send(0, "POST", "/once/x", "").Code, http.StatusOK)
+	target.serve = target.respond
+	snapshot := *f.proxies[0].snapshot.Load()
+	restarted := *snapshot.Local
+	restarted.Started = time.Now().UnixMilli()
+	snapshot.Local = &restarted
+	snapshot.Services = map[string][]*mesh.Member{"s": {&restarted}}
+	time.Sleep(2 * time.Millisecond)
+	f.proxies[0].SetSnapshot(&snapshot)
+	for range 5 {
+		assert.Equal(t, f.send(0, "POST", "/once/x", "").Code, http.StatusOK)
+	}
+}
