admission: keep to the schedule when the start rate changes

What callers would see: a target that limits its starts falls over all the same, if its rate changes often.

Cause: each change of the start rate made a new limiter, with a full burst and no memory of the starts before.

Change: a changed rate keeps the schedule, in starts ahead of it. A rate that begins takes the last start before it for a full burst; a queue that has started nothing has its burst as before.

--- a/internal/admission/start_rate.go
+++ b/internal/admission/start_rate.go
@@ -17,6 +17,8 @@
 	rate StartRate
 	// due is when the next start would be on schedule at the even rate.
 	due time.Time
+	// lastStart is the time of the last start, limited or not.
+	lastStart time.Time
 }
 
 func (l *startLimiter) limited() bool { return l.rate.PerSecond > 0 }
@@ -40,8 +42,26 @@
 	return max(0, due.Add(time.Duration(ahead)*l.interval()-early).Sub(now))
 }
 
+// setRate replaces the rate. Earlier starts still count: a rate that changes with each response of
+// a target would otherwise limit nothing. Starts before a limit began were not counted and are
+// taken for a full burst.
+func (l *startLimiter) setRate(now time.Time, rate StartRate) {
+	previous := *l
+	l.rate = rate
+	switch {
+	case !l.limited():
+	case previous.limited():
+		ahead := max(0, previous.due.Sub(now))
+		starts := ahead.Seconds() * previous.rate.PerSecond
+		l.due = now.Add(time.Duration(starts * float64(l.interval())))
+	case !previous.lastStart.IsZero():
+		l.due = previous.lastStart.Add(time.Duration(rate.Burst) * l.interval())
+	}
+}
+
 // record counts a start.
 func (l *startLimiter) record(now time.Time) {
+	l.lastStart = now
 	if !l.limited() {
 		return
 	}
@@ -55,7 +75,7 @@
 func (q *Queue) SetStartRate(now time.Time, rate StartRate) Changes {
 	q.begin(now)
 	if q.starts.rate != rate {
-		q.starts = startLimiter{rate: rate}
+		q.starts.setRate(now, rate)
 	}
 	q.startWaiting(now)
 	return q.changes
--- a/internal/admission/start_rate_test.go
+++ b/internal/admission/start_rate_test.go
@@ -79,3 +79,54 @@
 	q.SetStartRate(now, StartRate{})
 	assert.Equal(t, q.UntilStart(now), time.Duration(0))
 }
+
+// Guards against a target that gets a new burst, or a start out of schedule, with each change of
+// its rate, so that a rate that changes often limits nothing.
+func TestChangingStartRateLimitsStarts(t *testing.T) {
+	rate := func(perSecond float64, burst int) StartRate { return StartRate{PerSecond: perSecond, Burst: burst} }
+	for _, test := range []struct {
+		desc  string
+		rates []StartRate
+		most  StartRate
+	}{
+		{"slightly different rates", []StartRate{rate(10, 1), rate(10.1, 1), rate(9.9, 1)}, rate(10.1, 1)},
+		{"different bursts", []StartRate{rate(10, 3), rate(10, 1)}, rate(10, 3)},
+		{"a much lower rate", []StartRate{rate(100, 5), rate(2, 1)}, rate(100, 5)},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			started := 0
+			runStarts(test.rates, 100, 10*time.Millisecond, func(count int) { started += count })
+			assert.Assert(t, float64(started) <= float64(test.most.Burst)+test.most.PerSecond, "%d starts in a second", started)
+		})
+	}
+}
+
+// Guards against a new burst for a target that reports a limit again and again, and none between.
+func TestLimitAfterUnlimitedStartsGivesNoBurst(t *testing.T) {
+	q := newStartQueue()
+	now := time.Unix(1_000_000, 0)
+	_, changes := q.Offer(now, Request{ID: "before", Customer: "a", Deadline: now.Add(time.Minute)})
+	assert.Equal(t, len(changes.Started), 1)
+	q.SetStartRate(now, StartRate{PerSecond: 10, Burst: 3})
+	for i := range 3 {
+		q.Offer(now, Request{ID: fmt.Sprint(i), Customer: "a", Deadline: now.Add(time.Minute)})
+	}
+	assert.Equal(t, q.Running(), 1)
+	assert.Equal(t, q.UntilStart(now), 100*time.Millisecond)
+}
+
+func newStartQueue() *Queue {
+	return NewQueue(Terms{Slots: 200, QueuePerSlot: 4, Shares: map[string]Share{"a": {Guaranteed: 1, Limit: 1}}}, 1)
+}
+
+// runStarts offers a request at each step, with one rate after another, and reports the starts.
+func runStarts(rates []StartRate, steps int, step time.Duration, onStart func(count int)) {
+	q := newStartQueue()
+	now := time.Unix(1_000_000, 0)
+	for i := range steps {
+		onStart(len(q.SetStartRate(now, rates[i%len(rates)]).Started))
+		_, changes := q.Offer(now, Request{ID: fmt.Sprint(i), Customer: "a", Deadline: now.Add(time.Minute)})
+		onStart(len(changes.Started))
+		now = now.Add(step)
+	}
+}
