proxy: keep to the limit that a target names in its responses

What callers saw: nothing. The targets saw it: two that had named 9.6 and 13.8 requests a second got 111 and 147 in 4 s, 63 and 88 allowed.

Cause: a target's own word in its responses was passed on to callers unread, so that neither its owner node nor any entry node knew of a limit. The class: a signal that arrives on a path that only forwards it.

Change: the owner node, through which all requests reach its target, starts them no faster than the target says, for as long as it says so; the lower of this rate and that of a warm-up is in force. Requests that would be late behind it are refused at once, with the time of the next start, and go to other targets; the load report shows fewer slots, so that entry nodes send fewer. A target that takes nothing is still asked every two seconds, since only a response shows that the limit has ended. One node counts for all, so the sum holds without any talk.

The test of a restarted owner now restarts its queue as well: it forgot the report but kept the rate, so it passed with half of the mend.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -20,6 +20,7 @@
 	"github.com/phuslu/log"
 
 	"tamarackquay/internal/adapter/exchange"
+	"tamarackquay/internal/admission"
 	"tamarackquay/internal/gate"
 	"tamarackquay/internal/link"
 	"tamarackquay/internal/mesh"
@@ -178,8 +179,10 @@
 	localStats    localStats
 	warmup        warmup
 	localReports  localReports
-	reachability  reachability
-	link          *link.Pacer
+	// startRate is the rate in force at the local target; zero without a limit.
+	startRate    admission.StartRate
+	reachability reachability
+	link         *link.Pacer
 	// transfers schedules large responses to other nodes. transferReady holds a channel
 	// for each waiting response, closed when it may be sent.
 	transfers     link.TransferQueue
@@ -220,6 +223,7 @@
 	if local := snapshot.Local; local != nil {
 		p.mu.Lock()
 		p.localReports.reset(targetInstance{local.ID, local.Started})
+		p.updateStartRate()
 		p.mu.Unlock()
 	}
 	if targetReplaced(previous, snapshot) {
--- a/internal/proxy/target_report.go
+++ b/internal/proxy/target_report.go
@@ -45,6 +45,7 @@
 	before := p.localReports.tracker.Current()
 	p.localReports.tracker.Record(sent, p.ports.Clock.Now(), report)
 	after := p.localReports.tracker.Current()
+	p.updateStartRate()
 	p.mu.Unlock()
 	if before != after {
 		p.logTargetReport(before, after)
@@ -83,7 +84,7 @@
 func (p *Proxy) MeasureTarget() {
 	p.mu.Lock()
 	limit := p.localReports.tracker.Current().Limit
-	rate := p.warmup.rate.PerSecond
+	rate := p.startRate.PerSecond
 	p.mu.Unlock()
 	p.ports.Meter.Set(port.MetricTargetLimit, "", limit)
 	p.ports.Meter.Set(port.MetricStartRate, "", rate)
--- a/internal/proxy/target_report_test.go
+++ b/internal/proxy/target_report_test.go
@@ -10,6 +10,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"tamarackquay/internal/admission"
+	"tamarackquay/internal/gate"
 	"tamarackquay/internal/mesh"
 )
 
@@ -132,7 +134,9 @@
 	const limit = 2
 	f := newFleet(t, 2)
 	f.withSlots(64)
-	f.proxies[0].stats["t0"].RecordFailure(time.Now())
+	for range 10 {
+		f.proxies[0].stats["t0"].RecordFailure(time.Now())
+	}
 	arrivals := f.limitRequests(1, func(int) float64 { return limit })
 	f.send(0, "GET", "/idempotent/x", "")
 	assert.Equal(t, len(arrivals.since(time.Time{})), 1)
@@ -146,11 +150,15 @@
 	assertWithinLimit(t, arrivals.since(restarted), limit)
 }
 
-// restartOwner forgets what the node knows of its local target.
+// restartOwner forgets what the node knows of its local target and of the requests that it
+// started there. No request may be running.
 func (p *Proxy) restartOwner() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.localReports = localReports{instance: p.localReports.instance}
+	p.startRate = admission.StartRate{}
+	p.gate = gate.New(p.ports.Clock, p.config.Seed)
+	p.gate.Configure(admissionTerms(p.snapshot.Load().Local.Slots))
 }
 
 // Guards against new requests to a target that says in its responses that it leaves, while the
--- a/internal/proxy/warmup.go
+++ b/internal/proxy/warmup.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -19,7 +18,7 @@
 // warmup is the state of the local target's slow start. It is guarded by the proxy's mutex.
 type warmup struct {
 	tracker slowstart.Tracker
-	// rate is the start rate in force; zero while the target is not limited.
+	// rate is the start rate that the target tolerates; zero while it doesn't warm up.
 	rate admission.StartRate
 	// asking is set while a goroutine asks the target for its state.
 	asking bool
@@ -86,10 +85,8 @@
 	if limit.Rate > 0 && p.warmup.tracker.Limited(p.ports.Clock.Now()) {
 		rate.PerSecond, rate.Burst = limit.Pace()
 	}
-	if rate != p.warmup.rate {
-		p.warmup.rate = rate
-		p.gate.SetStartRate(rate)
-	}
+	p.warmup.rate = rate
+	p.updateStartRate()
 	if limit.Rate > 0 && p.warmup.tracker.Doubted() && !p.warmup.asking && p.mayAskTarget() {
 		p.warmup.asking = true
 		go p.askWarmup()
@@ -183,12 +180,3 @@
 	}
 	return time.Duration(remaining * float64(time.Millisecond)), nil
 }
-
-// usableSlots returns the number of slots that can be in use at the start rate in force, given
-// the mean hold time.
-func (w *warmup) usableSlots(slots int, meanHold time.Duration) int {
-	if w.rate.PerSecond <= 0 || meanHold <= 0 {
-		return slots
-	}
-	return min(slots, max(1, int(math.Ceil(w.rate.PerSecond*meanHold.Seconds()))))
-}
--- a/internal/targetreport/targetreport.go
+++ b/internal/targetreport/targetreport.go
@@ -15,6 +15,22 @@
 	Leaving bool
 }
 
+const (
+	// minRate is the lowest rate, in requests per second, at which a target gets requests:
+	// the node learns only from responses that a limit has ended.
+	minRate = 0.5
+	// burstTime is the time over which requests are counted together: callers don't send
+	// them at an even pace, and those that come close together need not wait.
+	burstTime = 250 * time.Millisecond
+)
+
+// Pace returns the rate, in requests per second, and the burst with which requests may start under
+// a limit.
+func (r Report) Pace() (perSecond float64, atOnce int) {
+	perSecond = max(r.Limit, minRate)
+	return perSecond, max(1, int(perSecond*burstTime.Seconds()))
+}
+
 // Tracker holds what a target has reported. Responses may be received in another order than
 // that in which the target sent them. The zero value is a target that has not responded yet.
 type Tracker struct {
--- a/internal/targetreport/targetreport_test.go
+++ b/internal/targetreport/targetreport_test.go
@@ -51,3 +51,20 @@
 	assert.Assert(t, tracker.Current().Leaving)
 	assert.Equal(t, tracker.LeavingSince(), at(10))
 }
+
+// Guards against a target that gets more than it takes, or that is never asked again.
+func TestPaceKeepsToLimit(t *testing.T) {
+	for _, test := range []struct {
+		limit, perSecond float64
+		burst            int
+	}{
+		{0, minRate, 1},
+		{0.2, minRate, 1},
+		{9.6, 9.6, 2},
+		{400, 400, 100},
+	} {
+		perSecond, burst := Report{Limited: true, Limit: test.limit}.Pace()
+		assert.Equal(t, perSecond, test.perSecond)
+		assert.Equal(t, burst, test.burst)
+	}
+}
