proxy: tell a restarted owner node of its target's limit

What callers saw: nothing. A target that names 2 requests a second gets as many as it has slots right after the restart of the node beside it: nobody there knows the limit until the target has answered.

Cause: the owner node alone held the limit, and a restart forgets.

Change: the owner node passes on what its target has reported with its load reports, in a header of its own, which older nodes ignore; entry nodes send it back with their requests for that target, and an owner node whose target has not answered yet takes over the lowest limit that it is told. The first answer corrects it. Nothing is stored, and nothing more is sent for targets that report nothing.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -56,6 +56,7 @@
 	p := a.forwarder.proxy
 	defer p.endAttempt(a.stats)
 	response, report, err := p.send(a.ctx, a.member, &a.meta, a.request, a.began)
+	p.recordPeerReport(a, &report)
 	if err != nil {
 		a.cancel()
 		return outcome{attempt: a, report: report, err: err}
--- a/internal/proxy/attempt_meta.go
+++ b/internal/proxy/attempt_meta.go
@@ -12,6 +12,7 @@
 	"tamarackquay/internal/adapter/callhttp"
 	"tamarackquay/internal/placement"
 	"tamarackquay/internal/quarantine"
+	"tamarackquay/internal/targetreport"
 )
 
 // Headers exchanged between nodes: attemptMeta in requests, loadReport in responses.
@@ -97,12 +98,15 @@
 // loadReport is the load of a target, sent by its owner node with each response.
 type loadReport struct {
 	placement.Load
+	// target is what the target has reported about itself in its responses.
+	target targetreport.Report
 	// holdTime is how long the target held this request. nodeTime is how long the owner
 	// node took in total, until it had the response header.
 	holdTime, nodeTime time.Duration
 }
 
 func (r *loadReport) write(header http.Header) {
+	writeTargetReport(header, r.target)
 	header[headerLoad] = []string{strings.Join([]string{
 		strconv.Itoa(r.Running), strconv.Itoa(r.Waiting), strconv.Itoa(r.Slots),
 		strconv.FormatInt(r.Hold.Microseconds(), 10), strconv.FormatFloat(r.FailureRate, 'f', 2, 64),
@@ -135,5 +139,6 @@
 	report.Hold, report.FailureRate = micros(3), numbers[4]
 	report.holdTime, report.nodeTime = micros(5), micros(6)
 	report.LinkWait, report.LinkRate = micros(7), numbers[8]
+	report.target = parseTargetReport(header.Get(headerTargetReport))
 	return report, true
 }
--- a/internal/proxy/forwarder.go
+++ b/internal/proxy/forwarder.go
@@ -197,6 +197,7 @@
 		return nil, loadReport{}, refusal
 	}
 	r.Header[headerMeta] = []string{meta.encode()}
+	writeTargetReport(r.Header, p.peerReport(member))
 	p.countUnpaced(int(max(r.ContentLength, 0)) + placement.HeaderBytes)
 	// Refusals of nodes have bodies of their own and don't echo the request id.
 	r.IDHeader = ""
--- a/internal/proxy/local_stats.go
+++ b/internal/proxy/local_stats.go
@@ -50,6 +50,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	report.target = p.localReports.tracker.Current()
 	report.Slots = usableSlots(p.startRate, report.Slots, p.localStats.meanHold)
 	report.Hold = p.localStats.meanHold
 	report.FailureRate = p.localStats.failureRate
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -255,6 +255,7 @@
 		request.Body = nil
 	}
 	callhttp.CopyHeader(request.Header, r.Header)
+	p.adoptLimit(r)
 	if refusal := p.admitToLink(&meta); refusal != nil {
 		report := p.loadReport(received, 0)
 		report.write(w.Header())
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -179,6 +179,7 @@
 	localStats    localStats
 	warmup        warmup
 	localReports  localReports
+	peerReports   peerReports
 	// startRate is the rate in force at the local target; zero without a limit.
 	startRate    admission.StartRate
 	reachability reachability
@@ -205,6 +206,7 @@
 		reachability:  newReachability(),
 		link:          link.NewPacer(config.LinkRate),
 		transferReady: map[*link.Transfer]chan struct{}{},
+		peerReports:   peerReports{},
 	}
 	p.attemptPrefix = attemptPrefix(config.TargetAddress, config.Started)
 	if p.crashes == nil {
@@ -277,14 +279,17 @@
 // dropRemoved drops the state of targets that are no longer listed.
 func (p *Proxy) dropRemoved(snapshot *Snapshot) {
 	listed := map[string]bool{}
+	instances := map[targetInstance]bool{}
 	addresses := map[string]bool{}
 	for _, members := range snapshot.Services {
 		for _, member := range members {
 			listed[member.ID] = true
+			instances[instanceOf(member)] = true
 			addresses[p.peerAddress(member)] = true
 		}
 	}
 	p.reachability.forget(addresses)
+	p.peerReports.forget(instances)
 	for id := range p.stats {
 		if !listed[id] {
 			delete(p.stats, id)
--- a/internal/proxy/target_report.go
+++ b/internal/proxy/target_report.go
@@ -4,11 +4,14 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
+	"tamarackquay/internal/adapter/callhttp"
 	"tamarackquay/internal/adapter/exchange"
 	"tamarackquay/internal/logfield"
+	"tamarackquay/internal/mesh"
 	"tamarackquay/internal/port"
 	"tamarackquay/internal/targetreport"
 )
@@ -56,11 +59,8 @@
 func (p *Proxy) readTargetReport(header http.Header) targetreport.Report {
 	var report targetreport.Report
 	if text := header.Get(p.config.Headers.RequestLimit); text != "" {
-		limit, err := strconv.ParseFloat(text, 64)
-		if err != nil || !(limit >= 0) || math.IsInf(limit, 1) {
+		if report.Limit, report.Limited = parseLimit(text); !report.Limited {
 			p.ports.Log.Warn().Str(logfield.Header, p.config.Headers.RequestLimit).Str(logfield.Value, text).Msg("target reports an invalid limit")
-		} else {
-			report.Limited, report.Limit = true, limit
 		}
 	}
 	report.Leaving = header.Get(p.config.Headers.Leaving) == leavingValue
@@ -80,6 +80,118 @@
 	}
 }
 
+// headerTargetReport carries between nodes what a target has reported in its responses: in
+// responses of the owner node, and in requests of entry nodes, so that an owner node that has
+// restarted learns it before its target has responded. It is left out for a target that has
+// reported nothing.
+const headerTargetReport = callhttp.HeaderPrefix + "Target-Report"
+
+// Fields of headerTargetReport.
+const (
+	fieldLimit   = "limit="
+	fieldLeaving = "leaving"
+)
+
+func writeTargetReport(header http.Header, report targetreport.Report) {
+	var fields []string
+	if report.Limited {
+		fields = append(fields, fieldLimit+strconv.FormatFloat(report.Limit, 'f', -1, 64))
+	}
+	if report.Leaving {
+		fields = append(fields, fieldLeaving)
+	}
+	if len(fields) > 0 {
+		header[headerTargetReport] = []string{strings.Join(fields, fieldSeparator)}
+	}
+}
+
+// parseTargetReport parses the header written by writeTargetReport. Unknown and invalid fields are
+// ignored: they are of a newer version.
+func parseTargetReport(text string) targetreport.Report {
+	var report targetreport.Report
+	for field := range strings.SplitSeq(text, fieldSeparator) {
+		if number, ok := strings.CutPrefix(field, fieldLimit); ok {
+			report.Limit, report.Limited = parseLimit(number)
+		}
+		report.Leaving = report.Leaving || field == fieldLeaving
+	}
+	return report
+}
+
+// parseLimit parses a number of requests per second.
+func parseLimit(text string) (limit float64, ok bool) {
+	limit, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(limit >= 0) || math.IsInf(limit, 1) {
+		return 0, false
+	}
+	return limit, true
+}
+
+// peerReports holds what an entry node knows of the reports of targets, without those that have
+// reported nothing. It is guarded by the proxy's mutex.
+type peerReports map[targetInstance]*targetreport.Tracker
+
+func instanceOf(member *mesh.Member) targetInstance {
+	return targetInstance{member.ID, member.Started}
+}
+
+// forget drops the reports of targets that are not listed.
+func (r peerReports) forget(listed map[targetInstance]bool) {
+	for instance := range r {
+		if !listed[instance] {
+			delete(r, instance)
+		}
+	}
+}
+
+// recordPeerReport records the report in an owner node's response to an attempt.
+func (p *Proxy) recordPeerReport(a *attempt, report *loadReport) {
+	if report.Slots <= 0 {
+		// The response holds no load report.
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	instance := instanceOf(a.member)
+	tracker := p.peerReports[instance]
+	if tracker == nil {
+		if report.target == (targetreport.Report{}) {
+			return
+		}
+		tracker = &targetreport.Tracker{}
+		p.peerReports[instance] = tracker
+	}
+	tracker.Record(a.began, p.ports.Clock.Now(), report.target)
+	if tracker.Current() == (targetreport.Report{}) {
+		delete(p.peerReports, instance)
+	}
+}
+
+// peerReport returns what this node knows of a target's reports.
+func (p *Proxy) peerReport(member *mesh.Member) targetreport.Report {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if tracker := p.peerReports[instanceOf(member)]; tracker != nil {
+		return tracker.Current()
+	}
+	return targetreport.Report{}
+}
+
+// adoptLimit takes over the limit of the local target that an entry node sent with a request,
+// if the target itself has not responded yet.
+func (p *Proxy) adoptLimit(r *http.Request) {
+	report := parseTargetReport(r.Header.Get(headerTargetReport))
+	if !report.Limited {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r.Header.Get(p.config.Headers.ExpectedTarget) == p.localReports.instance.id {
+		p.localReports.tracker.AdoptLimit(p.ports.Clock.Now(), report.Limit)
+		p.updateStartRate()
+	}
+}
+
 // MeasureTarget sets the gauges of what the local target asks for and what it gets.
 func (p *Proxy) MeasureTarget() {
 	p.mu.Lock()
--- a/internal/targetreport/targetreport.go
+++ b/internal/targetreport/targetreport.go
@@ -48,6 +48,16 @@
 // LeavingSince returns when the target first reported that it leaves, or zero.
 func (t *Tracker) LeavingSince() time.Time { return t.leavingSince }
 
+// AdoptLimit takes over a limit that another node has heard of, until the target has responded to
+// this node. Of several limits, the lowest counts.
+func (t *Tracker) AdoptLimit(now time.Time, limit float64) {
+	if t.responded || t.current.Limited && t.current.Limit <= limit {
+		return
+	}
+	t.current.Limited, t.current.Limit = true, limit
+	t.limitedAt = now
+}
+
 // Record records the report of a response. A limit holds until a response to a request that was
 // sent after the limit was last received reports none: an earlier response may have been
 // overtaken. A target that leaves doesn't come back before its next start.
--- a/internal/targetreport/targetreport_test.go
+++ b/internal/targetreport/targetreport_test.go
@@ -68,3 +68,16 @@
 		assert.Equal(t, burst, test.burst)
 	}
 }
+
+// Guards against a limit that other nodes remember and the target has lifted.
+func TestAdoptedLimitHoldsUntilResponse(t *testing.T) {
+	var tracker Tracker
+	tracker.AdoptLimit(at(0), 9)
+	tracker.AdoptLimit(at(1), 5)
+	tracker.AdoptLimit(at(2), 7)
+	assert.DeepEqual(t, tracker.Current(), Report{Limited: true, Limit: 5})
+	tracker.Record(at(3), at(4), Report{})
+	assert.DeepEqual(t, tracker.Current(), Report{})
+	tracker.AdoptLimit(at(5), 5)
+	assert.DeepEqual(t, tracker.Current(), Report{})
+}
