proxy: send nothing new to a target that reports that it leaves

What callers would see: requests that end with their target. A target that says in its responses that it leaves got new requests for as long as the platform listed it as ready; with the platform late or away, until it was gone.

The word of the target went to the callers through nodes that did not read it; departures came from the platform's list alone.

Change: an entry node that has received the report sends nothing new to the target, and uses it for its grace period only where there is no other; the target's own node refuses what comes later than that from nodes that have not heard, as not run, and tells them with the refusal. The report is kept by start of a target: the next start is used at once, and a target whose entry lapses in an outage stays left alone when it is listed again. Nothing of it needs the platform.

--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -63,11 +63,15 @@
 }
 
 // eligible reports whether a target may get the next attempt. If includeAvoided is set,
-// targets in backoff and targets with unreachable nodes are eligible as well.
+// targets in backoff, targets with unreachable nodes and targets that have just reported that
+// they leave are eligible as well.
 func (f *forwarder) eligible(now time.Time, c candidate, includeAvoided bool) bool {
 	if f.tried[c.member.ID] || !c.member.Usable(now) || !f.allowsDomain(c.member.FailureDomain) {
 		return false
 	}
+	if since := f.proxy.peerReports.leavingSince(c.member); !since.IsZero() {
+		return includeAvoided && f.began.Before(since.Add(f.proxy.config.DrainGrace))
+	}
 	return includeAvoided || c.stats.Available(now) && !f.proxy.isUnreachable(c.member)
 }
 
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -139,6 +139,9 @@
 	if !local.DrainingSince.IsZero() && now.Sub(local.DrainingSince) > p.config.DrainGrace {
 		return port.Refuse(port.ReasonDraining, retryUnreachable, "the target drains")
 	}
+	if p.localLeft(now) {
+		return port.Refuse(port.ReasonDraining, retryUnreachable, "the target has reported that it leaves")
+	}
 	return nil
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -93,7 +93,7 @@
 	LinkRate float64
 	// DrainGrace is how long a draining target still accepts requests that were already
 	// on their way. Entry nodes may learn of the drain slightly later than the target's
-	// own node.
+	// own node. It holds likewise for a target that reports in its responses that it leaves.
 	DrainGrace time.Duration
 	// WarmupOverage and WarmupSlack limit the requests that the local target receives in
 	// any second while it warms up: to a multiple of its service's warm-up rate, plus a
@@ -289,7 +289,7 @@
 		}
 	}
 	p.reachability.forget(addresses)
-	p.peerReports.forget(instances)
+	p.peerReports.forget(p.ports.Clock.Now(), instances)
 	for id := range p.stats {
 		if !listed[id] {
 			delete(p.stats, id)
--- a/internal/proxy/target_report.go
+++ b/internal/proxy/target_report.go
@@ -135,15 +135,30 @@
 	return targetInstance{member.ID, member.Started}
 }
 
+// departureRetention is how long a departure is remembered after the target was first unlisted: a
+// target whose lease expired during a platform outage is listed again and still leaves.
+const departureRetention = 10 * time.Minute
+
 // forget drops the reports of targets that are not listed.
-func (r peerReports) forget(listed map[targetInstance]bool) {
-	for instance := range r {
-		if !listed[instance] {
+func (r peerReports) forget(now time.Time, listed map[targetInstance]bool) {
+	for instance, tracker := range r {
+		if !listed[instance] && now.Sub(tracker.LeavingSince()) > departureRetention {
 			delete(r, instance)
 		}
 	}
 }
 
+// leavingSince returns when this node learned that the target leaves, or zero.
+func (r peerReports) leavingSince(member *mesh.Member) time.Time {
+	if len(r) == 0 {
+		return time.Time{}
+	}
+	if tracker := r[instanceOf(member)]; tracker != nil {
+		return tracker.LeavingSince()
+	}
+	return time.Time{}
+}
+
 // recordPeerReport records the report in an owner node's response to an attempt.
 func (p *Proxy) recordPeerReport(a *attempt, report *loadReport) {
 	if report.Slots <= 0 {
@@ -192,6 +207,15 @@
 	}
 }
 
+// localLeft reports whether the local target has reported that it leaves, for longer than
+// requests are on their way to it.
+func (p *Proxy) localLeft(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	since := p.localReports.tracker.LeavingSince()
+	return !since.IsZero() && now.Sub(since) > p.config.DrainGrace
+}
+
 // MeasureTarget sets the gauges of what the local target asks for and what it gets.
 func (p *Proxy) MeasureTarget() {
 	p.mu.Lock()
--- a/internal/proxy/target_report_test.go
+++ b/internal/proxy/target_report_test.go
@@ -161,6 +161,23 @@
 	p.gate.Configure(admissionTerms(p.snapshot.Load().Local.Slots))
 }
 
+// leave makes a target report in its responses that it leaves. Nodes prefer it to the first
+// target, and may send it requests for the grace period.
+func (f *fleet) leave(target int, grace time.Duration) *testTarget {
+	leaving := f.targets[target]
+	leaving.serve = func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headers.Leaving, "1")
+		leaving.respond(w, r)
+	}
+	for _, p := range f.proxies {
+		p.config.DrainGrace = grace
+		if target > 0 {
+			p.stats["t0"].RecordFailure(time.Now())
+		}
+	}
+	return leaving
+}
+
 // Guards against new requests to a target that says in its responses that it leaves, while the
 // platform still lists it as ready.
 func TestLeavingTargetGetsNoNewRequests(t *testing.T) {
@@ -181,17 +198,7 @@
 	} {
 		t.Run(test.desc, func(t *testing.T) {
 			f := newFleet(t, test.nodes)
-			leaving := f.targets[test.nodes-1]
-			leaving.serve = func(w http.ResponseWriter, r *http.Request) {
-				w.Header().Set(headers.Leaving, "1")
-				leaving.respond(w, r)
-			}
-			for _, p := range f.proxies {
-				p.config.DrainGrace = grace
-				if test.nodes > 1 {
-					p.stats["t0"].RecordFailure(time.Now())
-				}
-			}
+			leaving := f.leave(test.nodes-1, grace)
 			assert.Equal(t, f.send(test.told, "POST", "/once/x", "").Code, http.StatusOK)
 			assert.Equal(t, leaving.arrived.Load(), int32(1))
 			time.Sleep(test.wait)
@@ -228,3 +235,42 @@
 		assert.Equal(t, f.send(0, "POST", "/once/x", "").Code, http.StatusOK)
 	}
 }
+
+// Guards against refusing requests while the only target of a service is just about to leave, and
+// against using it while there is another.
+func TestTargetThatHasJustReportedToLeaveIsLastResort(t *testing.T) {
+	for _, test := range []struct {
+		desc     string
+		nodes    int
+		arrivals int32
+	}{
+		{"the only target", 1, 2},
+		{"one of two targets", 2, 1},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			f := newFleet(t, test.nodes)
+			leaving := f.leave(test.nodes-1, time.Minute)
+			assert.Equal(t, f.send(0, "POST", "/once/x", "").Code, http.StatusOK)
+			assert.Equal(t, f.send(0, "POST", "/once/x", "").Code, http.StatusOK)
+			assert.Equal(t, leaving.arrived.Load(), test.arrivals)
+		})
+	}
+}
+
+// Guards against new requests to a leaving target whose entry expired during a platform outage and
+// is listed again.
+func TestDepartureIsRememberedWhileTargetIsUnlisted(t *testing.T) {
+	f := newFleet(t, 2)
+	leaving := f.leave(1, 30*time.Millisecond)
+	p := f.proxies[0]
+	assert.Equal(t, f.send(0, "POST", "/once/x", "").Code, http.StatusOK)
+	listed := p.snapshot.Load()
+	without := *listed
+	without.Services = map[string][]*mesh.Member{"s": listed.Services["s"][:1]}
+	p.SetSnapshot(&without)
+	p.SetSnapshot(listed)
+	time.Sleep(60 * time.Millisecond)
+	f.proxies[1].restartOwner()
+	assert.Equal(t, f.send(0, "POST", "/once/x", "").Code, http.StatusOK)
+	assert.Equal(t, leaving.arrived.Load(), int32(1))
+}
