soak: a target that names a limit, and departures told in responses

Why: no fault of the soak was a wish of a target. Now one target of each plan names a limit of 5 requests a second for 9 s, drawn apart so that the other faults of a seed stay as they were, and the soak checks the users' rule from the ledgers of targets; only a disturbed entry node is an excuse, no restart of the target's own node. A target that leaves says so in its responses, as the users' do.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -41,6 +41,8 @@
 	// OthersServed requires that no other request is refused because of these
 	// crashes.
 	OthersServed Promise = "others-served"
+	// LimitKept requires that a target gets no more requests than the limit that it names.
+	LimitKept Promise = "limit"
 	// Recovered requires that the fleet serves requests again after the last fault.
 	Recovered Promise = "recovered"
 )
@@ -78,6 +80,7 @@
 	found = append(found, x.checkDepartures()...)
 	found = append(found, x.checkRetries()...)
 	found = append(found, x.checkContainment()...)
+	found = append(found, x.checkLimits()...)
 	return append(found, x.checkRecovery()...)
 }
 
@@ -235,6 +238,40 @@
 	return found
 }
 
+// Parameters of a named limit: a target may get limitExcess times what the limit allows in any
+// limitWindow, plus limitSlack requests.
+const (
+	limitWindow = 4 * time.Second
+	limitExcess = 1.5
+	limitSlack  = 5
+)
+
+// checkLimits checks that no target got more requests than the limit that it named. It skips
+// requests whose entry node was disturbed; a restart of the target's own node is no excuse.
+func (x *index) checkLimits() []Finding {
+	var found []Finding
+	for _, limited := range x.Events {
+		if limited.Kind != LimitTarget || limited.Instance == "" {
+			continue
+		}
+		var arrivals []time.Duration
+		for _, entry := range x.Entries {
+			r := x.records[entry.Request]
+			counts := entry.Instance == limited.Instance && entry.At > limited.Begin+stabilityWindow && entry.At < limited.End
+			if counts && r != nil && x.nodeUndisturbed(r.VM, limited.Begin, entry.At) {
+				arrivals = append(arrivals, entry.At)
+			}
+		}
+		for _, end := range arrivals {
+			if count := countBetween(arrivals, end-limitWindow, end); float64(count) > limitExcess*namedLimit*limitWindow.Seconds()+limitSlack {
+				found = append(found, Finding{Promise: LimitKept, At: end, Detail: fmt.Sprintf("%s got %d requests in %s", limited.Instance, count, limitWindow)})
+				break
+			}
+		}
+	}
+	return found
+}
+
 // budgetStep is the distance between the windows in which retries are counted.
 const budgetStep = 500 * time.Millisecond
 
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -116,6 +116,12 @@
 			h.record("read7").Outcome, h.entry("read7").Ran = Refused, false
 			h.record("read7").Detail = `{"reason":"quarantined"}`
 		}, OthersServed},
+		{"more requests than the limit that a target named", func(h *History) {
+			h.Events = append(h.Events, Event{Kind: LimitTarget, VM: 0, Begin: 10 * time.Second, End: 19 * time.Second, Instance: "i-1"})
+			for at := 14 * time.Second; at < 16*time.Second; at += 40 * time.Millisecond {
+				h.add(fmt.Sprint("limited", at), prefixRead, "i-1", "alpha", at)
+			}
+		}, LimitKept},
 		{"no recovery after the last fault", func(h *History) {
 			for i := range h.Records {
 				if r := &h.Records[i]; r.Begin > 50*time.Second {
--- a/internal/soak/cli/standins.go
+++ b/internal/soak/cli/standins.go
@@ -118,6 +118,7 @@
 	})
 	mux.HandleFunc("/drain", func(w http.ResponseWriter, r *http.Request) {
 		stop()
+		t.Leave()
 		if err := o.registration.Drain(r.Context(), startTime); err != nil {
 			http.Error(w, err.Error(), http.StatusBadGateway)
 		}
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -29,6 +29,8 @@
 	burstPause = 80 * time.Millisecond
 	// slowFactor multiplies the service time of a slow target.
 	slowFactor = 8
+	// namedLimit is the limit, in requests per second, that a target names.
+	namedLimit = 5
 )
 
 // failingMode is the behaviour of a failing target, which still serves most of its
@@ -108,7 +110,7 @@
 	if fault.Kind == OverloadedService {
 		return f.overloadService(ctx, m.service, fault.Duration)
 	}
-	return f.degradeTarget(ctx, m, fault)
+	return f.degradeTarget(ctx, m, fault, event)
 }
 
 func (f *fleet) publishBurst(ctx context.Context) error {
@@ -210,15 +212,19 @@
 // drain asks the target to leave, and returns after the store has recorded it.
 func (m *machine) drain(client *http.Client) error { return m.postControl(client, "/drain", nil) }
 
-func (f *fleet) degradeTarget(ctx context.Context, m *machine, fault Fault) error {
+func (f *fleet) degradeTarget(ctx context.Context, m *machine, fault Fault, event *Event) error {
 	mode := failingMode
-	if fault.Kind == SlowTarget {
+	switch fault.Kind {
+	case SlowTarget:
 		mode = usertarget.Mode{Slowdown: slowFactor}
+	case LimitTarget:
+		mode = usertarget.Mode{Limit: namedLimit}
 	}
 	if !m.targetRestart.TryLock() {
 		return nil
 	}
 	defer m.targetRestart.Unlock()
+	event.Instance = m.instance
 	if err := m.setMode(f.client, mode); err != nil {
 		return err
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -52,6 +52,8 @@
 	// CrashRequest makes callers at all VMs repeatedly send a request that crashes
 	// each target that begins to run it.
 	CrashRequest Kind = "crash-request"
+	// LimitTarget makes a target name a limit on its requests in its responses.
+	LimitTarget Kind = "limit-target"
 	// TargetCrashed is an event only: a target crashed under such a request.
 	TargetCrashed Kind = "target-crashed"
 	// NodeExited is an event only: a node's process exited by itself.
@@ -128,9 +130,11 @@
 	// which callers send for crashRequestDuration.
 	crashRequestProbability = 0.5
 	crashRequestDuration    = 8 * time.Second
-	seriesProbability       = 0.2
-	killAllProbability      = 0.3
-	killAllLead             = 5 * time.Second
+	// limitDuration leaves several windows in which a limit must hold.
+	limitDuration      = 9 * time.Second
+	seriesProbability  = 0.2
+	killAllProbability = 0.3
+	killAllLead        = 5 * time.Second
 )
 
 // NewPlan draws the faults of a run with the given duration and number of VMs.
@@ -161,6 +165,7 @@
 		plan = append(plan, Fault{At: duration - killAllLead, Duration: time.Second, Kind: KillAll, VM: allVMs})
 	}
 	plan = append(plan, drawCrashRequest(seed, duration)...)
+	plan = append(plan, drawLimit(seed, duration, vms)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
 	return plan
 }
@@ -177,6 +182,18 @@
 	return []Fault{{At: at, Duration: crashRequestDuration, Kind: CrashRequest, VM: allVMs}}
 }
 
+// drawLimit draws the target that names a limit, with a random source of its own like
+// drawCrashRequest.
+func drawLimit(seed uint64, duration time.Duration, vms int) []Fault {
+	random := rand.New(rand.NewPCG(seed, 4))
+	last := duration - killAllLead - limitDuration
+	if last <= firstFault {
+		return nil
+	}
+	at := firstFault + time.Duration(random.Int64N(int64(last-firstFault)))
+	return []Fault{{At: at, Duration: limitDuration, Kind: LimitTarget, VM: random.IntN(vms)}}
+}
+
 // FilterKinds returns the faults of the given kinds.
 func FilterKinds(plan []Fault, kinds []Kind) []Fault {
 	return slices.DeleteFunc(plan, func(f Fault) bool { return !slices.Contains(kinds, f.Kind) })
--- a/standin/usertarget/target.go
+++ b/standin/usertarget/target.go
@@ -28,6 +28,8 @@
 	HeaderSignature        = "Tamarackquay-Server-Signature"
 	HeaderNotExecuted      = "Tamarackquay-Not-Executed"
 	HeaderLoad             = "Tamarackquay-Server-Load"
+	HeaderLimit            = "Server-Limit"
+	HeaderLeaving          = "Server-Leaving"
 )
 
 // Mode sets the faults that a target injects; the zero value sets none. Rates are
@@ -43,6 +45,9 @@
 	CutRate     float64 `json:"cut"`
 	ShedRate    float64 `json:"shed"`
 	FailureRate float64 `json:"fail"`
+	// Limit is the number of requests per second that the target says it takes; 0 for
+	// none.
+	Limit float64 `json:"limit"`
 }
 
 // CrashMarker in the path of a request makes each target crash that starts to run
@@ -76,6 +81,7 @@
 	mu      sync.Mutex
 	ledger  *json.Encoder
 	mode    Mode
+	leaving bool
 	running int
 	random  *rand.Rand
 }
@@ -94,6 +100,26 @@
 	t.mode = mode
 }
 
+// Leave makes the target say in its responses that it leaves.
+func (t *Target) Leave() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leaving = true
+}
+
+// writeState sets the response headers that describe the target itself.
+func (t *Target) writeState(header http.Header) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	header.Set(HeaderLoad, fmt.Sprintf("%d,0,%d", t.running, t.slots))
+	if t.mode.Limit > 0 {
+		header.Set(HeaderLimit, strconv.FormatFloat(t.mode.Limit, 'f', -1, 64))
+	}
+	if t.leaving {
+		header.Set(HeaderLeaving, "1")
+	}
+}
+
 // Body returns the response body of a request. The bytes are derived from the
 // request id alone, so that callers can check them. The query of the request gives
 // the size.
@@ -148,12 +174,6 @@
 	t.running--
 }
 
-func (t *Target) load() string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return fmt.Sprintf("%d,0,%d", t.running, t.slots)
-}
-
 // ServeHTTP implements http.Handler.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	// A read error is ignored: it shows on the connection of the request.
@@ -164,7 +184,7 @@
 	}
 	id := r.Header.Get(HeaderRequestID)
 	w.Header().Set(HeaderRequestID, id)
-	w.Header().Set(HeaderLoad, t.load())
+	t.writeState(w.Header())
 	if !o.runs {
 		t.reject(w, r)
 		return
