proxy: pass on when a shed request may come back

What callers saw: a target that sheds a request and says when to come back, was answered with a Retry-After of 50 ms, so that its callers came back too early.

The target's Retry-After on the response that sheds was not read on the path of the users' platform; the path by contracts reads it.

Change: the refusal carries the longer of both times, fractions included.

TestRetryAfterOfTargetReachesCaller: 0.050 where 1.5 was named before, 1.500 now.

--- a/internal/adapter/callhttp/callhttp.go
+++ b/internal/adapter/callhttp/callhttp.go
@@ -83,6 +83,19 @@
 	return time.Duration(seconds) * time.Second
 }
 
+// ExactRetryAfter is like RetryAfter for a header whose seconds may have a fraction. It returns at
+// most maxRetryAfter.
+func ExactRetryAfter(header http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+}
+
+// maxRetryAfter is longer than any caller waits.
+const maxRetryAfter = time.Hour
+
 // SetRetryAfter sets the Retry-After header, rounded up to whole seconds. It sets no
 // header if the duration is not positive.
 func SetRetryAfter(header http.Header, after time.Duration) {
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -208,14 +208,15 @@
 	default:
 		return nil
 	}
+	after := max(retryShed, callhttp.ExactRetryAfter(response.Header))
 	load := response.Header.Get(p.config.Headers.Load)
 	if hasFreeSlots(load) {
-		return port.Refuse(port.ReasonShedWithRoom, retryShed, "the target shed the request at load %s", load)
+		return port.Refuse(port.ReasonShedWithRoom, after, "the target shed the request at load %s", load)
 	}
-	return port.Refuse(port.ReasonShed, retryShed, "the target shed the request at load %q", load)
+	return port.Refuse(port.ReasonShed, after, "the target shed the request at load %q", load)
 }
 
-// retryShed is the Retry-After of a shed request. Where many requests run, slots become
+// retryShed is the shortest Retry-After of a shed request. Where many requests run, slots become
 // free every few milliseconds; an unhealthy target sheds at random.
 const retryShed = 50 * time.Millisecond
 
--- a/internal/proxy/target_report_test.go
+++ b/internal/proxy/target_report_test.go
@@ -274,3 +274,26 @@
 	assert.Equal(t, f.send(0, "POST", "/once/x", "").Code, http.StatusOK)
 	assert.Equal(t, leaving.arrived.Load(), int32(1))
 }
+
+// Guards against callers that come back before the time that the target which shed them named.
+func TestRetryAfterOfTargetReachesCaller(t *testing.T) {
+	for _, test := range []struct{ named, want string }{
+		{"", "0.050"},
+		{"1.5", "1.500"},
+		{"0.01", "0.050"},
+		{"tomorrow", "0.050"},
+		{"-3", "0.050"},
+	} {
+		t.Run("named "+test.named, func(t *testing.T) {
+			f := newFleet(t, 1)
+			shed := shedHandler("1,0,4")
+			f.targets[0].serve = func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Retry-After", test.named)
+				shed(w, r)
+			}
+			w := f.send(0, "GET", "/idempotent/x", "")
+			assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+			assert.Equal(t, w.Header().Get("Retry-After"), test.want)
+		})
+	}
+}
