--- a/internal/admission/start_rate_test.go
+++ b/internal/admission/start_rate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -130,3 +131,42 @@
 		now = now.Add(step)
 	}
 }
+
+// Guards against a target that gets fewer requests than its start rate allows while callers are
+// refused, and against requests that start too late.
+func TestStartRateIsUsedUnderOverload(t *testing.T) {
+	const (
+		seconds, offered = 60, 30.0
+		hold, patience   = 160 * time.Millisecond, 360 * time.Millisecond
+	)
+	rate := StartRate{PerSecond: 10, Burst: 2}
+	q := NewQueue(Terms{Slots: 12, QueuePerSlot: 4, Shares: map[string]Share{"a": {Guaranteed: 1, Limit: 1}}}, 1)
+	random := rand.New(rand.NewPCG(1, 0))
+	begin := time.Unix(1_000_000, 0)
+	q.SetStartRate(begin, rate)
+	next := begin
+	ends := map[string]time.Time{}
+	started := 0
+	for now := begin; now.Before(begin.Add(seconds * time.Second)); now = now.Add(time.Millisecond) {
+		note := func(changes Changes) {
+			for _, r := range changes.Started {
+				assert.Assert(t, !now.After(r.Deadline), "started %v after its deadline", now.Sub(r.Deadline))
+				ends[r.ID] = now.Add(hold)
+				started++
+			}
+		}
+		for id, end := range ends {
+			if !now.Before(end) {
+				delete(ends, id)
+				note(q.Release(now, id))
+			}
+		}
+		for ; !next.After(now); next = next.Add(time.Duration(random.ExpFloat64() / offered * float64(time.Second))) {
+			_, changes := q.Offer(now, Request{ID: fmt.Sprint(next.UnixNano()), Customer: "a", Deadline: now.Add(patience)})
+			note(changes)
+		}
+		note(q.Tick(now))
+	}
+	assert.Assert(t, float64(started) >= 0.95*rate.PerSecond*seconds, "%d starts", started)
+	assert.Assert(t, float64(started) <= rate.PerSecond*seconds+float64(rate.Burst), "%d starts", started)
+}
--- a/internal/logfield/logfield.go
+++ b/internal/logfield/logfield.go
@@ -76,7 +76,7 @@
 	// per second.
 	Limited Name = "limited"
 	Limit   Name = "limit_per_s"
-	// Header is the name of a header of a target's response, and Value its value.
+	// Header is the name of a header of a target's response, and Value a value in one.
 	Header Name = "header"
 	Value  Name = "value"
 )
--- a/internal/proxy/request_log.go
+++ b/internal/proxy/request_log.go
@@ -14,6 +14,7 @@
 	"tamarackquay/internal/mesh"
 	"tamarackquay/internal/placement"
 	"tamarackquay/internal/port"
+	"tamarackquay/internal/targetreport"
 )
 
 // lineKind is a kind of log line with its own rate limit.
@@ -24,15 +25,17 @@
 	lineFailure lineKind = iota
 	lineAttempt
 	lineServed
+	lineTarget
 	lineKinds
 )
 
-var lineKindNames = [lineKinds]string{"failure", "attempt", "served"}
+var lineKindNames = [lineKinds]string{"failure", "attempt", "served", "target"}
 
 // linesPerSecond limits the log lines of each kind. The limit for failures is about the
 // number of requests that a node fails in a second of overload, so that nearly all are
-// logged. For served requests a sample is enough.
-var linesPerSecond = [lineKinds]rate.Limit{100, 50, 5}
+// logged. For served requests and for a target that reports something else in each response, a
+// sample is enough.
+var linesPerSecond = [lineKinds]rate.Limit{100, 50, 5, 5}
 
 // requestLog writes one log line for each decision on a request. Each kind has a rate
 // limit, so that a burst of requests doesn't cause a burst of log lines.
@@ -171,5 +174,25 @@
 		Int64(logfield.ViewAge, millis(l.viewAge())).Str(logfield.Error, err.Error()).Msg("own target")
 }
 
+// targetReported logs a change of what the local target reports about itself.
+func (l *requestLog) targetReported(now time.Time, before, after targetreport.Report) {
+	if before.Limited != after.Limited || before.Limit != after.Limit {
+		if entry := l.newLine(now, lineTarget); entry != nil {
+			entry.Bool(logfield.Limited, after.Limited).Float64(logfield.Limit, after.Limit).
+				Float64(logfield.Before, before.Limit).Msg("target limits its requests")
+		}
+	}
+	if before.Leaving != after.Leaving {
+		l.log.Info().Msg("target leaves")
+	}
+}
+
+// invalidLimit logs a limit of the local target that is no number of requests.
+func (l *requestLog) invalidLimit(now time.Time, text string) {
+	if entry := l.newLine(now, lineTarget); entry != nil {
+		entry.Str(logfield.Value, text).Msg("target reports an invalid limit")
+	}
+}
+
 // callerDisconnected reports whether the caller of a request has closed its connection.
 func callerDisconnected(r *http.Request) bool { return r.Context().Err() != nil }
--- a/internal/proxy/target_report_test.go
+++ b/internal/proxy/target_report_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -297,3 +298,14 @@
 		})
 	}
 }
+
+// Guards against a burst of log lines from a target that names another limit in each response.
+func TestReportsOfTargetAreLoggedAtBoundedRate(t *testing.T) {
+	f := newFleet(t, 1)
+	f.limitRequests(0, func(responses int) float64 { return 1000 + float64(responses) })
+	for range 30 {
+		f.send(0, "GET", "/idempotent/x", "")
+	}
+	lines := strings.Count(f.logs.String(), "target limits its requests")
+	assert.Assert(t, lines > 0 && lines <= 2*int(linesPerSecond[lineTarget]), "%d lines", lines)
+}
