proxy: hear of a departure from a target that its own node no longer lists

What callers would see: requests that end with a target that has left. An entry node that had passed on the target's word sent it the next request all the same.

Cause: found by reading. An entry node took a load report without slots for none, and an owner node whose target is no longer listed has no slots to report; targets that leave without a word to the platform are unlisted while they still answer.

Change: a report that says something is always recorded; only one that says nothing counts if the owner node knows its target.

TestDepartureIsHeardFromUnlistedTarget: two arrivals before, one now.

--- a/internal/proxy/peer_report.go
+++ b/internal/proxy/peer_report.go
@@ -81,10 +81,10 @@
 	return time.Time{}
 }
 
-// recordPeerReport records the report in an owner node's response to an attempt.
+// recordPeerReport records the report in an owner node's response to an attempt. A response without
+// a load report, or of a node that knows no target, says nothing about earlier reports.
 func (p *Proxy) recordPeerReport(a *attempt, report *loadReport) {
-	if report.Slots <= 0 {
-		// The response holds no load report.
+	if report.Slots <= 0 && report.target == (targetreport.Report{}) {
 		return
 	}
 	p.mu.Lock()
--- a/internal/proxy/target_report_test.go
+++ b/internal/proxy/target_report_test.go
@@ -299,6 +299,27 @@
 	}
 }
 
+// Guards against new requests to a leaving target whose own node no longer lists it when it responds.
+func TestDepartureIsHeardFromUnlistedTarget(t *testing.T) {
+	f := newFleet(t, 2)
+	leaving := f.leave(1, 30*time.Millisecond)
+	owner := f.proxies[1]
+	listed := owner.snapshot.Load()
+	respond := leaving.serve
+	leaving.serve = func(w http.ResponseWriter, r *http.Request) {
+		unlisted := *listed
+		unlisted.Local = nil
+		owner.SetSnapshot(&unlisted)
+		respond(w, r)
+	}
+	assert.Equal(t, f.send(0, "POST", "/once/x", "").Code, http.StatusOK)
+	time.Sleep(60 * time.Millisecond)
+	owner.SetSnapshot(listed)
+	owner.restartOwner()
+	assert.Equal(t, f.send(0, "POST", "/once/x", "").Code, http.StatusOK)
+	assert.Equal(t, leaving.arrived.Load(), int32(1))
+}
+
 // Guards against a burst of log lines from a target that names another limit in each response.
 func TestReportsOfTargetAreLoggedAtBoundedRate(t *testing.T) {
 	f := newFleet(t, 1)
