targetreport: bound the rate that a target names

Found by reading: a limit far above what can be counted, such as 1e300, overflowed the burst. It is now a million requests a second at most; the test row for it would get a burst of 1 before.

--- a/internal/targetreport/targetreport.go
+++ b/internal/targetreport/targetreport.go
@@ -19,6 +19,9 @@
 	// minRate is the lowest rate, in requests per second, at which a target gets requests:
 	// the node learns only from responses that a limit has ended.
 	minRate = 0.5
+	// maxRate is the highest rate that is applied, in requests per second: more than any
+	// target serves, and small enough to count with.
+	maxRate = 1e6
 	// burstTime is the time over which requests are counted together: callers don't send
 	// them at an even pace, and those that come close together need not wait.
 	burstTime = 250 * time.Millisecond
@@ -27,7 +30,7 @@
 // Pace returns the rate, in requests per second, and the burst with which requests may start under
 // a limit.
 func (r Report) Pace() (perSecond float64, atOnce int) {
-	perSecond = max(r.Limit, minRate)
+	perSecond = min(max(r.Limit, minRate), maxRate)
 	return perSecond, max(1, int(perSecond*burstTime.Seconds()))
 }
 
--- a/internal/targetreport/targetreport_test.go
+++ b/internal/targetreport/targetreport_test.go
@@ -62,6 +62,7 @@
 		{0.2, minRate, 1},
 		{9.6, 9.6, 2},
 		{400, 400, 100},
+		{1e300, maxRate, maxRate / 4},
 	} {
 		perSecond, burst := Report{Limited: true, Limit: test.limit}.Pace()
 		assert.Equal(t, perSecond, test.perSecond)
