proxy: keep to a limit that a target names in a health check

Cause: found by looking for the class elsewhere. The response to a health check, which a node sends when its target may have restarted, was read for the warm-up alone.

TestLimitInHealthCheckIsKept: no limit in force before, 3 a second now.

--- a/internal/proxy/target_report_test.go
+++ b/internal/proxy/target_report_test.go
@@ -330,3 +330,23 @@
 	lines := strings.Count(f.logs.String(), "target limits its requests")
 	assert.Assert(t, lines > 0 && lines <= 2*int(linesPerSecond[lineTarget]), "%d lines", lines)
 }
+
+// Guards against a limit that is ignored because it is named in the answer to a health check, which
+// comes before the first request after a restart.
+func TestLimitInHealthCheckIsKept(t *testing.T) {
+	f := newFleet(t, 1)
+	target := f.targets[0]
+	f.withWarmup(10, 0)
+	f.awaitWarmupAnswer(0)
+	respond := target.serve
+	target.serve = func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headers.RequestLimit, "3")
+		respond(w, r)
+	}
+	f.proxies[0].doubtWarmup()
+	f.awaitWarmupAnswer(0)
+	p := f.proxies[0]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	assert.Equal(t, p.startRate.PerSecond, 3.0)
+}
--- a/internal/proxy/warmup.go
+++ b/internal/proxy/warmup.go
@@ -159,6 +159,7 @@
 	_, path := p.warmupLimit()
 	ctx, cancel := context.WithTimeout(context.Background(), warmupCheckTimeout)
 	defer cancel()
+	sent := p.ports.Clock.Now()
 	response, err := p.ports.Target.Do(ctx, p.config.TargetAddress, &exchange.Request{
 		Method: http.MethodGet, URI: path, Host: p.config.TargetAddress, Header: http.Header{},
 	})
@@ -170,6 +171,7 @@
 	if snapshot.Local == nil || response.Header.Get(p.config.Headers.TargetID) != snapshot.Local.ID {
 		return 0, errNoWarmup
 	}
+	p.recordTargetReport(sent, response)
 	text := response.Header.Get(p.config.Headers.Warmup)
 	if text == "" {
 		return 0, nil
--- a/internal/proxy/warmup_test.go
+++ b/internal/proxy/warmup_test.go
@@ -49,10 +49,7 @@
 		t.Run(test.desc, func(t *testing.T) {
 			f := newFleet(t, 1)
 			f.withWarmup(10, test.remaining)
-			deadline := time.Now().Add(2 * time.Second)
-			for f.proxies[0].warmupDoubted() && time.Now().Before(deadline) {
-				time.Sleep(time.Millisecond)
-			}
+			f.awaitWarmupAnswer(0)
 			var mu sync.Mutex
 			var runs []time.Time
 			var callers sync.WaitGroup
@@ -83,6 +80,14 @@
 	}
 }
 
+// awaitWarmupAnswer waits until the node's target has reported whether it warms up.
+func (f *fleet) awaitWarmupAnswer(node int) {
+	deadline := time.Now().Add(2 * time.Second)
+	for f.proxies[node].warmupDoubted() && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func (p *Proxy) warmupDoubted() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
