--- a/internal/proxy/peer_report.go
+++ b/internal/proxy/peer_report.go
@@ -57,8 +57,8 @@
 	return targetInstance{member.ID, member.Started}
 }
 
-// departureRetention is how long a departure is remembered after the target was first unlisted: a
-// target whose lease expired during a platform outage is listed again and still leaves.
+// departureRetention is how long after its report a departure is remembered while the target isn't
+// listed: one whose lease expired during a platform outage is listed again and still leaves.
 const departureRetention = 10 * time.Minute
 
 // forget drops the reports of targets that are not listed.
