scripts: ablations of named limits and of departures told in responses

Each makes its tests red: without the first, the three cases of TestTargetGetsNoMoreThanItsNamedLimit; without the second, TestLeavingTargetGetsNoNewRequests and TestTargetThatHasJustReportedToLeaveIsLastResort.

--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -24,6 +24,8 @@
 off time-behind-a-wait internal/proxy/rank.go 's/^const workMargin = 1.5/const workMargin = 1.0/'
 off repeats internal/proxy/retry_budget.go 's/if arrivals >= f.route.MaxAttempts {/if true {/'
 off slow-start internal/slowstart/slowstart.go 's/return t.Doubted() || now.Before(t.warmAt)/return false/'
+off named-limits internal/proxy/start_rate.go 's/reported.Limited {/false \&\& reported.Limited {/'
+off departures-in-responses internal/proxy/choose.go 's/!since.IsZero() {/false \&\& !since.IsZero() {/'
 off allowed-regions internal/proxy/choose.go 's/if !route.AllowsRegion(/if false \&\& !route.AllowsRegion(/'
 off pace-of-large-answers internal/link/link.go 's/return \&Pacer{rate: responseShare \* bytesPerSecond}/return \&Pacer{rate: 0 * bytesPerSecond}/'
 off deadline-order-of-large-answers internal/proxy/transfer.go 's/transfer := \&link.Transfer{Deadline: due}/transfer := \&link.Transfer{}/'
