--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -178,8 +178,10 @@
 	callerRetries *clientretry.Tracker
 	localStats    localStats
 	warmup        warmup
-	localReports  localReports
-	peerReports   peerReports
+	// localReports holds what the local target has reported in its responses, peerReports
+	// what this node has heard of all targets from their owner nodes.
+	localReports localReports
+	peerReports  peerReports
 	// startRate is the rate in force at the local target; zero without a limit.
 	startRate    admission.StartRate
 	reachability reachability
