--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -104,6 +104,11 @@
 	// bytes per second that it then gets; 0 for links that need no pacing.
 	LinkWait time.Duration
 	LinkRate float64
+	// Slowdown is how long work takes at the target now, as a multiple of the target's own
+	// mean; 0 if the target doesn't report it. A deviation from 1 decays with the time
+	// constant SlowdownPersistence.
+	Slowdown            float64
+	SlowdownPersistence time.Duration
 }
 
 // Stats holds the measurements that an entry node has of one target. It is not safe for
--- a/internal/placement/service_load.go
+++ b/internal/placement/service_load.go
@@ -13,8 +13,14 @@
 	// mean is the moving average of the requests running and waiting per slot.
 	mean float64
 	at   time.Time
+	// reportsSlowdown is set once a target of the service has reported its Slowdown.
+	reportsSlowdown bool
 }
 
+// ReportsSlowdown reports whether targets of the service report how long work takes at the
+// moment.
+func (l *ServiceLoad) ReportsSlowdown() bool { return l != nil && l.reportsSlowdown }
+
 const (
 	// serviceLoadWeight is the weight of one report in the mean.
 	serviceLoadWeight = 0.1
@@ -27,6 +33,7 @@
 	if l == nil || load.Slots <= 0 {
 		return
 	}
+	l.reportsSlowdown = l.reportsSlowdown || load.Slowdown > 0
 	l.mean = l.perSlot(now)
 	l.mean += serviceLoadWeight * (float64(load.Running+load.Waiting)/float64(load.Slots) - l.mean)
 	l.at = now
