placement: large responses of link-bound services stay in their region

Where the links of a service's targets carry nearly all that they can, a large response waits for a link in any region; sending it to another one, as a last resort of each late request, moved the wait and paid for the bytes. Responses from 32 KiB on now stay in the entry node's region while it has a usable target, if the mean wait for the links of the service's targets is 100 ms or more. Targets in backoff, unreachable or failing don't count as usable. Services whose links are free are served as before.

The new test fails without the rule.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -334,12 +334,22 @@
 	// the value of a response: another target may be tried, and the caller may retry.
 	// With the plain rate, a target that lost a part of its responses got no work at
 	// all, and the other targets got more than they could handle in time.
-	failureRate := s.failureRate * math.Exp2(-now.Sub(s.failureRateAt).Seconds()/failureHalfLife.Seconds())
+	failureRate := s.currentFailureRate(now)
 	cost += failureRate * failureRate
 	cost += r.byteCost(s.Distance)
 	return cost + utilizationWeight*s.utilization(now)
 }
 
+func (s *Stats) currentFailureRate(now time.Time) float64 {
+	return s.failureRate * math.Exp2(-now.Sub(s.failureRateAt).Seconds()/failureHalfLife.Seconds())
+}
+
+// Failing reports whether most requests at the target fail.
+func (s *Stats) Failing(now time.Time) bool { return s.currentFailureRate(now) > failingRate }
+
+// failingRate is the failure rate above which a target counts as failing.
+const failingRate = 0.5
+
 func (s *Stats) utilization(now time.Time) float64 {
 	slots, running := s.Slots, s.openAttempts
 	if now.Sub(s.loadReportedAt) < maxReportAge {
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -45,10 +45,14 @@
 	if groups == nil {
 		return nil
 	}
+	keepInRegion := f.proxy.serviceLoadFor(f.service).KeepsInRegion(now, request.Route.ResponseBytes)
 	for distance, group := range groups {
 		if best != nil && minCost <= request.MinCost(placement.Distance(distance)) {
 			break
 		}
+		if placement.Distance(distance) == placement.OtherRegion && keepInRegion && f.usableInRegion(now, groups) {
+			break
+		}
 		for _, c := range group {
 			if !f.eligible(now, c, includeAvoided) {
 				continue
@@ -62,6 +66,19 @@
 	return best
 }
 
+// usableInRegion reports whether the entry node's region has a target that may run the request,
+// tried or not. It must be called with the mutex held.
+func (f *forwarder) usableInRegion(now time.Time, groups *candidates) bool {
+	for _, group := range groups[:placement.OtherRegion] {
+		for _, c := range group {
+			if c.member.Usable(now) && f.allowsDomain(c.member.FailureDomain) && c.stats.Available(now) && !c.stats.Failing(now) && !f.proxy.isUnreachable(c.member) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // eligible reports whether a target may get the next attempt. If includeAvoided is set,
 // targets in backoff, targets with unreachable nodes and targets that have just reported that
 // they leave are eligible as well.
--- a/internal/proxy/choose_test.go
+++ b/internal/proxy/choose_test.go
@@ -91,3 +91,44 @@
 		})
 	}
 }
+
+// Guards against large responses that cross regions while every link to the service is saturated:
+// their callers wait there as well, and the traffic between regions grows. It also guards against
+// staying in a region whose targets fail or can't be reached.
+func TestLargeResponsesOfLinkBoundServicesStayInRegion(t *testing.T) {
+	now := time.Now()
+	const large, small = 90e3, 2e3
+	saturated := placement.Load{Running: 9, Waiting: 30, Slots: 9, Hold: time.Second, LinkWait: 2 * time.Second, LinkRate: 1e6}
+	for _, test := range []struct {
+		desc   string
+		size   float64
+		load   placement.Load
+		near   func(f *forwarder, c candidate)
+		leaves bool
+	}{
+		{"links are saturated", large, saturated, func(*forwarder, candidate) {}, false},
+		{"targets of the region were tried", large, saturated, func(f *forwarder, c candidate) { f.tried[c.member.ID] = true }, false},
+		{"the response is small", small, saturated, func(*forwarder, candidate) {}, true},
+		{"links are free, slots are not", large, placement.Load{Running: 9, Waiting: 60, Slots: 9, Hold: time.Second}, func(*forwarder, candidate) {}, true},
+		{"targets of the region are in backoff", large, saturated, func(_ *forwarder, c candidate) { c.stats.BackOff(now) }, true},
+		{"targets of the region fail", large, saturated, func(_ *forwarder, c candidate) {
+			for range 30 {
+				c.stats.RecordFailure(now)
+			}
+		}, true},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			f := newChoosingForwarder(157)
+			f.firstAt, f.deadline = now, now.Add(time.Second)
+			f.proxy.routeStatsFor(f.route).ResponseBytes = test.size
+			for distance := range placement.OtherRegion {
+				for _, c := range f.proxy.candidates["s"][distance] {
+					c.stats.RecordLoad(now, test.load)
+					test.near(f, c)
+				}
+			}
+			got := f.choose(now)
+			assert.Equal(t, got != nil && f.proxy.distance(got) == placement.OtherRegion, test.leaves, "%v", got)
+		})
+	}
+}
