shutdown: refuse requests that a stopping node is likely not to finish

Cause: in the first 2.5 s of a stop the entry node accepted everything, later it compared the caller's timeout only. A download accepted 2.3 s after the signal waited for the full link of its target's VM and was cut off 3 s later.

Change: a stopping node accepts a request if the 0.99 quantile of its route's times from acceptance to the last byte fits into the time left. The entry and owner nodes observe their own times; the owner node also counts the wait for its link. Routes without observations count by their timeout, except small ones at the entry node until callers have been moved away. A response that waits for the link counts as in flight.

The owner node compared the whole timeout from the signal on; it now accepts requests that usually end in time.

--- a/internal/proxy/attempt_meta.go
+++ b/internal/proxy/attempt_meta.go
@@ -54,6 +54,8 @@
 	// retryable reports whether the request may run more than once. It is used by the
 	// entry node only and not sent.
 	retryable bool
+	// fromPeer is set by the owner node for requests of other nodes. It is not sent.
+	fromPeer bool
 }
 
 func (m *attemptMeta) encode() string {
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -40,13 +40,24 @@
 		var resp *bufferedResponse
 		resp, err = f.forward(r.Context())
 		if err == nil {
+			defer p.recordCompletion(f)
 			p.respond(w, f, resp)
 			return
 		}
+		var refusal *port.Refusal
+		if !errors.As(err, &refusal) {
+			p.recordCompletion(f)
+		}
 	}
 	p.refuse(w, r, f, err)
 }
 
+// recordCompletion records the time until the end of a request that a target has received.
+func (p *Proxy) recordCompletion(f *forwarder) {
+	now := p.ports.Clock.Now()
+	p.completions.observeEntry(now, f.route.Name, now.Sub(f.began))
+}
+
 // newForwarder finds the route of a request and reads its body.
 func (p *Proxy) newForwarder(r *http.Request) (*forwarder, error) {
 	now := p.ports.Clock.Now()
@@ -65,8 +76,8 @@
 	if limits.BodyBytes > 0 && r.ContentLength > limits.BodyBytes {
 		return nil, port.Refuse(port.ReasonBodyTooLarge, 0, "the body is over %d bytes", limits.BodyBytes)
 	}
-	if p.stopsBefore(now.Add(p.timeLeft(r, route))) {
-		return nil, port.Refuse(port.ReasonStopping, retryElsewhere, "this node is stopping")
+	if refusal := p.checkEntryStop(now, route, p.timeLeft(r, route)); refusal != nil {
+		return nil, refusal
 	}
 	body, length, err := requestbody.Read(r.Body, r.ContentLength)
 	if err != nil {
@@ -91,14 +102,6 @@
 	return f, nil
 }
 
-// stopsBefore reports whether this node may stop before end. It applies once callers have
-// been moved to other nodes: requests on connections that were kept open are refused if
-// they might be cut off by the stop. Requests certain to finish in time, such as calls
-// made by the local target, are still served.
-func (p *Proxy) stopsBefore(end time.Time) bool {
-	return p.localStopped.Load() && end.After(*p.stopDeadline.Load())
-}
-
 // timeLeft returns the shorter of the caller's timeout and the route's timeout.
 func (p *Proxy) timeLeft(r *http.Request, route *mesh.Route) time.Duration {
 	left := defaultTimeout
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -110,8 +110,8 @@
 // node's, the entry node may be right: the request is sent, and the target itself checks
 // the expected id.
 func (p *Proxy) checkRunnable(meta *attemptMeta, r *exchange.Request) *port.Refusal {
-	if p.localStopped.Load() || p.stopping.Load() && p.ports.Clock.Now().Add(meta.budget).After(*p.stopDeadline.Load()) {
-		return port.Refuse(port.ReasonStopping, retryStopping, "the target's node is stopping")
+	if refusal := p.checkOwnerStop(p.ports.Clock.Now(), meta); refusal != nil {
+		return refusal
 	}
 	if refusal := p.checkQuarantine(meta.fingerprint); refusal != nil {
 		return refusal
@@ -250,6 +250,7 @@
 		callhttp.WriteError(w, port.Refuse(port.ReasonBadRequest, 0, "%v", err))
 		return
 	}
+	meta.fromPeer = true
 	request := &exchange.Request{
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: http.Header{},
 		Body: r.Body, ContentLength: r.ContentLength,
@@ -275,6 +276,14 @@
 		callhttp.WriteError(w, err)
 		return
 	}
+	// The node is not idle until the last byte is sent, also while the response waits for
+	// the link.
+	p.inFlight.Add(1)
+	defer p.inFlight.Add(-1)
+	defer func() {
+		now := p.ports.Clock.Now()
+		p.completions.observeOwner(now, meta.route, now.Sub(received))
+	}()
 	// The target's slot is released when the last byte is read from the target, not when
 	// the other node has received all bytes.
 	resp, err := bufferResponse(response)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -11,7 +11,6 @@
 	"encoding/binary"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -154,6 +153,7 @@
 	localStopped atomic.Bool
 	stopDeadline atomic.Pointer[time.Time]
 	inFlight     atomic.Int64
+	completions  completionTimes
 	// attemptPrefix distinguishes the attempt ids of this process from those of other
 	// nodes and of this node's earlier starts.
 	attemptPrefix string
@@ -224,6 +224,9 @@
 // SetSnapshot replaces the active snapshot.
 func (p *Proxy) SetSnapshot(snapshot *Snapshot) {
 	previous := p.snapshot.Swap(snapshot)
+	if previous == nil || previous.Table != snapshot.Table {
+		p.completions.retain(snapshot.Table)
+	}
 	if local := snapshot.Local; local != nil {
 		p.mu.Lock()
 		p.localReports.reset(targetInstance{local.ID, local.Started})
@@ -351,26 +354,6 @@
 // InFlight returns the number of requests being processed by this node.
 func (p *Proxy) InFlight() int64 { return p.inFlight.Load() }
 
-// Stop begins a planned stop: the node is no longer ready, and each response closes its
-// connection. Callers are still served. Until StopLocal, the local target still gets
-// requests that are certain to finish before deadline, when the process ends.
-func (p *Proxy) Stop(deadline time.Time) {
-	p.stopDeadline.Store(&deadline)
-	p.stopping.Store(true)
-}
-
-// StopLocal stops sending requests to the local target. It is separate from Stop because
-// the target may keep running, and its slots are missing while it gets no requests.
-// Refusing from the beginning of the stop would leave it idle until its node is back: 4 s
-// with the delays of a stop, instead of the 1.5 s that are enough.
-func (p *Proxy) StopLocal() { p.localStopped.Store(true) }
-
-func (p *Proxy) closeWhenStopping(w http.ResponseWriter) {
-	if p.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
-}
-
 // Tick starts waiting requests for which slots have become available by the passing of
 // time alone.
 func (p *Proxy) Tick() {
--- a/internal/proxy/stop_test.go
+++ b/internal/proxy/stop_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"tamarackquay/internal/adapter/callhttp"
+	"tamarackquay/internal/link"
 	"tamarackquay/internal/mesh"
 	"tamarackquay/internal/port"
 )
@@ -47,3 +48,93 @@
 	assert.Equal(t, f.totalArrivals(), 0)
 	assert.Equal(t, f.send(0, "GET", "/idempotent/x", "").Code, http.StatusOK)
 }
+
+// The same download is served if downloads usually take less time than the process has left.
+func TestStoppingEntryNodeServesDownloadItUsuallyFinishes(t *testing.T) {
+	f := newDownloadFleet(t, 1)
+	for range 100 {
+		f.proxies[0].completions.observeEntry(time.Now(), "/download/", time.Second)
+	}
+	f.proxies[0].Stop(time.Now().Add(downloadTimeout / 2))
+	assert.Equal(t, f.send(0, "GET", "/download/x", "").Code, http.StatusOK)
+}
+
+// Guards against a node that counts refusals as quick requests, by which it would accept
+// requests that it can't finish.
+func TestOnlyRequestsThatRanAreObserved(t *testing.T) {
+	f := newFleet(t, 2)
+	f.proxies[0].stats["t0"].RecordFailure(time.Now())
+	for range 50 {
+		assert.Equal(t, f.send(0, "GET", "/idempotent/x", "").Code, http.StatusOK)
+	}
+	for _, target := range f.targets {
+		target.serve = shedHandler("4,0,4")
+	}
+	for range 50 {
+		assert.Equal(t, f.send(0, "POST", "/once/x", "").Code, http.StatusServiceUnavailable)
+	}
+	_, known := f.proxies[0].completions.entry.High("/idempotent/")
+	assert.Assert(t, known)
+	_, known = f.proxies[0].completions.entry.High("/once/")
+	assert.Assert(t, !known)
+	_, known = f.proxies[1].completions.owner.High("/idempotent/")
+	assert.Assert(t, known)
+}
+
+// The owner node of the preferred target stops. It must refuse a download if the responses
+// that wait for its link fill the time that it has left, although downloads are usually
+// quick, and the download runs at another target.
+func TestStoppingOwnerNodeCountsItsLinkBacklog(t *testing.T) {
+	for _, test := range []struct {
+		desc    string
+		backlog int
+		want    string
+	}{
+		{"free link", 0, "t1 ran /download/x "},
+		{"full link", 5e6, "t0 ran /download/x "},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			f := newDownloadFleet(t, 2)
+			owner := f.proxies[1]
+			owner.link = link.NewPacer(1e6)
+			for range 100 {
+				owner.completions.observeOwner(time.Now(), "/download/", 100*time.Millisecond)
+			}
+			owner.countUnpaced(test.backlog)
+			owner.Stop(time.Now().Add(downloadTimeout / 2))
+			f.proxies[0].stats["t0"].RecordFailure(time.Now())
+			assert.Equal(t, f.send(0, "GET", "/download/x", "").Body.String(), test.want)
+			assert.Equal(t, f.totalArrivals(), 1)
+		})
+	}
+}
+
+// Guards against a stopping node that counts as idle, and ends, while a response waits for
+// its link: the request at the target is over by then.
+func TestWaitingTransferKeepsTheNodeInFlight(t *testing.T) {
+	f := newDownloadFleet(t, 2)
+	owner := f.proxies[1]
+	owner.link = link.NewPacer(10e6)
+	f.targets[1].serve = func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headers.Signature, "proof")
+		_, _ = w.Write(make([]byte, 2*link.LargeSize))
+	}
+	for range link.MaxConcurrent {
+		assert.NilError(t, owner.awaitTransfer(t.Context(), &link.Transfer{}))
+	}
+	f.proxies[0].stats["t0"].RecordFailure(time.Now())
+	served := make(chan int)
+	go func() { served <- f.send(0, "GET", "/download/x", "").Body.Len() }()
+	for {
+		owner.mu.Lock()
+		waiting := len(owner.transferReady)
+		owner.mu.Unlock()
+		if waiting > 0 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, owner.InFlight(), int64(1))
+	owner.endTransfer()
+	assert.Equal(t, <-served, 2*link.LargeSize)
+}
