link: admit and order large responses by due time and deadline, fair to receivers

Cause: the admission counted all large responses as ahead of a new one, whatever their due time, and never looked at the caller's deadline. A response that could no longer be in time was sent before those that could. A receiver that stopped reading kept one of the two sending slots until a timeout.

Change: a request is admitted if its response can be sent within the wait that its entry node allows and before its deadline, after the responses that are due earlier, running ones included. Late responses are sent by a time three quarters of the way to their deadline, and those that miss the deadline last. A response whose write blocks for 100 ms gives up its slot. Metrics tamarack_link_refused_total and tamarack_link_stalls_total. The ablation of the order moves to the queue.

--- a/internal/experiment/largeanswers/largeanswers.go
+++ b/internal/experiment/largeanswers/largeanswers.go
@@ -67,15 +67,18 @@
 	random := rand.New(rand.NewPCG(seed, 2))
 	logNormal := func() float64 { return math.Exp(logStdDev*random.NormFloat64() - logStdDev*logStdDev/2) }
 	pacer := link.NewPacer(l.Link)
+	var expected link.TransferQueue
 	meanInterval := l.Size / pacer.Rate() / l.Demand * float64(time.Second)
 	var admitted []Response
 	now := start
 	for range l.Arrivals {
 		now = now.Add(time.Duration(random.ExpFloat64() * meanInterval))
 		size, serviceTime := l.Size*logNormal(), time.Duration(float64(l.ServiceTime)*logNormal())
-		if _, ok := pacer.Admit(now, l.Size, l.Timeout-3*l.ServiceTime/2); !ok {
+		transfer := &link.Transfer{Deadline: now.Add(l.Timeout), Size: l.Size}
+		if _, ok := pacer.Admit(now, &expected, transfer, link.Terms{MaxWait: l.Timeout - 3*l.ServiceTime/2, Work: l.ServiceTime}); !ok {
 			continue
 		}
+		expected.Cancel(transfer)
 		pacer.CorrectSize(l.Size, size)
 		admitted = append(admitted, Response{Arrived: now, Ready: now.Add(serviceTime), Size: size})
 	}
@@ -98,11 +101,11 @@
 			now = responses[next].Ready
 		}
 		for ; next < len(responses) && !responses[next].Ready.After(now); next++ {
-			transfer := &link.Transfer{Deadline: order.Key(responses[next], l.Timeout)}
+			transfer := &link.Transfer{Deadline: order.Key(responses[next], l.Timeout), Size: responses[next].Size}
 			waiting[transfer] = responses[next]
 			q.Start(transfer)
 		}
-		transfer := q.Finish()
+		transfer := q.Finish(now, rate)
 		now = now.Add(time.Duration(waiting[transfer].Size / rate * float64(time.Second)))
 		if now.Sub(waiting[transfer].Arrived) <= l.Timeout {
 			onTime++
@@ -128,6 +131,9 @@
 // demands are the compared demands, as multiples of the usable rate of the link.
 var demands = []float64{0.7, 0.9, 1.1, 1.5, 3}
 
+// downloadRates are the compared rates of downloads per second.
+var downloadRates = []float64{73, 80, 90}
+
 // Run implements experiment.Experiment.
 func (Experiment) Run(ctx context.Context, w io.Writer, options experiment.Options) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
@@ -142,5 +148,17 @@
 		fmt.Fprintf(table, "%.1f\t%.3f\t%.3f\t%.3f\n", demand, float64(len(admitted))/float64(load.Arrivals),
 			load.OnTimeFraction(admitted, ReadyFirst), load.OnTimeFraction(admitted, DeadlineFirst))
 	}
+	fmt.Fprintln(table, "\ndownloads/s from 6 links\tadmission and order\tin time\tlate\tlost\trefused")
+	for _, rate := range downloadRates {
+		for _, policy := range DownloadPolicies {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			load := SixLinks
+			load.Rate = rate
+			result := load.Run(options.Seed, policy)
+			fmt.Fprintf(table, "%.0f\t%s\t%d\t%d\t%d\t%d\n", rate, policy.Name, result.InTime, result.Late, result.Lost, result.Refused)
+		}
+	}
 	return table.Flush()
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -48,27 +48,51 @@
 		return 0
 	}
 	p.drainBacklog(now)
-	return time.Duration(p.backlog / p.rate * float64(time.Second))
+	return transferTime(p.backlog, p.rate)
 }
 
-// Admit adds a response of an expected size, in bytes, to the backlog. If its last byte would wait
-// longer than maxWait, Admit returns false and the time after which to retry. A response
+// Terms limit how long an admitted response may take.
+type Terms struct {
+	// MaxWait is how long the response may wait for the link, including its own transfer.
+	MaxWait time.Duration
+	// Work is how long the target is expected to take.
+	Work time.Duration
+}
+
+// Admit adds a response to the queue and its expected size to the backlog. If its last byte
+// would wait longer than the terms allow, given the responses that are due earlier, or would
+// arrive after its deadline, Admit returns false and the time after which to retry. A response
 // is always admitted if the link is free.
-func (p *Pacer) Admit(now time.Time, size float64, maxWait time.Duration) (retryAfter time.Duration, ok bool) {
-	if p.rate <= 0 || size < LargeSize {
+func (p *Pacer) Admit(now time.Time, q *TransferQueue, transfer *Transfer, terms Terms) (retryAfter time.Duration, ok bool) {
+	if p.rate <= 0 || transfer.Size < LargeSize {
 		return 0, true
 	}
-	if p.Wait(now) < freeThreshold {
-		p.backlog += size
-		return 0, true
+	if p.Wait(now) >= freeThreshold {
+		wait := p.expectedWait(now, q, transfer)
+		// Positive if the response takes too long.
+		excess := max(wait-terms.MaxWait, now.Add(max(terms.Work, wait)).Sub(transfer.Deadline))
+		if excess > 0 {
+			return p.reserveRetry(now, excess, transferTime(transfer.Size, p.rate)), false
+		}
 	}
-	duration := time.Duration(size / p.rate * float64(time.Second))
+	p.backlog += transfer.Size
+	q.Expect(transfer)
+	return 0, true
+}
+
+// expectedWait returns the time until the last byte of a response could be sent if it were
+// ready at once, after those that are due earlier.
+func (p *Pacer) expectedWait(now time.Time, q *TransferQueue, transfer *Transfer) time.Duration {
 	// Responses sent concurrently use as much of the link as this one.
-	if total := p.Wait(now) + MaxConcurrent*duration; total > maxWait {
-		return p.reserveRetry(now, total-maxWait, duration), false
+	own := MaxConcurrent * transferTime(transfer.Size, p.rate)
+	wait := time.Duration(0)
+	for _, due := range []time.Time{transfer.Due, transfer.Deadline} {
+		wait = own + max(0, p.Wait(now)-transferTime(q.bytesBehind(now, due, p.rate), p.rate))
+		if !now.Add(wait).After(due) {
+			break
+		}
 	}
-	p.backlog += size
-	return 0, true
+	return wait
 }
 
 // maxRetryAfter bounds the retry times of refused callers.
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -16,9 +16,10 @@
 	const size = 90e3
 	const maxWait = 300 * time.Millisecond
 	p := NewPacer(15.4e6 / 8)
+	var q TransferQueue
 	admitted, refused := 0, 0
 	for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(23 * time.Millisecond) {
-		retryAfter, ok := p.Admit(now, size, maxWait)
+		retryAfter, ok := p.Admit(now, &q, &Transfer{Deadline: now.Add(time.Hour), Size: size}, Terms{MaxWait: maxWait})
 		if !ok {
 			refused++
 			assert.Assert(t, retryAfter > 0)
@@ -40,7 +41,7 @@
 	p.CountUnpaced(start, 2e6)
 	last := time.Duration(0)
 	for range 10 {
-		retryAfter, ok := p.Admit(start, size, 0)
+		retryAfter, ok := p.Admit(start, &TransferQueue{}, &Transfer{Deadline: start.Add(time.Hour), Size: size}, Terms{})
 		assert.Assert(t, !ok)
 		assert.Assert(t, retryAfter >= last+time.Duration(0.9*size/p.Rate()*float64(time.Second)))
 		last = retryAfter
@@ -82,8 +83,33 @@
 
 func TestUnknownLinkIsNotPaced(t *testing.T) {
 	p := NewPacer(0)
-	_, ok := p.Admit(start, 1e9, 0)
+	_, ok := p.Admit(start, &TransferQueue{}, &Transfer{Size: 1e9}, Terms{})
 	assert.Assert(t, ok)
 	assert.Equal(t, p.Reserve(start, 1e9), time.Duration(0))
 	assert.Equal(t, p.Wait(start), time.Duration(0))
 }
+
+// A response that is due before the others doesn't wait behind them and must be admitted; one
+// that can't arrive before its deadline must be refused, although it may wait longer.
+func TestAdmissionCountsWhatIsDueEarlier(t *testing.T) {
+	const size = 100e3
+	p := NewPacer(1e6)
+	var q TransferQueue
+	transfer := func(due, deadline time.Duration) *Transfer {
+		return &Transfer{Due: start.Add(due), Deadline: start.Add(deadline), Size: size}
+	}
+	terms := Terms{MaxWait: 2 * time.Second, Work: 100 * time.Millisecond}
+	for range 15 {
+		_, ok := p.Admit(start, &q, transfer(3*time.Second, 8*time.Second), terms)
+		assert.Assert(t, ok)
+	}
+	_, ok := p.Admit(start, &q, transfer(time.Second, 8*time.Second), terms)
+	assert.Assert(t, ok, "it is due before the others")
+	retryAfter, ok := p.Admit(start, &q, transfer(4*time.Second, time.Second), terms)
+	assert.Assert(t, !ok, "its caller stops waiting before")
+	assert.Assert(t, retryAfter > 0)
+	retryAfter, ok = p.Admit(start, &q, transfer(4*time.Second, 8*time.Second), Terms{MaxWait: time.Second})
+	assert.Assert(t, !ok, "it may not wait so long")
+	_, ok = p.Admit(start.Add(retryAfter), &q, transfer(4*time.Second, 8*time.Second), Terms{MaxWait: time.Second})
+	assert.Assert(t, ok, "the Retry-After must be true")
+}
--- a/internal/port/metric.go
+++ b/internal/port/metric.go
@@ -30,6 +30,12 @@
 	// MetricLinkWait is the time for which a large response waits for the VM's
 	// network link, in seconds.
 	MetricLinkWait Metric = "tamarack_link_wait_seconds"
+	// MetricLinkRefused counts requests of other nodes refused because their large
+	// responses would wait too long for the VM's network link.
+	MetricLinkRefused Metric = "tamarack_link_refused_total"
+	// MetricLinkStalls counts large responses that gave up their turn on the VM's network
+	// link because their receiver stopped reading.
+	MetricLinkStalls Metric = "tamarack_link_stalls_total"
 	// MetricTargetCrashes counts the crashes of the VM's own target.
 	MetricTargetCrashes Metric = "tamarack_target_crashes_total"
 	// MetricTargetRequests counts the requests sent to the VM's own target.
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -261,7 +261,8 @@
 	}
 	callhttp.CopyHeader(request.Header, r.Header)
 	p.adoptLimit(r)
-	if refusal := p.admitToLink(&meta); refusal != nil {
+	transfer, refusal := p.admitToLink(&meta, received)
+	if refusal != nil {
 		report := p.loadReport(received, 0)
 		report.write(w.Header())
 		p.requestLog.localFailed(p.ports.Clock.Now(), request.ID, &meta, received, report, refusal)
@@ -271,7 +272,7 @@
 	response, report, err := p.runLocal(r.Context(), &meta, request, received)
 	report.write(w.Header())
 	if err != nil {
-		p.correctLink(&meta, 0)
+		p.correctLink(&meta, transfer, 0)
 		p.requestLog.localFailed(p.ports.Clock.Now(), request.ID, &meta, received, report, err)
 		callhttp.WriteError(w, err)
 		return
@@ -288,27 +289,26 @@
 	// the other node has received all bytes.
 	resp, err := bufferResponse(response)
 	if err != nil {
-		p.correctLink(&meta, 0)
+		p.correctLink(&meta, transfer, 0)
 		callhttp.WriteError(w, &port.UnknownOutcome{Stage: "answer", Cause: err})
 		return
 	}
-	p.correctLink(&meta, len(resp.body))
-	if err := p.sendResponse(r.Context(), w, resp, received.Add(meta.dueIn)); err != nil {
+	p.correctLink(&meta, transfer, len(resp.body))
+	if err := p.sendResponse(r.Context(), w, resp, transfer); err != nil {
 		// The response must break off for the entry node as well.
 		panic(http.ErrAbortHandler)
 	}
 }
 
-// sendResponse sends a response, the buffered part followed by the rest. due is when the
-// caller needs it.
-func (p *Proxy) sendResponse(ctx context.Context, w http.ResponseWriter, resp *bufferedResponse, due time.Time) error {
+// sendResponse sends a response, the buffered part followed by the rest.
+func (p *Proxy) sendResponse(ctx context.Context, w http.ResponseWriter, resp *bufferedResponse, transfer *link.Transfer) error {
 	if resp.rest == nil {
 		resp.response.ContentLength = int64(len(resp.body))
 	} else {
 		defer resp.rest.Close()
 	}
 	if len(resp.body) >= link.LargeSize && p.link.Rate() > 0 {
-		return p.sendPaced(ctx, w, resp, due)
+		return p.sendPaced(ctx, w, resp, transfer)
 	}
 	p.countUnpaced(len(resp.body) + placement.HeaderBytes)
 	writeHeader(w, resp.response)
--- a/internal/proxy/transfer.go
+++ b/internal/proxy/transfer.go
@@ -2,32 +2,37 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"slices"
 	"time"
 
 	"tamarackquay/internal/link"
 	"tamarackquay/internal/port"
 )
 
-// admitToLink refuses a request whose response would wait too long for the VM's link.
-// Only responses to other VMs use the link.
-func (p *Proxy) admitToLink(meta *attemptMeta) *port.Refusal {
+// admitToLink returns the transfer of the response to a request of another node, or refuses
+// the request if its response would wait too long for the VM's link. Only responses to other
+// VMs use the link. correctLink must be called once for an admitted request.
+func (p *Proxy) admitToLink(meta *attemptMeta, received time.Time) (*link.Transfer, *port.Refusal) {
+	transfer := &link.Transfer{Due: received.Add(meta.dueIn), Deadline: received.Add(meta.budget), Size: float64(meta.responseSize)}
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	retryAfter, ok := p.link.Admit(p.ports.Clock.Now(), float64(meta.responseSize), meta.maxWait)
+	terms := link.Terms{MaxWait: meta.maxWait, Work: p.localStats.meanHold}
+	retryAfter, ok := p.link.Admit(p.ports.Clock.Now(), &p.transfers, transfer, terms)
+	p.mu.Unlock()
 	if ok {
-		return nil
+		return transfer, nil
 	}
-	return port.Refuse(port.ReasonBusy, retryAfter, "the link of the target's VM is full")
+	p.ports.Meter.Count(port.MetricLinkRefused, "", 1)
+	return nil, port.Refuse(port.ReasonBusy, retryAfter, "the link of the target's VM is full")
 }
 
-// correctLink replaces the expected size of an admitted response by its actual size.
-func (p *Proxy) correctLink(meta *attemptMeta, size int) {
+// correctLink replaces the expected size of an admitted response by its actual size, once the
+// target has ended its work.
+func (p *Proxy) correctLink(meta *attemptMeta, transfer *link.Transfer, size int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.link.CorrectSize(float64(meta.responseSize), float64(size))
+	p.transfers.Cancel(transfer)
+	transfer.Size = float64(size)
 }
 
 // LinkWait returns how long a large response waits for the VM's link.
@@ -48,19 +53,16 @@
 	p.link.CountUnpaced(p.ports.Clock.Now(), bytes)
 }
 
-// pacedChunk is the number of bytes of a large response sent in one write.
-const pacedChunk = 8 << 10
-
 // sendPaced sends a large response once the queue of transfers lets it start, at the rate
 // of the link's pacer, so that small responses are not delayed behind it.
-func (p *Proxy) sendPaced(ctx context.Context, w http.ResponseWriter, resp *bufferedResponse, due time.Time) error {
-	transfer := &link.Transfer{Deadline: due}
-	if err := p.awaitTransfer(ctx, transfer); err != nil {
+func (p *Proxy) sendPaced(ctx context.Context, w http.ResponseWriter, resp *bufferedResponse, transfer *link.Transfer) error {
+	paced := newPacedWriter(ctx, p, w, transfer)
+	defer paced.release()
+	if err := paced.acquire(); err != nil {
 		return err
 	}
-	defer p.endTransfer()
 	writeHeader(w, resp.response)
-	return copyBody(&pacedWriter{proxy: p, to: w}, resp)
+	return copyBody(paced, resp)
 }
 
 // awaitTransfer waits until the response may be sent. If it returns nil, endTransfer must
@@ -94,7 +96,12 @@
 func (p *Proxy) endTransfer() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	next := p.transfers.Finish()
+	p.endTransferLocked()
+}
+
+// endTransferLocked is endTransfer; it must be called with the mutex held.
+func (p *Proxy) endTransferLocked() {
+	next := p.transfers.Finish(p.ports.Clock.Now(), p.link.Rate())
 	if next == nil {
 		return
 	}
@@ -103,28 +110,3 @@
 		delete(p.transferReady, next)
 	}
 }
-
-// pacedWriter writes at the rate of the link's pacer.
-type pacedWriter struct {
-	proxy *Proxy
-	to    io.Writer
-}
-
-// Write implements io.Writer.
-func (w *pacedWriter) Write(b []byte) (int, error) {
-	written := 0
-	for chunk := range slices.Chunk(b, pacedChunk) {
-		w.proxy.mu.Lock()
-		pause := w.proxy.link.Reserve(w.proxy.ports.Clock.Now(), len(chunk))
-		w.proxy.mu.Unlock()
-		if pause > 0 {
-			time.Sleep(pause)
-		}
-		n, err := w.to.Write(chunk)
-		written += n
-		if err != nil {
-			return written, err
-		}
-	}
-	return written, nil
-}
--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -28,7 +28,7 @@
 off departures-in-responses internal/proxy/choose.go 's/!since.IsZero() {/false \&\& !since.IsZero() {/'
 off allowed-regions internal/proxy/choose.go 's/if !route.AllowsRegion(/if false \&\& !route.AllowsRegion(/'
 off pace-of-large-answers internal/link/link.go 's/return \&Pacer{rate: responseShare \* bytesPerSecond}/return \&Pacer{rate: 0 * bytesPerSecond}/'
-off deadline-order-of-large-answers internal/proxy/transfer.go 's/transfer := \&link.Transfer{Deadline: due}/transfer := \&link.Transfer{}/'
+off deadline-order-of-large-answers internal/link/transfer_queue.go 's/return timeA.Compare(timeB)/return 0 * timeA.Compare(timeB)/'
 
 if [ "${1:-}" = --check ]; then
   cd "$(dirname "$0")/.."
