link: count the large responses on their way to the entry node's VM

Cause: an entry node knew the links of its targets' VMs but not its own. When it requested more downloads than its own link carries, their wait grew without bound.

Change: link.Inbound counts the expected sizes of large responses on their way from other VMs. The time in which they arrive is the least transfer time of a target on another VM, so the target on the own VM is preferred when the link is full, and an attempt whose response can't arrive before the caller stops waiting is refused before it is sent. A stopping entry node counts this time. Metrics tamarack_link_receive_seconds and tamarack_link_receive_refused_total. Without a link rate nothing changes, and the owner node no longer keeps a transfer then.

--- a/cmd/tamarackd/sidecar_loop.go
+++ b/cmd/tamarackd/sidecar_loop.go
@@ -7,6 +7,7 @@
 
 	"tamarackquay/internal/adapter/callerhttp"
 	"tamarackquay/internal/follow"
+	"tamarackquay/internal/link"
 	"tamarackquay/internal/logfield"
 	"tamarackquay/internal/mesh"
 	"tamarackquay/internal/port"
@@ -86,6 +87,7 @@
 	c.proxy.MeasureTarget()
 	c.meter.Set(port.MetricRequestsOpen, "", float64(c.proxy.InFlight()))
 	c.meter.Set(port.MetricLinkWait, "", c.proxy.LinkWait().Seconds())
+	c.meter.Set(port.MetricLinkReceive, "", c.proxy.ReceiveTime(link.LargeSize).Seconds())
 	c.meter.Set(port.MetricViewAge, "", c.follower.Age().Seconds())
 }
 
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -113,3 +113,27 @@
 	_, ok = p.Admit(start.Add(retryAfter), &q, transfer(4*time.Second, 8*time.Second), Terms{MaxWait: time.Second})
 	assert.Assert(t, ok, "the Retry-After must be true")
 }
+
+// Where the link's rate is unknown or the response is small, an admission must cost next to
+// nothing.
+func BenchmarkAdmitWithoutEffect(b *testing.B) {
+	var q TransferQueue
+	unknown, known := NewPacer(0), NewPacer(1e6)
+	for b.Loop() {
+		unknown.Admit(start, &q, &Transfer{Size: 1e6}, Terms{})
+		known.Admit(start, &q, &Transfer{Size: 1e3}, Terms{})
+	}
+}
+
+// A link with as many large responses as the target has slots and queue positions.
+func BenchmarkAdmitAtFullLink(b *testing.B) {
+	var q TransferQueue
+	p := NewPacer(1e6)
+	deadline := start.Add(time.Hour)
+	for range 45 {
+		p.Admit(start, &q, &Transfer{Due: deadline, Deadline: deadline, Size: 100e3}, Terms{MaxWait: time.Hour})
+	}
+	for b.Loop() {
+		p.Admit(start, &q, &Transfer{Due: deadline, Deadline: deadline, Size: 100e3}, Terms{})
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -252,6 +252,9 @@
 	TimeLeft time.Duration
 	// RequestBytes is the size of the request itself.
 	RequestBytes float64
+	// ReceiveTime is how long the response takes over the link of the entry node's own VM,
+	// together with all others on their way there; 0 if it isn't large.
+	ReceiveTime time.Duration
 	// HalfBytes is the size at which leaving the failure domain costs half as much as a
 	// late response; 0 if bytes don't matter.
 	HalfBytes float64
@@ -265,13 +268,22 @@
 		network = defaultRTT[s.Distance]
 	}
 	hold = s.Hold(now, r.Route.Hold)
-	return network + s.transferTime(now, r.Route.ResponseBytes), s.expectedWait(now, hold), hold
+	return network + s.transferTime(now, r), s.expectedWait(now, hold), hold
 }
 
-// transferTime returns how long a large response takes over the link of the target's VM.
-// Responses to callers on the same VM don't cross it.
-func (s *Stats) transferTime(now time.Time, bytes float64) time.Duration {
-	if s.Distance == SameVM || bytes < link.LargeSize || s.load.LinkRate <= 0 {
+// transferTime returns how long a large response takes over the links of the target's VM and
+// of the entry node's VM, which it crosses at the same time. Responses to callers on the same
+// VM cross neither.
+func (s *Stats) transferTime(now time.Time, r *Request) time.Duration {
+	if s.Distance == SameVM {
+		return 0
+	}
+	return max(r.ReceiveTime, s.sendTime(now, r.Route.ResponseBytes))
+}
+
+// sendTime returns how long a large response takes over the link of the target's VM.
+func (s *Stats) sendTime(now time.Time, bytes float64) time.Duration {
+	if bytes < link.LargeSize || s.load.LinkRate <= 0 {
 		return 0
 	}
 	took := time.Duration(bytes / s.load.LinkRate * float64(time.Second))
--- a/internal/port/metric.go
+++ b/internal/port/metric.go
@@ -33,6 +33,11 @@
 	// MetricLinkRefused counts requests of other nodes refused because their large
 	// responses would wait too long for the VM's network link.
 	MetricLinkRefused Metric = "tamarack_link_refused_total"
+	// MetricLinkReceive is the time in which the large responses on their way to the VM
+	// would arrive over its network link, in seconds, and MetricReceiveRefused counts
+	// requests refused because a further one could not arrive in time.
+	MetricLinkReceive    Metric = "tamarack_link_receive_seconds"
+	MetricReceiveRefused Metric = "tamarack_link_receive_refused_total"
 	// MetricLinkStalls counts large responses that gave up their turn on the VM's network
 	// link because their receiver stopped reading.
 	MetricLinkStalls Metric = "tamarack_link_stalls_total"
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -55,6 +55,11 @@
 func (a *attempt) run() outcome {
 	p := a.forwarder.proxy
 	defer p.endAttempt(a.stats)
+	if refusal := p.beginReceiving(a); refusal != nil {
+		a.cancel()
+		return outcome{attempt: a, err: refusal}
+	}
+	defer p.endReceiving(a)
 	response, report, err := p.send(a.ctx, a.member, &a.meta, a.request, a.began)
 	p.recordPeerReport(a, &report)
 	if err != nil {
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -13,8 +13,9 @@
 	f.restrictions = f.currentRestrictions()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	route := *p.routeStatsFor(f.route)
 	request := &placement.Request{
-		Route: *p.routeStatsFor(f.route), TimeLeft: f.dueIn(now),
+		Route: route, TimeLeft: f.dueIn(now), ReceiveTime: p.inbound.Time(route.ResponseBytes),
 		RequestBytes: float64(max(f.length, 0)), HalfBytes: p.config.HalfBytes,
 	}
 	if best := f.cheapest(now, request, false); best != nil || f.attempts > 0 {
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -57,7 +57,9 @@
 	p := f.proxy
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	expected := stats.ExpectedLatency(now, &placement.Request{Route: *p.routeStatsFor(f.route)}, slowFactor)
+	route := *p.routeStatsFor(f.route)
+	request := &placement.Request{Route: route, ReceiveTime: p.inbound.Time(route.ResponseBytes)}
+	expected := stats.ExpectedLatency(now, request, slowFactor)
 	return max(expected, f.route.TargetLatency)
 }
 
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -300,7 +300,8 @@
 	}
 }
 
-// sendResponse sends a response, the buffered part followed by the rest.
+// sendResponse sends a response, the buffered part followed by the rest. The transfer is nil
+// if the link's speed is unknown.
 func (p *Proxy) sendResponse(ctx context.Context, w http.ResponseWriter, resp *bufferedResponse, transfer *link.Transfer) error {
 	if resp.rest == nil {
 		resp.response.ContentLength = int64(len(resp.body))
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -186,6 +186,8 @@
 	startRate    admission.StartRate
 	reachability reachability
 	link         *link.Pacer
+	// inbound holds the large responses on their way to this VM.
+	inbound *link.Inbound
 	// transfers schedules large responses to other nodes. transferReady holds a channel
 	// for each waiting response, closed when it may be sent.
 	transfers     link.TransferQueue
@@ -207,6 +209,7 @@
 		callerRetries: clientretry.NewTracker(),
 		reachability:  newReachability(),
 		link:          link.NewPacer(config.LinkRate),
+		inbound:       link.NewInbound(config.LinkRate),
 		transferReady: map[*link.Transfer]chan struct{}{},
 		peerReports:   peerReports{},
 	}
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -73,9 +73,11 @@
 	if !p.stopping.Load() {
 		return nil
 	}
+	size := p.meanResponse(route)
 	return p.checkFinish(now, &p.completions.entry, retryElsewhere, shutdown.Request{
 		Route: route.Name, Timeout: timeout,
-		AcceptUnknown: !p.localStopped.Load() && p.meanResponse(route) < link.LargeSize,
+		LinkTime:      p.ReceiveTime(size),
+		AcceptUnknown: !p.localStopped.Load() && size < link.LargeSize,
 	})
 }
 
--- a/internal/proxy/transfer.go
+++ b/internal/proxy/transfer.go
@@ -11,8 +11,12 @@
 
 // admitToLink returns the transfer of the response to a request of another node, or refuses
 // the request if its response would wait too long for the VM's link. Only responses to other
-// VMs use the link. correctLink must be called once for an admitted request.
+// VMs use the link. correctLink must be called once for an admitted request. The transfer is
+// nil if the link's speed is unknown.
 func (p *Proxy) admitToLink(meta *attemptMeta, received time.Time) (*link.Transfer, *port.Refusal) {
+	if p.link.Rate() <= 0 {
+		return nil, nil
+	}
 	transfer := &link.Transfer{Due: received.Add(meta.dueIn), Deadline: received.Add(meta.budget), Size: float64(meta.responseSize)}
 	p.mu.Lock()
 	terms := link.Terms{MaxWait: meta.maxWait, Work: p.localStats.meanHold}
@@ -28,6 +32,9 @@
 // correctLink replaces the expected size of an admitted response by its actual size, once the
 // target has ended its work.
 func (p *Proxy) correctLink(meta *attemptMeta, transfer *link.Transfer, size int) {
+	if transfer == nil {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.link.CorrectSize(float64(meta.responseSize), float64(size))
