--- a/cmd/tamarackd/sidecar_loop.go
+++ b/cmd/tamarackd/sidecar_loop.go
@@ -87,6 +87,10 @@
 	c.proxy.MeasureTarget()
 	c.meter.Set(port.MetricRequestsOpen, "", float64(c.proxy.InFlight()))
 	c.meter.Set(port.MetricLinkWait, "", c.proxy.LinkWait().Seconds())
+	expected, waiting, sending := c.proxy.Transfers()
+	c.meter.Set(port.MetricLinkTransfers, "expected", float64(expected))
+	c.meter.Set(port.MetricLinkTransfers, "waiting", float64(waiting))
+	c.meter.Set(port.MetricLinkTransfers, "sending", float64(sending))
 	c.meter.Set(port.MetricLinkReceive, "", c.proxy.ReceiveTime(link.LargeSize).Seconds())
 	c.meter.Set(port.MetricViewAge, "", c.follower.Age().Seconds())
 }
--- a/internal/link/transfer_queue.go
+++ b/internal/link/transfer_queue.go
@@ -38,8 +38,8 @@
 )
 
 // lateShare is the part of the time between the due time and the deadline for which a late
-// response may wait behind others. With the whole time, 1 response in 600 missed its
-// deadline at a full link; with half of it, more of the others were late.
+// response may wait behind others. With the whole time, late responses also missed their
+// deadlines at a full link; with half of it, more of the others were late.
 const lateShare = 0.75
 
 // position returns the class of a transfer that would be sent alone from now on at the given
@@ -121,8 +121,11 @@
 	return len(q.waiting)+len(q.expected) < before
 }
 
-// Waiting returns the number of responses that are ready and wait.
-func (q *TransferQueue) Waiting() int { return len(q.waiting) }
+// Counts returns the number of large responses that the target works on, that are ready and
+// wait, and that are being sent.
+func (q *TransferQueue) Counts() (expected, waiting, sending int) {
+	return len(q.expected), len(q.waiting), q.sending
+}
 
 // bytesBehind returns the bytes of the responses that would be sent after one of the class
 // inTime that is due at the given time.
--- a/internal/link/transfer_queue_test.go
+++ b/internal/link/transfer_queue_test.go
@@ -88,7 +88,9 @@
 				pending[transfer] = true
 			}
 			assert.Assert(t, sending <= MaxConcurrent)
-			assert.Equal(t, q.Waiting(), len(pending))
+			expected, waiting, _ := q.Counts()
+			assert.Equal(t, expected, 0)
+			assert.Equal(t, waiting, len(pending))
 		}
 		for transfer := range pending {
 			assert.Assert(t, q.Cancel(transfer) && !q.Cancel(transfer))
--- a/internal/port/metric.go
+++ b/internal/port/metric.go
@@ -33,6 +33,8 @@
 	// MetricLinkRefused counts requests of other nodes refused because their large
 	// responses would wait too long for the VM's network link.
 	MetricLinkRefused Metric = "tamarack_link_refused_total"
+	// MetricLinkTransfers is the number of large responses to other VMs, by state.
+	MetricLinkTransfers Metric = "tamarack_link_transfers"
 	// MetricLinkReceive is the time in which the large responses on their way to the VM
 	// would arrive over its network link, in seconds, and MetricReceiveRefused counts
 	// requests refused because a further one could not arrive in time.
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -109,8 +109,8 @@
 	if ok {
 		return nil
 	}
-	return port.Refuse(port.ReasonStopping, retryAfter, "this node is stopping: the response may take %d ms, the node ends in %d ms",
-		millis(expected), millis(end.Sub(now)))
+	return port.Refuse(port.ReasonStopping, retryAfter, "this node is stopping: a response of route %s may take %d ms, the node ends in %d ms",
+		request.Route, millis(expected), millis(end.Sub(now)))
 }
 
 // meanResponse returns the mean size of a route's responses in bytes.
--- a/internal/proxy/transfer.go
+++ b/internal/proxy/transfer.go
@@ -49,6 +49,14 @@
 	return p.link.Wait(p.ports.Clock.Now())
 }
 
+// Transfers returns the number of large responses to other VMs that the target works on, that
+// wait for the VM's link, and that are being sent.
+func (p *Proxy) Transfers() (expected, waiting, sending int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.transfers.Counts()
+}
+
 // CountSent counts bytes that other components send over the VM's link, so that large
 // responses leave bandwidth for them.
 func (p *Proxy) CountSent(bytes int) { p.countUnpaced(bytes) }
