shutdown: observe complete responses of known routes only

Cause: a response that broke off, because its target crashed or its receiver disconnected, counted as a quick one, so that a stopping node expected too little time. An owner node kept the times of any route that another node named until its own table changed.

Change: a broken response counts only once its time is over. Times are observed only for routes of the current table (mesh.Table.HasRoute).

Measured (TestBrokenAndUnknownRequestsAreNotObserved): 50 broken responses and 50 of an unknown route leave no quantile; 50 timeouts give the timeout.

--- a/internal/mesh/table.go
+++ b/internal/mesh/table.go
@@ -14,15 +14,21 @@
 	services map[string]*Service
 	// restricted holds the routes with allowed regions, by name.
 	restricted map[string]*Route
+	// names holds the names of all routes.
+	names map[string]struct{}
 }
 
 // NewTable indexes a configuration.
 func NewTable(config *Config) *Table {
-	t := &Table{Config: config, hosts: map[string][]*Route{}, services: map[string]*Service{}, restricted: map[string]*Route{}}
+	t := &Table{
+		Config: config, hosts: map[string][]*Route{}, services: map[string]*Service{},
+		restricted: map[string]*Route{}, names: make(map[string]struct{}, len(config.Routes)),
+	}
 	for i := range config.Routes {
 		route := &config.Routes[i]
 		host := strings.ToLower(route.Host)
 		t.hosts[host] = append(t.hosts[host], route)
+		t.names[route.Name] = struct{}{}
 		if len(route.Regions) > 0 {
 			t.restricted[route.Name] = route
 		}
@@ -51,6 +57,15 @@
 // Service returns the settings of a service, or nil if it isn't configured.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// HasRoute reports whether a route has the name. A nil table has none.
+func (t *Table) HasRoute(name string) bool {
+	if t == nil {
+		return false
+	}
+	_, ok := t.names[name]
+	return ok
+}
+
 // Restricted returns the named route if it has allowed regions, or nil. A nil table has none.
 func (t *Table) Restricted(name string) *Route {
 	if t == nil {
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -40,24 +40,20 @@
 		var resp *bufferedResponse
 		resp, err = f.forward(r.Context())
 		if err == nil {
-			defer p.recordCompletion(f)
+			complete := false
+			defer func() { p.recordCompletion(f, complete) }()
 			p.respond(w, f, resp)
+			complete = true
 			return
 		}
 		var refusal *port.Refusal
 		if !errors.As(err, &refusal) {
-			p.recordCompletion(f)
+			p.recordCompletion(f, false)
 		}
 	}
 	p.refuse(w, r, f, err)
 }
 
-// recordCompletion records the time until the end of a request that a target has received.
-func (p *Proxy) recordCompletion(f *forwarder) {
-	now := p.ports.Clock.Now()
-	p.completions.observeEntry(now, f.route.Name, now.Sub(f.began))
-}
-
 // newForwarder finds the route of a request and reads its body.
 func (p *Proxy) newForwarder(r *http.Request) (*forwarder, error) {
 	now := p.ports.Clock.Now()
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -281,10 +281,8 @@
 	// the link.
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
-	defer func() {
-		now := p.ports.Clock.Now()
-		p.completions.observeOwner(now, meta.route, now.Sub(received))
-	}()
+	complete := false
+	defer func() { p.recordOwnerCompletion(&meta, received, complete) }()
 	// The target's slot is released when the last byte is read from the target, not when
 	// the other node has received all bytes.
 	resp, err := bufferResponse(response)
@@ -298,6 +296,7 @@
 		// The response must break off for the entry node as well.
 		panic(http.ErrAbortHandler)
 	}
+	complete = true
 }
 
 // sendResponse sends a response, the buffered part followed by the rest. The transfer is nil
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -31,19 +31,40 @@
 	c.owner.Observe(now, route, took)
 }
 
+// recordCompletion records the time until the end of a caller's request that a target has
+// received. A request that broke off before its deadline would have taken longer, so its
+// time would make the quantiles too low.
+func (p *Proxy) recordCompletion(f *forwarder, complete bool) {
+	now := p.ports.Clock.Now()
+	if p.hasRoute(f.route.Name) && (complete || !now.Before(f.deadline)) {
+		p.completions.observeEntry(now, f.route.Name, now.Sub(f.began))
+	}
+}
+
+// recordOwnerCompletion is recordCompletion for a request of another node.
+func (p *Proxy) recordOwnerCompletion(meta *attemptMeta, received time.Time, complete bool) {
+	now := p.ports.Clock.Now()
+	if p.hasRoute(meta.route) && (complete || !now.Before(received.Add(meta.budget))) {
+		p.completions.observeOwner(now, meta.route, now.Sub(received))
+	}
+}
+
+// hasRoute reports whether the current table has the named route. Nodes with another
+// configuration send requests of other routes, which would be kept until the next change.
+func (p *Proxy) hasRoute(name string) bool {
+	snapshot := p.snapshot.Load()
+	return snapshot != nil && snapshot.Table.HasRoute(name)
+}
+
 // retain drops the times of routes that the table no longer has.
 func (c *completionTimes) retain(table *mesh.Table) {
 	if table == nil {
 		return
 	}
-	names := make(map[string]bool, len(table.Config.Routes))
-	for i := range table.Config.Routes {
-		names[table.Config.Routes[i].Name] = true
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.entry.Retain(func(route string) bool { return names[route] })
-	c.owner.Retain(func(route string) bool { return names[route] })
+	c.entry.Retain(table.HasRoute)
+	c.owner.Retain(table.HasRoute)
 }
 
 // Stop begins a planned stop: the node is no longer ready, and each response closes its
--- a/internal/proxy/stop_test.go
+++ b/internal/proxy/stop_test.go
@@ -11,6 +11,7 @@
 	"tamarackquay/internal/link"
 	"tamarackquay/internal/mesh"
 	"tamarackquay/internal/port"
+	"tamarackquay/internal/shutdown"
 )
 
 // downloadTimeout is the timeout of the route "/download/" of newDownloadFleet.
@@ -81,6 +82,33 @@
 	assert.Assert(t, known)
 }
 
+// Guards against broken responses that count as quick ones, and against state for each route
+// that other nodes name.
+func TestBrokenAndUnknownRequestsAreNotObserved(t *testing.T) {
+	p := newDownloadFleet(t, 1).proxies[0]
+	route := testRoute("/download/", mesh.Download)
+	now := time.Now()
+	for range 50 {
+		p.recordCompletion(&forwarder{route: &route, began: now, deadline: now.Add(time.Minute)}, false)
+		p.recordOwnerCompletion(&attemptMeta{route: route.Name, budget: time.Minute}, now, false)
+		p.recordOwnerCompletion(&attemptMeta{route: "unknown"}, now, true)
+	}
+	for _, times := range []*shutdown.Times{&p.completions.entry, &p.completions.owner} {
+		for _, name := range []string{route.Name, "unknown"} {
+			_, known := times.High(name)
+			assert.Assert(t, !known, name)
+		}
+	}
+	for range 50 {
+		p.recordCompletion(&forwarder{route: &route, began: now.Add(-time.Minute), deadline: now}, false)
+		p.recordOwnerCompletion(&attemptMeta{route: route.Name}, now.Add(-time.Minute), false)
+	}
+	for _, times := range []*shutdown.Times{&p.completions.entry, &p.completions.owner} {
+		high, known := times.High(route.Name)
+		assert.Assert(t, known && high >= time.Minute, "a timeout counts")
+	}
+}
+
 // The owner node of the preferred target stops. It must refuse a download if the responses
 // that wait for its link fill the time that it has left, although downloads are usually
 // quick, and the download runs at another target.
