--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -40,9 +40,16 @@
 		var resp *bufferedResponse
 		resp, err = f.forward(r.Context())
 		if err == nil {
+			complete := false
+			defer func() { p.recordCompletion(f, complete) }()
 			p.respond(w, f, resp)
+			complete = true
 			return
 		}
+		var refusal *port.Refusal
+		if !errors.As(err, &refusal) {
+			p.recordCompletion(f, false)
+		}
 	}
 	p.refuse(w, r, f, err)
 }
@@ -65,8 +72,8 @@
 	if limits.BodyBytes > 0 && r.ContentLength > limits.BodyBytes {
 		return nil, port.Refuse(port.ReasonBodyTooLarge, 0, "the body is over %d bytes", limits.BodyBytes)
 	}
-	if p.stopsBefore(now.Add(p.timeLeft(r, route))) {
-		return nil, port.Refuse(port.ReasonStopping, retryElsewhere, "this node is stopping")
+	if refusal := p.checkEntryStop(now, route, p.timeLeft(r, route)); refusal != nil {
+		return nil, refusal
 	}
 	body, length, err := requestbody.Read(r.Body, r.ContentLength)
 	if err != nil {
@@ -91,14 +98,6 @@
 	return f, nil
 }
 
-// stopsBefore reports whether this node may stop before end. It applies once callers have
-// been moved to other nodes: requests on connections that were kept open are refused if
-// they might be cut off by the stop. Requests certain to finish in time, such as calls
-// made by the local target, are still served.
-func (p *Proxy) stopsBefore(end time.Time) bool {
-	return p.localStopped.Load() && end.After(*p.stopDeadline.Load())
-}
-
 // timeLeft returns the shorter of the caller's timeout and the route's timeout.
 func (p *Proxy) timeLeft(r *http.Request, route *mesh.Route) time.Duration {
 	left := defaultTimeout
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -110,8 +110,8 @@
 // node's, the entry node may be right: the request is sent, and the target itself checks
 // the expected id.
 func (p *Proxy) checkRunnable(meta *attemptMeta, r *exchange.Request) *port.Refusal {
-	if p.localStopped.Load() || p.stopping.Load() && p.ports.Clock.Now().Add(meta.budget).After(*p.stopDeadline.Load()) {
-		return port.Refuse(port.ReasonStopping, retryStopping, "the target's node is stopping")
+	if refusal := p.checkOwnerStop(p.ports.Clock.Now(), meta); refusal != nil {
+		return refusal
 	}
 	if refusal := p.checkQuarantine(meta.fingerprint); refusal != nil {
 		return refusal
@@ -250,6 +250,7 @@
 		callhttp.WriteError(w, port.Refuse(port.ReasonBadRequest, 0, "%v", err))
 		return
 	}
+	meta.fromPeer = true
 	request := &exchange.Request{
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: http.Header{},
 		Body: r.Body, ContentLength: r.ContentLength,
@@ -260,7 +261,8 @@
 	}
 	callhttp.CopyHeader(request.Header, r.Header)
 	p.adoptLimit(r)
-	if refusal := p.admitToLink(&meta); refusal != nil {
+	transfer, refusal := p.admitToLink(&meta, received)
+	if refusal != nil {
 		report := p.loadReport(received, 0)
 		report.write(w.Header())
 		p.requestLog.localFailed(p.ports.Clock.Now(), request.ID, &meta, received, report, refusal)
@@ -270,36 +272,43 @@
 	response, report, err := p.runLocal(r.Context(), &meta, request, received)
 	report.write(w.Header())
 	if err != nil {
-		p.correctLink(&meta, 0)
+		p.correctLink(&meta, transfer, 0)
 		p.requestLog.localFailed(p.ports.Clock.Now(), request.ID, &meta, received, report, err)
 		callhttp.WriteError(w, err)
 		return
 	}
+	// The node is not idle until the last byte is sent, also while the response waits for
+	// the link.
+	p.inFlight.Add(1)
+	defer p.inFlight.Add(-1)
+	complete := false
+	defer func() { p.recordOwnerCompletion(&meta, received, complete) }()
 	// The target's slot is released when the last byte is read from the target, not when
 	// the other node has received all bytes.
 	resp, err := bufferResponse(response)
 	if err != nil {
-		p.correctLink(&meta, 0)
+		p.correctLink(&meta, transfer, 0)
 		callhttp.WriteError(w, &port.UnknownOutcome{Stage: "answer", Cause: err})
 		return
 	}
-	p.correctLink(&meta, len(resp.body))
-	if err := p.sendResponse(r.Context(), w, resp, received.Add(meta.dueIn)); err != nil {
+	p.correctLink(&meta, transfer, len(resp.body))
+	if err := p.sendResponse(r.Context(), w, resp, transfer); err != nil {
 		// The response must break off for the entry node as well.
 		panic(http.ErrAbortHandler)
 	}
+	complete = true
 }
 
-// sendResponse sends a response, the buffered part followed by the rest. due is when the
-// caller needs it.
-func (p *Proxy) sendResponse(ctx context.Context, w http.ResponseWriter, resp *bufferedResponse, due time.Time) error {
+// sendResponse sends a response, the buffered part followed by the rest. The transfer is nil
+// if the link's speed is unknown.
+func (p *Proxy) sendResponse(ctx context.Context, w http.ResponseWriter, resp *bufferedResponse, transfer *link.Transfer) error {
 	if resp.rest == nil {
 		resp.response.ContentLength = int64(len(resp.body))
 	} else {
 		defer resp.rest.Close()
 	}
 	if len(resp.body) >= link.LargeSize && p.link.Rate() > 0 {
-		return p.sendPaced(ctx, w, resp, due)
+		return p.sendPaced(ctx, w, resp, transfer)
 	}
 	p.countUnpaced(len(resp.body) + placement.HeaderBytes)
 	writeHeader(w, resp.response)
