targethttp: don't send calls with less than 1 ms left

Cause: the owner node sent a call with less than a millisecond left with Tamarack-Budget-Ms: 0, so a target could not tell it from one that was sent after its deadline, and worked for a caller that nobody could answer in time.

Change: such a call is refused as not run, like one past its deadline. A request that reaches a target always has a budget of at least 1 ms, however long it waited after the header was formed, which tests can check exactly.

--- a/internal/adapter/targethttp/targethttp.go
+++ b/internal/adapter/targethttp/targethttp.go
@@ -29,6 +29,11 @@
 	// connection: a request sent while the target closes the connection has an
 	// unknown outcome.
 	idleTimeout = 4 * time.Second
+	// minBudget is the minimum remaining time with which a call is sent. It is the unit of
+	// callhttp.HeaderBudget, so no target receives a request without any time left.
+	minBudget = time.Millisecond
+	// retryExpired is the Retry-After of a call that had less time left.
+	retryExpired = time.Second
 )
 
 // New returns the target at address (IP:port). At most maxConnections connections to it
@@ -55,13 +60,17 @@
 	return callhttp.Guard(conn), nil
 }
 
-// Do implements port.Target.
+// Do implements port.Target. It refuses a call with less than minBudget left.
 func (t *Target) Do(ctx context.Context, call *port.Call) (*port.Response, error) {
+	left := time.Until(call.Deadline)
+	if left < minBudget {
+		return nil, port.Refuse(port.ReasonDeadline, retryExpired, "the deadline passed before the target took the request")
+	}
 	// The target sends the remaining time and the chain to its own node with the
 	// calls that it makes while it runs this one.
 	extra := http.Header{
 		callhttp.HeaderRequestID: {call.ID},
-		callhttp.HeaderBudget:    {callhttp.FormatMillis(time.Until(call.Deadline))},
+		callhttp.HeaderBudget:    {callhttp.FormatMillis(left)},
 		callhttp.HeaderStartBy:   {callhttp.FormatStartBy(call.Deadline)},
 	}
 	callhttp.SetChain(extra, append(slices.Clone(call.Chain), call.Service))
--- a/internal/adapter/targethttp/targethttp_test.go
+++ b/internal/adapter/targethttp/targethttp_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -73,6 +74,33 @@
 	}
 }
 
+// Guards against starting work that has no time left: a call whose deadline has passed, or
+// whose remaining time is less than the unit of the budget header, never reaches the target.
+func TestCallWithoutTimeLeftIsNotSent(t *testing.T) {
+	var arrived atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { arrived.Add(1) }))
+	defer server.Close()
+	target := New(strings.TrimPrefix(server.URL, "http://"), 10)
+	defer target.Close()
+	call := func(left time.Duration) error {
+		response, err := target.Do(t.Context(), &port.Call{ID: "id", Method: http.MethodGet, Target: "/", Header: http.Header{}, Deadline: time.Now().Add(left)})
+		if err == nil {
+			response.Body.Close()
+		}
+		return err
+	}
+	// This call leaves an open connection, so that the others could be sent at once.
+	assert.NilError(t, call(time.Minute))
+	for range 20 {
+		for _, left := range []time.Duration{-time.Second, minBudget - 1} {
+			var refusal *port.Refusal
+			assert.Assert(t, errors.As(call(left), &refusal))
+			assert.Equal(t, refusal.Reason, port.ReasonDeadline)
+		}
+	}
+	assert.Equal(t, arrived.Load(), int32(1))
+}
+
 // Guards against an incomplete response that looks complete. A target responds without a
 // length and is killed in the middle. The end of its connection looks like the end of the
 // body, so such a response must never be forwarded.
