callerhttp: test the close of idle connections by states, not by sleeps

Cause: TestIdleCloseLosesNoRequests assumed that the server had reached the states it needs after 20 ms and 25 ms, and that a response that takes 50 ms is not finished before. On a loaded machine a connection may still count as active after its response was read, or the close may not have begun.

Change: the test waits for the states, and holds the response until the idle connections are closed. The requests during the close must still arrive within finalResponseTimeout, 100 ms of wall time, for the refusal to be read.

--- a/internal/adapter/callerhttp/idle_test.go
+++ b/internal/adapter/callerhttp/idle_test.go
@@ -14,11 +14,17 @@
 	"tamarackquay/internal/adapter/callhttp"
 )
 
-type countingEntry struct{ served atomic.Int32 }
+// countingEntry answers each request. If release is set, it waits until that is closed
+// before it answers any request but the first.
+type countingEntry struct {
+	served  atomic.Int32
+	release chan struct{}
+}
 
 func (e *countingEntry) ServeCaller(w http.ResponseWriter, _ *http.Request) {
-	e.served.Add(1)
-	time.Sleep(50 * time.Millisecond)
+	if e.served.Add(1) > 1 && e.release != nil {
+		<-e.release
+	}
 	_, _ = io.WriteString(w, "whole")
 }
 
@@ -28,7 +34,7 @@
 // before gets its complete response, and so does the first request on a connection that
 // was opened before the close.
 func TestIdleCloseLosesNoRequests(t *testing.T) {
-	entry := &countingEntry{}
+	entry := &countingEntry{release: make(chan struct{})}
 	server := NewServer(entry, Limits{HeaderBytes: 1 << 10, BodyBytes: 1 << 10})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -58,7 +64,9 @@
 	readResponse(usedReader)
 	busy, busyReader := open()
 	sendRequest(busy)
-	time.Sleep(20 * time.Millisecond)
+	awaitConns(t, server, func(c *conn) bool { return c.fresh }, 1)
+	awaitConns(t, server, func(c *conn) bool { return c.active }, 1)
+	awaitConns(t, server, func(c *conn) bool { return !c.fresh && !c.active && !c.requestPending }, 1)
 
 	assert.NilError(t, server.StopAccepting())
 	_, err = net.Dial("tcp", listener.Addr().String())
@@ -66,12 +74,13 @@
 
 	closeDone := make(chan error)
 	go func() { closeDone <- server.CloseIdle() }()
-	time.Sleep(finalResponseTimeout / 4)
+	awaitConns(t, server, func(c *conn) bool { return c.closing }, 1)
 	for _, conn := range []net.Conn{fresh, used} {
 		// The write may fail because the connection is already closed.
 		_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
 	}
 	assert.NilError(t, <-closeDone)
+	close(entry.release)
 	refused := readResponse(usedReader)
 	assert.Equal(t, refused.Header.Get(callhttp.HeaderOutcome), callhttp.OutcomeDidNotRun)
 	assert.Assert(t, refused.Close)
@@ -80,6 +89,25 @@
 	assert.Equal(t, entry.served.Load(), int32(3))
 }
 
+// awaitConns waits until the number of the server's connections in a state is as wanted.
+func awaitConns(t *testing.T, server *Server, state func(c *conn) bool, want int) {
+	t.Helper()
+	for deadline := time.Now().Add(time.Minute); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		got := 0
+		for _, c := range server.connections() {
+			c.mu.Lock()
+			if state(c) {
+				got++
+			}
+			c.mu.Unlock()
+		}
+		if got == want {
+			return
+		}
+	}
+	t.Fatalf("no %d connections reached the state", want)
+}
+
 // blockedListener simulates a process that gets no CPU time: it accepts no connection
 // until released is closed.
 type blockedListener struct {
