proxy: refuse and spread requests in a shortage of a service

Owner nodes refuse for lack of slots each by itself, so that entry nodes sent a request to several full targets, and refused callers used up their retries while the shortage lasted. For services whose targets report a work factor, the entry node now uses internal/routing/shortage: requests of a rank of which under one in ten is admitted are refused with the reason shortage, except for probes; further targets are tried only if one in ten such attempts is admitted; and the Retry-After of refusals for lack of slots is spread over the last quarter of the likely length of the shortage.

--- a/internal/logfield/logfield.go
+++ b/internal/logfield/logfield.go
@@ -76,6 +76,8 @@
 	// per second.
 	Limited Name = "limited"
 	Limit   Name = "limit_per_s"
+	// ShortageAge is how long a shortage of a service has lasted, in milliseconds.
+	ShortageAge Name = "shortage_ms"
 	// Header is the name of a header of a target's response, and Value a value in one.
 	Header Name = "header"
 	Value  Name = "value"
--- a/internal/port/metric.go
+++ b/internal/port/metric.go
@@ -14,6 +14,11 @@
 	MetricUnknown Metric = "tamarack_requests_unknown_total"
 	// MetricRetries counts attempts after the first one of a request, by route.
 	MetricRetries Metric = "tamarack_requests_retried_total"
+	// MetricAttemptsFull counts attempts that a target's node refused for lack of slots,
+	// and MetricShortage is 1 while a service lacks slots as this node sees it, both by
+	// service.
+	MetricAttemptsFull Metric = "tamarack_attempts_full_total"
+	MetricShortage     Metric = "tamarack_service_shortage"
 	// MetricRequestTime is the time from a request to its response, in seconds,
 	// by route.
 	MetricRequestTime Metric = "tamarack_request_seconds"
--- a/internal/port/refusal.go
+++ b/internal/port/refusal.go
@@ -65,6 +65,9 @@
 	// ReasonMisdirected: the address now belongs to a different target than the
 	// request was sent to, and that target has reported the mismatch.
 	ReasonMisdirected Reason = "misdirected"
+	// ReasonShortage: the service has lacked slots for some time, and another attempt
+	// would very likely be refused.
+	ReasonShortage Reason = "shortage"
 )
 
 // Refusal is the error for a request that is proven not to have run.
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -22,6 +22,8 @@
 	stats     *placement.Stats
 	lastLoad  lastLoad
 	began     time.Time
+	// number is 1 for the first attempt of a request.
+	number int
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -46,6 +48,7 @@
 	f.tried[member.ID] = true
 	a := &attempt{forwarder: f, member: member, meta: f.newMeta(now, member), request: f.newRequest(member), began: now, headerReceived: make(chan struct{})}
 	f.attempts++
+	a.number = f.attempts
 	a.stats, a.lastLoad = f.proxy.startAttempt(now, member)
 	a.ctx, a.cancel = context.WithDeadline(ctx, f.deadline)
 	return a
@@ -76,6 +79,7 @@
 func (f *forwarder) handleOutcome(o outcome) (*bufferedResponse, error) {
 	p := f.proxy
 	f.lastTarget = o.attempt.member.ID
+	f.recordAdmission(o)
 	if o.err != nil {
 		p.recordFailure(o.attempt.stats, o.report, o.err)
 		f.logFailure(o.attempt, o.err)
--- a/internal/proxy/forwarder.go
+++ b/internal/proxy/forwarder.go
@@ -68,6 +68,10 @@
 	unknown error
 	// failureResponse is a target's own response that reports a failure.
 	failureResponse *bufferedResponse
+
+	// shortage is the state of the service; nil if its targets don't report how long work
+	// takes.
+	shortage *serviceShortage
 }
 
 // Limits on the search for a target.
@@ -116,6 +120,9 @@
 		if f.arrivals > 0 && !(f.unsuspected() && f.takeRetry(now, f.arrivals)) {
 			break
 		}
+		if f.stopsForShortage(now, member) {
+			break
+		}
 		resp, err := f.attempt(ctx, now, member)
 		if err == nil {
 			return resp, nil
@@ -148,7 +155,7 @@
 	case f.unknown != nil:
 		return nil, f.unknown
 	case f.refusal != nil:
-		return nil, f.refusal
+		return nil, f.spreadRetry(f.refusal)
 	}
 	if len(f.restrictions) > 0 {
 		return nil, port.Refuse(port.ReasonRegion, retryNoTarget, "no usable target of service %s in the regions of route %s", f.service, f.route.Name)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -172,7 +172,9 @@
 	// candidates holds the usable targets by service.
 	candidates map[string]*candidates
 	// routeStats holds the statistics of routes, by name.
-	routeStats    map[string]*placement.RouteStats
+	routeStats map[string]*placement.RouteStats
+	// shortages holds the shortage state of services whose targets report how long work takes.
+	shortages     map[string]*serviceShortage
 	retries       *retry.FleetBudget
 	localRuns     localRuns
 	callerRetries *clientretry.Tracker
@@ -200,6 +202,7 @@
 		stats:         map[string]*placement.Stats{},
 		routeStats:    map[string]*placement.RouteStats{},
 		serviceLoads:  map[string]*placement.ServiceLoad{},
+		shortages:     map[string]*serviceShortage{},
 		retries:       retry.NewFleetBudget(config.RetryWindow),
 		localRuns:     localRuns{running: map[string]localRun{}},
 		crashes:       ports.Crashes,
--- a/internal/proxy/rank.go
+++ b/internal/proxy/rank.go
@@ -63,24 +63,31 @@
 	return usual, int(routeStats.ResponseBytes)
 }
 
+// rankAndSlack returns the rank of an attempt, and how long it may wait for a slot so that the
+// response can still be in time; 0 if it can't.
+func (f *forwarder) rankAndSlack(now time.Time, hold time.Duration) (int, time.Duration) {
+	rank := f.route.Priority * ranksPerPriority
+	if slack := f.dueIn(now) - time.Duration(workMargin*float64(hold)); slack > 0 && !f.overdue(now) {
+		return rank, slack
+	}
+	return rank + rankLate, 0
+}
+
 // newMeta returns the metadata of an attempt for the target's owner node. The first
 // attempts wait as long as the response can still be in time; after refusals for lack of
 // free slots, the wait is longer.
 func (f *forwarder) newMeta(now time.Time, member *mesh.Member) attemptMeta {
 	hold, size := f.expectedHold(now, member)
+	rank, slack := f.rankAndSlack(now, hold)
 	left := f.deadline.Sub(now)
 	maxWait := left - time.Duration(workMargin*float64(hold))
 	meta := attemptMeta{
-		attemptID: f.proxy.nextAttemptID(), route: f.route.Name, rank: f.route.Priority * ranksPerPriority,
+		attemptID: f.proxy.nextAttemptID(), route: f.route.Name, rank: rank,
 		budget: left, dueIn: f.dueIn(now), responseSize: size, revision: member.Revision,
 		urgency: urgency(f.route.TargetLatency), retryable: f.route.Kind.IsIdempotent(),
 		retryProbability: f.retryProbability(), fingerprint: f.fingerprint,
 	}
-	if slack := meta.dueIn - time.Duration(workMargin*float64(hold)); slack > 0 && !f.overdue(now) {
-		meta.maxWait = slack
-	} else {
-		meta.rank += rankLate
-	}
+	meta.maxWait = slack
 	if f.fullTargets >= extendWaitAfter || meta.maxWait == 0 {
 		meta.maxWait = max(meta.maxWait, f.route.TargetLatency/lateWaitDivisor)
 	}
--- a/internal/proxy/request_log.go
+++ b/internal/proxy/request_log.go
@@ -26,16 +26,17 @@
 	lineAttempt
 	lineServed
 	lineTarget
+	lineShortage
 	lineKinds
 )
 
-var lineKindNames = [lineKinds]string{"failure", "attempt", "served", "target"}
+var lineKindNames = [lineKinds]string{"failure", "attempt", "served", "target", "shortage"}
 
 // linesPerSecond limits the log lines of each kind. The limit for failures is about the
 // number of requests that a node fails in a second of overload, so that nearly all are
 // logged. For served requests and for a target that reports something else in each response, a
 // sample is enough.
-var linesPerSecond = [lineKinds]rate.Limit{100, 50, 5, 5}
+var linesPerSecond = [lineKinds]rate.Limit{100, 50, 5, 5, 5}
 
 // requestLog writes one log line for each decision on a request. Each kind has a rate
 // limit, so that a burst of requests doesn't cause a burst of log lines.
@@ -194,5 +195,19 @@
 	}
 }
 
+// shortageChanged logs that a shortage of a service has begun, or has ended after the given
+// time.
+func (l *requestLog) shortageChanged(now time.Time, service string, short bool, lasted time.Duration) {
+	entry := l.newLine(now, lineShortage)
+	if entry == nil {
+		return
+	}
+	if short {
+		entry.Str(logfield.Service, service).Msg("shortage begins")
+		return
+	}
+	entry.Str(logfield.Service, service).Int64(logfield.ShortageAge, millis(lasted)).Msg("shortage ends")
+}
+
 // callerDisconnected reports whether the caller of a request has closed its connection.
 func callerDisconnected(r *http.Request) bool { return r.Context().Err() != nil }
--- a/internal/proxy/retry_budget.go
+++ b/internal/proxy/retry_budget.go
@@ -32,10 +32,12 @@
 	return retry.Limits{Ratio: p.config.RetryRatio, Slack: p.config.RetrySlack / float64(nodes)}
 }
 
-// countRequest counts a caller's request for the retry budget.
+// countRequest counts a caller's request for the retry budget, and looks up the state of its
+// service.
 func (p *Proxy) countRequest(f *forwarder) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	f.shortage = p.shortageOf(f.service)
 	f.fromRetry = p.retries.CountRequest(f.began, f.service, f.callerDeadline)
 }
 
--- /dev/null
+++ b/internal/proxy/shortage_test.go
@@ -0,0 +1,190 @@
+package proxy
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tamarackquay/internal/adapter/callhttp"
+	"tamarackquay/internal/mesh"
+	"tamarackquay/internal/placement"
+	"tamarackquay/internal/port"
+)
+
+type manualClock struct{ now time.Time }
+
+func (c *manualClock) Now() time.Time { return c.now }
+
+// newShortage returns a fleet of one node whose target is full, and its clock. Requests of the
+// route are excluded, and a probe has just been sent. The target reports a work factor if
+// reports is set.
+func newShortage(t testing.TB, reports bool) (*fleet, *manualClock) {
+	f := newFleet(t, 1)
+	clock := &manualClock{now: time.Now()}
+	p := f.proxies[0]
+	p.ports.Clock = clock
+	load := placement.Load{Running: testSlots, Waiting: testSlots, Slots: testSlots, Hold: 10 * time.Millisecond}
+	p.stats["t0"].RecordLoad(clock.now, load)
+	if reports {
+		load.Slowdown = 1
+		p.stats["t0"].RecordLoad(clock.now, load)
+		state := p.shortageOf("s")
+		for range 30 {
+			clock.now = clock.now.Add(20 * time.Millisecond)
+			state.tracker.RecordFirst(clock.now, 0, false)
+			state.tracker.RecordFurther(clock.now, 0, false)
+		}
+		assert.Assert(t, !state.tracker.Refuse(clock.now, 0))
+	}
+	return f, clock
+}
+
+func (f *fleet) sendWithTimeout(path string, timeout time.Duration) *httptest.ResponseRecorder {
+	r := httptest.NewRequest("GET", path, strings.NewReader(""))
+	r.Host = "h"
+	r.Header.Set(headers.RequestID, nextRequestID())
+	r.Header.Set(headers.Deadline, strconv.FormatInt(timeout.Milliseconds(), 10))
+	w := httptest.NewRecorder()
+	f.proxies[0].ServeCaller(w, r)
+	return w
+}
+
+// Guards against a request that is sent to full targets although none of its rank is
+// admitted, against a retry that gets no attempt, and against a node that doesn't probe.
+func TestExcludedRequestIsRefusedAtOnce(t *testing.T) {
+	f, clock := newShortage(t, true)
+	w := f.sendWithTimeout("/idempotent/x", 2*time.Second)
+	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, w.Header().Get(callhttp.HeaderReason), string(port.ReasonShortage))
+	assert.Equal(t, w.Header().Get(callhttp.HeaderOutcome), callhttp.OutcomeDidNotRun)
+	after, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, after >= 0.1 && after <= 2.0/3, "%v s", after)
+	assert.Equal(t, f.totalArrivals(), 0)
+	assert.Assert(t, strings.Contains(f.logs.String(), `"reason":"shortage"`))
+
+	// The caller retries: the same deadline, some time later.
+	clock.now = clock.now.Add(100 * time.Millisecond)
+	w = f.sendWithTimeout("/idempotent/x", 1900*time.Millisecond)
+	assert.Equal(t, w.Code, http.StatusOK)
+
+	f, clock = newShortage(t, true)
+	clock.now = clock.now.Add(250 * time.Millisecond)
+	w = f.sendWithTimeout("/idempotent/y", 2*time.Second)
+	assert.Equal(t, w.Code, http.StatusOK, "a probe after 250 ms")
+}
+
+// Services whose targets report no work factor are served as without a shortage.
+func TestOtherServicesAreUnaffectedByShortages(t *testing.T) {
+	f, _ := newShortage(t, false)
+	for range 20 {
+		assert.Equal(t, f.send(0, "GET", "/idempotent/x", "").Code, http.StatusOK)
+	}
+	assert.Equal(t, len(f.proxies[0].shortages), 0)
+}
+
+// shortForwarder returns a request in a shortage, and the target that it would be sent to.
+func shortForwarder(t testing.TB) (*forwarder, *mesh.Member, *manualClock) {
+	fleet, clock := newShortage(t, true)
+	p := fleet.proxies[0]
+	f := &forwarder{
+		proxy: p, snapshot: p.snapshot.Load(), route: fleet.table.Route("h", "/idempotent/"), service: "s",
+		began: clock.now, firstAt: clock.now, deadline: clock.now.Add(2 * time.Second), tried: map[string]bool{},
+		shortage: p.shortages["s"],
+	}
+	return f, p.snapshot.Load().Services["s"][0], clock
+}
+
+// Guards against refusals while a target is known to have a free slot, and against reports
+// that prove it for longer than 200 ms.
+func TestReportOfFreeSlotDisprovesShortage(t *testing.T) {
+	f, member, clock := shortForwarder(t)
+	assert.Assert(t, f.stopsForShortage(clock.now, member))
+	stats := f.proxy.stats["t0"]
+	stats.RecordLoad(clock.now.Add(-199*time.Millisecond), placement.Load{Running: 1, Slots: testSlots, Slowdown: 1})
+	assert.Assert(t, !f.stopsForShortage(clock.now, member))
+	stats.RecordLoad(clock.now.Add(-201*time.Millisecond), placement.Load{Running: 1, Slots: testSlots, Slowdown: 1})
+	assert.Assert(t, f.stopsForShortage(clock.now, member))
+	stats.RecordLoad(clock.now.Add(time.Hour), placement.Load{Running: 1, Slots: testSlots, Slowdown: 1})
+	assert.Assert(t, f.stopsForShortage(clock.now, member), "a report from before a step back of the clock")
+}
+
+// Guards against requests that try one full target after the other, and against a search that
+// ends although the last target failed for another reason, or although its caller retries.
+func TestFurtherAttemptsInShortage(t *testing.T) {
+	f, member, clock := shortForwarder(t)
+	f.attempts = 1
+	assert.Assert(t, !f.stopsForShortage(clock.now, member), "the target was unreachable")
+	f.fullTargets = 1
+	assert.Assert(t, f.stopsForShortage(clock.now, member))
+	f.firstAt = f.firstAt.Add(-time.Second)
+	assert.Assert(t, !f.stopsForShortage(clock.now, member), "the caller retries")
+}
+
+// Only refusals for lack of slots count as such, and only their Retry-After is replaced.
+// Unreachable targets, as in a partition, must not look like a shortage.
+func TestOnlyLackOfSlotsIsShortage(t *testing.T) {
+	for _, test := range []struct {
+		err   error
+		short bool
+	}{
+		{port.Refuse(port.ReasonDeadline, time.Millisecond, ""), true},
+		{port.Refuse(port.ReasonQueueFull, time.Millisecond, ""), true},
+		{port.Refuse(port.ReasonUnreachable, time.Millisecond, ""), false},
+		{port.Refuse(port.ReasonStopping, time.Millisecond, ""), false},
+		{port.Refuse(port.ReasonBusy, time.Millisecond, ""), false},
+		{&port.UnknownOutcome{Stage: "owner"}, false},
+	} {
+		f, _, _ := shortForwarder(t)
+		state := &serviceShortage{}
+		f.shortage = state
+		for range 10 {
+			f.recordAdmission(outcome{attempt: &attempt{number: 1}, err: test.err})
+		}
+		f.proxy.mu.Lock()
+		_, short := f.inShortage(f.began)
+		f.proxy.mu.Unlock()
+		assert.Equal(t, short, test.short, "%v", test.err)
+		if refusal, ok := test.err.(*port.Refusal); ok {
+			f.shortage = f.proxy.shortages["s"]
+			assert.Equal(t, f.spreadRetry(refusal).RetryAfter >= 100*time.Millisecond, test.short, "%v", test.err)
+			assert.Equal(t, refusal.RetryAfter, time.Millisecond, "the refusal itself is unchanged")
+		}
+	}
+}
+
+// The beginning and the end of a shortage must be found in the log, with its length.
+func TestShortageIsLogged(t *testing.T) {
+	f, clock := newShortage(t, true)
+	p := f.proxies[0]
+	p.MeasureShortages()
+	clock.now = clock.now.Add(20 * time.Second)
+	p.MeasureShortages()
+	text := f.logs.String()
+	assert.Assert(t, strings.Contains(text, "shortage begins") && strings.Contains(text, "shortage ends") && strings.Contains(text, `"shortage_ms":`), text)
+}
+
+// BenchmarkShortageCheck measures the check of a request before its first attempt, for a
+// service without a work factor and in a shortage of one with many targets.
+func BenchmarkShortageCheck(b *testing.B) {
+	f := newChoosingForwarder(1600)
+	f.began = f.firstAt
+	member := f.choose(f.firstAt)
+	check := func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			f.stopsForShortage(f.firstAt, member)
+		}
+	}
+	b.Run("no-work-factor", check)
+	f.shortage = &serviceShortage{}
+	for range 30 {
+		f.shortage.tracker.RecordFirst(f.firstAt, 0, false)
+	}
+	b.Run("shortage", check)
+}
--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -9,6 +9,7 @@
 off() { file[$1]=$2 expression[$1]=$3; }
 
 off callers-who-came-back internal/routing/clientretry/clientretry.go 's/<= deadlineTolerance {/< 0 {/'
+off shortage internal/proxy/shortage.go 's/if !p.serviceLoads\[service\].ReportsSlowdown() {/if true {/'
 off rank-of-the-overdue internal/proxy/rank.go 's/^\trankLate         = 1/\trankLate = 0/'
 off overdue-refused-at-once internal/proxy/forwarder.go 's/if f.fullTargets > 0 \&\& f.overdue(now) {/if false {/'
 off bytes-outside internal/placement/placement.go 's/^const DefaultHalfBytes = 20e3/const DefaultHalfBytes = 0/'
