proxy: a request that stops for a shortage takes no retry from the budget

After an attempt that may have run, the search took a retry from the fleet's budget before it checked whether another attempt is worthwhile in the shortage. A request that stopped then had used up, and counted in tamarack_requests_retried_total, a retry that was never sent. The check now comes first.

Result: TestStoppedRequestTakesNoRetryFromBudget fails with the former order and passes now.

--- a/internal/proxy/forwarder.go
+++ b/internal/proxy/forwarder.go
@@ -117,10 +117,10 @@
 		if member == nil {
 			break
 		}
-		if f.arrivals > 0 && !(f.unsuspected() && f.takeRetry(now, f.arrivals)) {
+		if f.stopsForShortage(now, member) {
 			break
 		}
-		if f.stopsForShortage(now, member) {
+		if f.arrivals > 0 && !(f.unsuspected() && f.takeRetry(now, f.arrivals)) {
 			break
 		}
 		resp, err := f.attempt(ctx, now, member)
--- a/internal/proxy/shortage_test.go
+++ b/internal/proxy/shortage_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"tamarackquay/internal/adapter/callhttp"
+	"tamarackquay/internal/adapter/metrics"
 	"tamarackquay/internal/mesh"
 	"tamarackquay/internal/placement"
 	"tamarackquay/internal/port"
@@ -126,6 +127,18 @@
 	assert.Assert(t, !f.stopsForShortage(clock.now, member), "the caller retries")
 }
 
+// Guards against a request that takes a retry from the fleet's budget and then gets no attempt.
+func TestStoppedRequestTakesNoRetryFromBudget(t *testing.T) {
+	f, _, _ := shortForwarder(t)
+	f.attempts, f.arrivals, f.fullTargets = 2, 1, 1
+	f.unknown = &port.UnknownOutcome{Stage: "owner"}
+	_, err := f.forward(t.Context())
+	assert.Equal(t, err, f.unknown, "an attempt may have run")
+	var text strings.Builder
+	f.proxy.ports.Meter.(*metrics.Meter).Write(&text)
+	assert.Assert(t, !strings.Contains(text.String(), string(port.MetricRetries)), text.String())
+}
+
 // Only refusals for lack of slots count as such, and only their Retry-After is replaced.
 // Unreachable targets, as in a partition, must not look like a shortage.
 func TestOnlyLackOfSlotsIsShortage(t *testing.T) {
