proxy: only attempts after a full target count as further attempts

Attempts in parallel with a slow one, and those after an unreachable target, counted as further attempts. The former are sent only to targets with a free slot, so their admission says nothing about the chance that decides whether a request tries another target after a full one.

Result: TestOnlyAttemptsAfterFullTargetsAreFurther: nine admitted attempts in parallel leave the chance as it is, nine after full targets raise it.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -24,6 +24,9 @@
 	began     time.Time
 	// number is 1 for the first attempt of a request.
 	number int
+	// afterFull is whether the attempt follows one that was refused for lack of slots.
+	// An attempt in parallel with a slow one doesn't.
+	afterFull bool
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -49,6 +52,7 @@
 	a := &attempt{forwarder: f, member: member, meta: f.newMeta(now, member), request: f.newRequest(member), began: now, headerReceived: make(chan struct{})}
 	f.attempts++
 	a.number = f.attempts
+	a.afterFull = f.fullTargets > 0 && !f.hedged
 	a.stats, a.lastLoad = f.proxy.startAttempt(now, member)
 	a.ctx, a.cancel = context.WithDeadline(ctx, f.deadline)
 	return a
--- a/internal/proxy/shortage.go
+++ b/internal/proxy/shortage.go
@@ -145,12 +145,13 @@
 	now := p.ports.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if o.attempt.number == 1 {
+	switch {
+	case o.attempt.number == 1:
 		f.shortage.tracker.RecordFirst(now, o.attempt.meta.rank, !full)
 		p.noteShortage(now, f.service, f.shortage)
-		return
+	case o.attempt.afterFull:
+		f.shortage.tracker.RecordFurther(now, o.attempt.meta.rank, !full)
 	}
-	f.shortage.tracker.RecordFurther(now, o.attempt.meta.rank, !full)
 }
 
 // noteShortage logs the beginning and the end of a shortage. It must be called with the mutex
--- a/internal/proxy/shortage_test.go
+++ b/internal/proxy/shortage_test.go
@@ -127,6 +127,21 @@
 	assert.Assert(t, !f.stopsForShortage(clock.now, member), "the caller retries")
 }
 
+// Guards against a chance of further attempts that is estimated too high by attempts in parallel
+// with a slow one, which are sent to targets with a free slot only.
+func TestOnlyAttemptsAfterFullTargetsAreFurther(t *testing.T) {
+	f, member, clock := shortForwarder(t)
+	f.attempts, f.fullTargets = 1, 1
+	for range 9 {
+		f.recordAdmission(outcome{attempt: &attempt{number: 2}})
+	}
+	assert.Assert(t, f.stopsForShortage(clock.now, member))
+	for range 9 {
+		f.recordAdmission(outcome{attempt: &attempt{number: 2, afterFull: true}})
+	}
+	assert.Assert(t, !f.stopsForShortage(clock.now, member))
+}
+
 // Guards against a request that takes a retry from the fleet's budget and then gets no attempt.
 func TestStoppedRequestTakesNoRetryFromBudget(t *testing.T) {
 	f, _, _ := shortForwarder(t)
