proxy: drop the shortage state of services that are no longer listed

The state of a service was kept for as long as the process ran, also after its last target had left the configuration. The measurement of shortages now drops it once the shortage is over.

Result: TestShortageIsLoggedAndDropped; with the deletion removed it would find one entry, not none.

--- a/internal/proxy/shortage.go
+++ b/internal/proxy/shortage.go
@@ -14,9 +14,10 @@
 // proxy's mutex held.
 type serviceShortage struct {
 	tracker shortage.Tracker
-	// lasted and short are the last state that was logged or about to be.
-	lasted time.Duration
+	// short is whether there was a shortage at the last check, of which changes are logged,
+	// and lasted how long it had lasted by then.
 	short  bool
+	lasted time.Duration
 }
 
 // freeSlotAge is how long a report of a free slot proves that there is no shortage.
@@ -154,7 +155,7 @@
 	}
 }
 
-// noteShortage logs the beginning and the end of a shortage. It must be called with the mutex
+// noteShortage checks for a shortage and logs the beginning and the end of a shortage. It must be called with the mutex
 // held.
 func (p *Proxy) noteShortage(now time.Time, service string, state *serviceShortage) {
 	lasted, short := state.tracker.Lasted(now)
@@ -164,7 +165,8 @@
 	state.short, state.lasted = short, lasted
 }
 
-// MeasureShortages sets the gauge of shortages by service, and ends those without requests.
+// MeasureShortages sets the gauge of shortages by service, ends those without requests, and drops
+// the state of services that are no longer listed.
 func (p *Proxy) MeasureShortages() {
 	now := p.ports.Clock.Now()
 	p.mu.Lock()
@@ -176,5 +178,8 @@
 			value = 1
 		}
 		p.ports.Meter.Set(port.MetricShortage, service, value)
+		if !state.short && p.candidates[service] == nil {
+			delete(p.shortages, service)
+		}
 	}
 }
--- a/internal/proxy/shortage_test.go
+++ b/internal/proxy/shortage_test.go
@@ -186,13 +186,18 @@
 	}
 }
 
-// The beginning and the end of a shortage must be found in the log, with its length.
-func TestShortageIsLogged(t *testing.T) {
+// The beginning and the end of a shortage must be found in the log, with its length. The state of
+// services that are no longer listed must not stay in memory.
+func TestShortageIsLoggedAndDropped(t *testing.T) {
 	f, clock := newShortage(t, true)
 	p := f.proxies[0]
 	p.MeasureShortages()
 	clock.now = clock.now.Add(20 * time.Second)
 	p.MeasureShortages()
+	assert.Equal(t, len(p.shortages), 1)
+	p.SetSnapshot(&Snapshot{Table: f.table})
+	p.MeasureShortages()
+	assert.Equal(t, len(p.shortages), 0)
 	text := f.logs.String()
 	assert.Assert(t, strings.Contains(text, "shortage begins") && strings.Contains(text, "shortage ends") && strings.Contains(text, `"shortage_ms":`), text)
 }
--- a/internal/routing/shortage/shortage.go
+++ b/internal/routing/shortage/shortage.go
@@ -23,8 +23,8 @@
 	// requests of a rank at a node that sends a service ten requests per second.
 	memory = time.Second
 	// priorWeight is the weight, in outcomes, of the assumption that a rank is admitted
-	// like the next more urgent one. With 0.2, a rank counts as excluded only after three
-	// refusals.
+	// like the next more urgent one. With 0.2, a single refusal excludes no rank whose more
+	// urgent ones are mostly admitted.
 	priorWeight = 0.2
 	// excludedBelow is the share of admitted first attempts below which a rank is refused
 	// without an attempt.
