shortage: Retry-After in the last quarter of a third of the caller's time

Retry-After ended with the time that the shortage had lasted. At the start of a shortage, and in bursts, that span is short, so refused callers came back while targets were still full. The specification now asks for a uniform distribution over the last quarter of a third of the time that the caller has left, without that bound. RetryAfter needs no state of the shortage any more.

--- a/internal/proxy/shortage.go
+++ b/internal/proxy/shortage.go
@@ -94,14 +94,14 @@
 
 const percent = 100
 
-// retryAfterShortage returns when the caller should retry. It must be called with the mutex
-// held.
+// retryAfterShortage returns when the caller should retry in a shortage. It must be called with
+// the mutex held.
 func (f *forwarder) retryAfterShortage(now time.Time) time.Duration {
 	deadline := f.callerDeadline
 	if deadline.IsZero() {
 		deadline = f.deadline
 	}
-	return f.shortage.tracker.RetryAfter(now, deadline.Sub(now), f.proxy.random)
+	return shortage.RetryAfter(deadline.Sub(now), f.proxy.random)
 }
 
 // spreadRetry returns the final refusal of a request with the Retry-After of a shortage, if
--- a/internal/proxy/shortage_test.go
+++ b/internal/proxy/shortage_test.go
@@ -65,7 +65,7 @@
 	assert.Equal(t, w.Header().Get(callhttp.HeaderOutcome), callhttp.OutcomeDidNotRun)
 	after, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
 	assert.NilError(t, err)
-	assert.Assert(t, after >= 0.1 && after <= 2.0/3, "%v s", after)
+	assert.Assert(t, after >= 0.49 && after <= 2.0/3, "%v s of 2 s", after)
 	assert.Equal(t, f.totalArrivals(), 0)
 	assert.Assert(t, strings.Contains(f.logs.String(), `"reason":"shortage"`))
 
--- a/internal/routing/shortage/load_test.go
+++ b/internal/routing/shortage/load_test.go
@@ -40,7 +40,7 @@
 	refuse, fewer, respread bool
 	// disturb changes the entry nodes in the middle of the shortage.
 	disturb    func(e *simEntry)
-	retryAfter func(lasted, left time.Duration, random *rand.Rand) time.Duration
+	retryAfter func(left time.Duration, random *rand.Rand) time.Duration
 }
 
 var (
@@ -342,10 +342,9 @@
 	}
 	after := min(r.retryAfter, 30*time.Second)
 	if s.policy.respread && s.short(caller.entry) {
-		after = caller.entry.tracker.RetryAfter(s.clockOf(caller.entry), left, s.random)
+		after = RetryAfter(left, s.random)
 		if s.policy.retryAfter != nil {
-			lasted, _ := caller.entry.tracker.Lasted(s.clockOf(caller.entry))
-			after = s.policy.retryAfter(lasted, left, s.random)
+			after = s.policy.retryAfter(left, s.random)
 		}
 	}
 	s.after(min(after, left/3)+2*simNetwork, func() { s.arrive(caller) })
@@ -378,7 +377,7 @@
 // the responses are worth as much or more, and cost fewer attempts.
 func TestMoreCallersGetAResponseInAShortage(t *testing.T) {
 	soon := whole
-	soon.retryAfter = func(_, _ time.Duration, random *rand.Rand) time.Duration {
+	soon.retryAfter = func(_ time.Duration, random *rand.Rand) time.Duration {
 		return time.Duration((0.1 + 0.2*random.Float64()) * float64(time.Second))
 	}
 	for _, demand := range []float64{1.5, 1.75, 2} {
--- a/internal/routing/shortage/shortage.go
+++ b/internal/routing/shortage/shortage.go
@@ -49,14 +49,13 @@
 // Limits of Retry-After.
 const (
 	minRetryAfter = 100 * time.Millisecond
-	// minSpan is the shortest end of the span over which retries are distributed.
-	minSpan = 200 * time.Millisecond
-	// lastPart is the part of the span, at its end, over which retries are distributed.
-	// Retries over the whole span use up a caller's attempts while the shortage lasts;
-	// retries at its end alone would return together.
-	lastPart = 0.25
-	// callerPart is the part of its remaining time for which a caller honors Retry-After.
+	// callerPart divides the time that a caller has left: it honors Retry-After up to this
+	// part.
 	callerPart = 3
+	// lastPart is the share of that part, at its end, over which retries are distributed.
+	// Earlier retries use up a caller's attempts while the shortage lasts. Callers that are
+	// refused together would return together if all retried at the end.
+	lastPart = 0.25
 )
 
 // maxDisorder is how far calls may be out of order because their times were read before
@@ -153,13 +152,12 @@
 	return true
 }
 
-// RetryAfter returns when a caller with the given time left should retry. A shortage is
-// likely to last as long as it has lasted, so the span of retries ends then, or where callers
-// stop honoring it. The result is distributed uniformly over the last part of the span.
-func (t *Tracker) RetryAfter(now time.Time, left time.Duration, random *rand.Rand) time.Duration {
-	lasted, _ := t.Lasted(now)
-	end := max(minSpan, min(lasted, left/callerPart))
-	return max(minRetryAfter, end-time.Duration(lastPart*random.Float64()*float64(end-minRetryAfter)))
+// RetryAfter returns when a caller with the given time left should retry in a shortage:
+// uniformly distributed over the end of the span for which callers honor it, and at least
+// 100 ms. A short shortage is over by then, and in a long one, early retries are refused again.
+func RetryAfter(left time.Duration, random *rand.Rand) time.Duration {
+	share := 1 - lastPart*random.Float64()
+	return max(minRetryAfter, time.Duration(share*float64(left)/callerPart))
 }
 
 // advance lets the weights decay until now. After a step back of the clock, the state is
--- a/internal/routing/shortage/shortage_test.go
+++ b/internal/routing/shortage/shortage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -195,26 +196,18 @@
 	assert.Equal(t, before, after)
 }
 
-// Guards against retries that come back together, too early, or after the caller has given
-// up waiting for Retry-After.
+// Guards against retries that come back together, too early, or after the caller has given up
+// waiting for Retry-After: they are uniform over the last quarter of a third of its time.
 func TestRetryAfterIsWithinItsBounds(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
-	for range 500 {
-		tracker, now := &Tracker{}, start
-		for range 3 + random.IntN(200) {
-			now = now.Add(20 * time.Millisecond)
-			tracker.RecordFirst(now, 0, false)
+	for left := -time.Second; left < 24*time.Hour; left += max(10*time.Millisecond, left/7) {
+		var quarters [4]int
+		for range 400 {
+			after := RetryAfter(left, random)
+			assert.Assert(t, after >= max(minRetryAfter, left/4) && after <= max(minRetryAfter, left/3), "%s of %s", after, left)
+			quarters[min(3, max(0, after-left/4)*48/max(left, 1))]++
 		}
-		lasted, _ := tracker.Lasted(now)
-		left := time.Duration(random.Int64N(int64(6 * time.Second)))
-		end := max(minSpan, min(lasted, left/callerPart))
-		seen := map[time.Duration]bool{}
-		for range 20 {
-			after := tracker.RetryAfter(now, left, random)
-			assert.Assert(t, after >= minRetryAfter && after <= end, "%s of %s", after, end)
-			seen[after.Round(time.Millisecond)] = true
-		}
-		assert.Assert(t, len(seen) > 5, "%d different delays", len(seen))
+		assert.Assert(t, left < 400*time.Millisecond || slices.Min(quarters[:]) > 60, "%s: %v", left, quarters)
 	}
 }
 
