--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -22,6 +22,11 @@
 	stats     *placement.Stats
 	lastLoad  lastLoad
 	began     time.Time
+	// number is 1 for the first attempt of a request.
+	number int
+	// afterFull is whether the attempt follows one that was refused for lack of slots.
+	// An attempt in parallel with a slow one doesn't.
+	afterFull bool
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -46,6 +51,8 @@
 	f.tried[member.ID] = true
 	a := &attempt{forwarder: f, member: member, meta: f.newMeta(now, member), request: f.newRequest(member), began: now, headerReceived: make(chan struct{})}
 	f.attempts++
+	a.number = f.attempts
+	a.afterFull = f.fullTargets > 0 && !f.hedged
 	a.stats, a.lastLoad = f.proxy.startAttempt(now, member)
 	a.ctx, a.cancel = context.WithDeadline(ctx, f.deadline)
 	return a
@@ -81,6 +88,7 @@
 func (f *forwarder) handleOutcome(o outcome) (*bufferedResponse, error) {
 	p := f.proxy
 	f.lastTarget = o.attempt.member.ID
+	f.recordAdmission(o)
 	if o.err != nil {
 		p.recordFailure(o.attempt.stats, o.report, o.err)
 		f.logFailure(o.attempt, o.err)
