Read the platform's memory limit and set the runtime's by it

The platform kills a process that exceeds Self.Limits.MemoryMb, and the sidecar did not know the limit. Without the setting, nothing changes.

--- a/cmd/tamarackd/memory.go
+++ b/cmd/tamarackd/memory.go
@@ -27,3 +27,48 @@
 		debug.SetMemoryLimit(memoryLimit)
 	}
 }
+
+// Division of the memory that the platform grants a sidecar.
+const (
+	// processMemory is what a sidecar uses besides the bodies that it holds, in bytes:
+	// the program, the view of the mesh, connections and stacks. It is an allowance, not a
+	// measured figure.
+	processMemory = 32 << 20
+	// accountDivisor is the part of the rest that bodies may use. At sidecarGCPercent,
+	// the heap grows to 1.6 times what is in use before it is collected, and a buffer
+	// that grows exists twice for a moment.
+	accountDivisor = 2
+	// minAccount is the smallest limit of the account, in bytes. It is enough for some
+	// tens of small requests at once.
+	minAccount = 1 << 20
+	// heapPercent is the part of the memory at which the runtime's limit is set. The
+	// rest is for memory that the runtime doesn't manage, such as the program itself.
+	heapPercent = 85
+	// minHeapLimit is the lowest limit set for the runtime, in bytes. Below the live
+	// heap, the garbage collector would use half of the CPU time without effect.
+	minHeapLimit = 24 << 20
+)
+
+// accountLimit returns how many bytes of bodies a sidecar may hold in total, given the
+// memory of its process in bytes; 0 means no limit.
+func accountLimit(memory int64) int64 {
+	if memory == 0 {
+		return 0
+	}
+	return max((memory-processMemory)/accountDivisor, minAccount)
+}
+
+// limitSidecarMemory makes the garbage collector run more often near the memory of the
+// process in bytes, if that is limited and the operator didn't set GOMEMLIMIT.
+func limitSidecarMemory(memory int64) {
+	if memory == 0 || os.Getenv("GOMEMLIMIT") != "" {
+		return
+	}
+	debug.SetMemoryLimit(heapLimit(memory))
+}
+
+// heapLimit returns the memory limit of the runtime, given the memory of the process; both
+// are in bytes.
+func heapLimit(memory int64) int64 {
+	return max(memory/100*heapPercent, minHeapLimit)
+}
--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -124,6 +124,7 @@
 
 func runSidecar(path string, s platform.Settings, options sidecarOptions) error {
 	debug.SetGCPercent(sidecarGCPercent)
+	limitSidecarMemory(s.MemoryBytes)
 	c := newSidecar(s, options)
 	failed := make(chan error, 4)
 	if err := c.listen(options, failed); err != nil {
@@ -189,6 +190,7 @@
 		TargetAddress: s.TargetAddress, PeerPort: s.PeerPort,
 		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 		HalfBytes: options.halfBytes, LinkRate: s.LinkRate,
+		MemoryLimit: accountLimit(s.MemoryBytes),
 		WarmupOverage: s.WarmupOverage, WarmupSlack: s.WarmupSlack,
 		DrainGrace: follow.DrainGrace(propagationBound(s)), Seed: uint64(time.Now().UnixNano()), Started: time.Now(),
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -91,6 +91,8 @@
 	HalfBytes float64
 	// LinkRate is the bandwidth of the VM's link in bytes per second; 0 if unknown.
 	LinkRate float64
+	// MemoryLimit is how many bytes of bodies the node may hold in total; 0 for no limit.
+	MemoryLimit int64
 	// DrainGrace is how long a draining target still accepts requests that were already
 	// on their way. Entry nodes may learn of the drain slightly later than the target's
 	// own node. It holds likewise for a target that reports in its responses that it leaves.
