--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -190,7 +190,7 @@
 		TargetAddress: s.TargetAddress, PeerPort: s.PeerPort,
 		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 		HalfBytes: options.halfBytes, LinkRate: s.LinkRate,
-		MemoryLimit: accountLimit(s.MemoryBytes),
+		MemoryLimit:   accountLimit(s.MemoryBytes),
 		WarmupOverage: s.WarmupOverage, WarmupSlack: s.WarmupSlack,
 		DrainGrace: follow.DrainGrace(propagationBound(s)), Seed: uint64(time.Now().UnixNano()), Started: time.Now(),
 	}
