Keep a node and its target within their memory

A node buffered up to 1 MiB of each response and 64 KiB of each request body without regard to its memory, and read what is beyond 1 MiB only as fast as the caller, while targets cut off responses that stay unread. With MemoryMb set, all these bytes now come from one account: requests are refused (memory) before their bodies are read, buffers shrink as the account fills, responses are read ahead of their receivers as far as granted, and slow readers are bounded and ended visibly. Without the setting, responses are served as before.

Independent of the setting, an owner node counts the request bodies that its target holds. After a crash with more than 1 MiB, the target gets three quarters of that at once until it has served for a minute.

--- a/cmd/tamarackd/memory.go
+++ b/cmd/tamarackd/memory.go
@@ -72,3 +72,17 @@
 func heapLimit(memory int64) int64 {
 	return max(memory/100*heapPercent, minHeapLimit)
 }
+
+// limitedSendBytes is the size of the send buffer of a caller's connection in a process of
+// limited memory, in bytes. The kernel doubles it. It carries 12 MB a second to a caller at
+// 20 ms, more than the links of such VMs.
+const limitedSendBytes = 128 << 10
+
+// callerSendBytes returns the size of the send buffers for callers; 0 leaves it to the
+// kernel.
+func callerSendBytes(memory int64) int {
+	if memory == 0 {
+		return 0
+	}
+	return limitedSendBytes
+}
--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -179,7 +179,7 @@
 		FirstStart:       s.FirstStart,
 		Announce:         c.proxy.Ping,
 	}, platform.NewStore(s.StoreAddress, logger), feedws.NewClient(feedTransport(), c.crashes, c.proxy.CountSent), wallClock{}, logger, c.meter, c.applyView)
-	c.callers = callerhttp.NewServer(c.proxy, callerhttp.Limits{HeaderBytes: maxHeaderBytes, BodyBytes: maxBodyBytes})
+	c.callers = callerhttp.NewServer(c.proxy, callerhttp.Limits{HeaderBytes: maxHeaderBytes, BodyBytes: maxBodyBytes, SendBytes: callerSendBytes(s.MemoryBytes)})
 	c.peerServer = c.newPeerServer(peerAddress)
 	return c
 }
--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -21,6 +21,9 @@
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int64
+	// SendBytes is the size of each connection's send buffer in the kernel; 0 leaves it to
+	// the kernel, which grows it up to some megabytes for a slow reader.
+	SendBytes int
 }
 
 // hardHeaderFactor is the multiple of the header limit up to which headers are read. For
@@ -40,7 +43,7 @@
 		serve(entry, limits, c.Response(), c.Request())
 		return nil
 	})
-	s := &Server{acceptDone: make(chan struct{}), conns: map[*conn]struct{}{}}
+	s := &Server{sendBytes: limits.SendBytes, acceptDone: make(chan struct{}), conns: map[*conn]struct{}{}}
 	s.Server = &http.Server{
 		Handler:           e,
 		MaxHeaderBytes:    hardHeaderFactor * limits.HeaderBytes,
--- a/internal/adapter/callerhttp/idle.go
+++ b/internal/adapter/callerhttp/idle.go
@@ -28,6 +28,9 @@
 type Server struct {
 	*http.Server
 
+	// sendBytes is the size of each connection's send buffer; 0 leaves it to the kernel.
+	sendBytes int
+
 	// acceptDone is closed when Run accepts no more connections.
 	acceptDone chan struct{}
 
@@ -112,6 +115,11 @@
 		return nil, err
 	}
 	l.waited = false
+	if tcp, ok := accepted.(*net.TCPConn); ok && l.server.sendBytes > 0 {
+		// This fails if the caller has closed the connection meanwhile; reading from it
+		// then reports that.
+		_ = tcp.SetWriteBuffer(l.server.sendBytes)
+	}
 	c := &conn{Conn: accepted, fresh: true, since: time.Now()}
 	l.server.mu.Lock()
 	defer l.server.mu.Unlock()
--- a/internal/adapter/exchange/exchange.go
+++ b/internal/adapter/exchange/exchange.go
@@ -47,6 +47,10 @@
 	// ContentLength is -1 if it is unknown.
 	ContentLength int64
 	Body          io.ReadCloser
+	// Cancel makes a pending read of Body fail; unlike Close, it may be called at the same
+	// time as Read. It is nil if the sender provides none: then the end of the context
+	// passed to Do has this effect.
+	Cancel func()
 }
 
 // Failure is the error of a request that got no response.
--- a/internal/explain/reason.go
+++ b/internal/explain/reason.go
@@ -37,6 +37,7 @@
 	port.ReasonShedWithRoom:   {"the target turned the request away although it says that it has free slots", "come back after Retry-After; the target is ill, see its own logs"},
 	port.ReasonQuarantined:    {"targets crashed under the same request before; it is kept from others", "not before Retry-After; mend what crashes the targets, see target crashed lines with its fingerprint"},
 	port.ReasonMisdirected:    {"another target has the address now, and ran nothing", "come back; the entry node's view is old, see tamarack_view_age_seconds"},
+	port.ReasonMemory:         {"the node has no memory for the request, or its target crashed while it held about as much", "come back after Retry-After; see tamarack_memory_held_bytes and the 'target crashed' lines"},
 	port.ReasonUnreachable:    {"no byte of the request reached the target", "come back after Retry-After; see the members of the node"},
 	port.ReasonBodyTooLarge:   {"the body is over requests.max_body_bytes", "send less, or raise the setting on the nodes"},
 	port.ReasonHeaderTooLarge: {"the headers are over requests.max_header_bytes, or over the limit of the users' configuration", "send less, or raise the limit"},
--- a/internal/logfield/logfield.go
+++ b/internal/logfield/logfield.go
@@ -76,6 +76,13 @@
 	// per second.
 	Limited Name = "limited"
 	Limit   Name = "limit_per_s"
+	// HeldBytes is the number of bytes that a connection or the target holds, TotalBytes
+	// that of all connections, and BoundBytes the most that the target may hold. Stalled
+	// is how long a receiver has read nothing, in milliseconds.
+	HeldBytes  Name = "held_bytes"
+	TotalBytes Name = "total_bytes"
+	BoundBytes Name = "bound_bytes"
+	Stalled    Name = "stalled_ms"
 	// Header is the name of a header of a target's response, and Value a value in one.
 	Header Name = "header"
 	Value  Name = "value"
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -34,7 +34,7 @@
 	shareDivisor = 32
 	// reserveDivisor is the part of the limit that is kept for reservations, so that
 	// buffers stop growing before a request is refused.
-	reserveDivisor = 8
+	reserveDivisor = 4
 	// slowBytesDivisor is the part of the limit that slow readers may hold together.
 	slowBytesDivisor = 2
 	// MaxSlowReaders is how many slow readers are tolerated at once.
--- a/internal/port/metric.go
+++ b/internal/port/metric.go
@@ -39,6 +39,20 @@
 	// there; 0 without a limit.
 	MetricTargetLimit Metric = "tamarack_target_limit"
 	MetricStartRate   Metric = "tamarack_target_start_rate"
+	// MetricMemoryHeld is the number of bytes of bodies that the node holds, by purpose,
+	// and MetricMemoryLimit the most that it may hold.
+	MetricMemoryHeld  Metric = "tamarack_memory_held_bytes"
+	MetricMemoryLimit Metric = "tamarack_memory_limit_bytes"
+	// MetricMemoryRefused counts requests refused for lack of memory, by where it lacked:
+	// at the entry node, at the owner node, or at the target.
+	MetricMemoryRefused Metric = "tamarack_memory_refusals_total"
+	// MetricMemoryEnded counts responses that were ended because their receivers read too
+	// slowly and the memory was needed.
+	MetricMemoryEnded Metric = "tamarack_memory_connections_ended_total"
+	// MetricTargetHeld is the number of bytes of request bodies that the VM's own target
+	// holds, and MetricTargetBound the most that it gets after a crash; 0 without a bound.
+	MetricTargetHeld  Metric = "tamarack_target_held_bytes"
+	MetricTargetBound Metric = "tamarack_target_bound_bytes"
 	// MetricQuarantined is the number of quarantined requests, which are not sent to
 	// targets.
 	MetricQuarantined Metric = "tamarack_requests_quarantined"
--- a/internal/port/refusal.go
+++ b/internal/port/refusal.go
@@ -65,6 +65,8 @@
 	// ReasonMisdirected: the address now belongs to a different target than the
 	// request was sent to, and that target has reported the mismatch.
 	ReasonMisdirected Reason = "misdirected"
+	// ReasonMemory: the node, or the target, has no memory for the request.
+	ReasonMemory Reason = "memory"
 )
 
 // Refusal is the error for a request that is proven not to have run.
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -10,7 +10,9 @@
 
 	"github.com/pkg/errors"
 
+	"tamarackquay/internal/adapter/exchange"
 	"tamarackquay/internal/logfield"
+	"tamarackquay/internal/membudget"
 	"tamarackquay/internal/mesh"
 	"tamarackquay/internal/port"
 	"tamarackquay/internal/quarantine"
@@ -30,12 +32,17 @@
 	// target has answered after it.
 	lastCrash     time.Time
 	answeredSince bool
+	// memory accounts for the request bodies that the target holds.
+	memory membudget.Target
 }
 
 // localRun is one run of a request at the local target.
 type localRun struct {
 	request quarantine.Fingerprint
 	began   time.Time
+	// bytes is the part of the request's body that was sent, or will be if its length is
+	// known.
+	bytes int64
 }
 
 const (
@@ -48,11 +55,21 @@
 	maxLoggedSuspects = 16
 )
 
-// trackRun records the start of a run.
-func (p *Proxy) trackRun(now time.Time, meta *attemptMeta) {
+// trackRun records the start of a run, unless the target may not hold the request's body in
+// addition to those that it holds.
+func (p *Proxy) trackRun(now time.Time, meta *attemptMeta, r *exchange.Request) *port.Refusal {
+	length := max(r.ContentLength, 0)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.localRuns.running[meta.attemptID] = localRun{request: meta.fingerprint, began: now}
+	if refusal := p.checkTargetMemory(r); refusal != nil {
+		return refusal
+	}
+	p.localRuns.memory.Add(length)
+	p.localRuns.running[meta.attemptID] = localRun{request: meta.fingerprint, began: now, bytes: length}
+	if r.ContentLength < 0 && r.Body != nil {
+		r.Body = &countedBody{Reader: r.Body, proxy: p, attemptID: meta.attemptID}
+	}
+	return nil
 }
 
 // recordRunEnd records the end of a run; err is nil if the complete response was read.
@@ -64,8 +81,10 @@
 	defer p.mu.Unlock()
 	run := p.localRuns.running[meta.attemptID]
 	delete(p.localRuns.running, meta.attemptID)
+	p.localRuns.memory.Add(-run.bytes)
 	if err == nil {
 		p.localRuns.answeredSince = true
+		p.recordTargetResponse()
 		return
 	}
 	if ctx.Err() != nil || !closedByPeer(err) || !run.began.After(p.localRuns.lastCrash) {
@@ -113,19 +132,21 @@
 func (p *Proxy) finishCrashCheck(exited bool) (quarantine.Crash, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	suspects := p.suspects()
+	suspects, held := p.suspects()
 	p.localRuns.broken, p.localRuns.checking = nil, false
 	if !exited {
 		return quarantine.Crash{}, false
 	}
 	crash := quarantine.Crash{ID: p.random.Uint64(), Answered: p.localRuns.answeredSince, Suspects: suspects}
 	p.localRuns.lastCrash, p.localRuns.answeredSince = p.ports.Clock.Now(), false
+	p.recordTargetCrash(held)
 	return crash, true
 }
 
 // suspects returns the requests that were running when the first connection broke, the
-// latest first. It must be called with the mutex held.
-func (p *Proxy) suspects() []quarantine.Fingerprint {
+// latest first, and how many bytes of request bodies the target held then. It must be called
+// with the mutex held.
+func (p *Proxy) suspects() ([]quarantine.Fingerprint, int64) {
 	runs := slices.Clone(p.localRuns.broken)
 	for _, run := range p.localRuns.running {
 		if run.began.Before(p.localRuns.firstBrokenAt) {
@@ -134,12 +155,14 @@
 	}
 	slices.SortFunc(runs, func(a, b localRun) int { return b.began.Compare(a.began) })
 	var suspects []quarantine.Fingerprint
+	held := int64(0)
 	for _, run := range runs {
+		held += run.bytes
 		if !slices.Contains(suspects, run.request) {
 			suspects = append(suspects, run.request)
 		}
 	}
-	return suspects
+	return suspects, held
 }
 
 // stayingTarget returns the local target, or nil if it was leaving: then its end is
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"tamarackquay/internal/adapter/callhttp"
+	"tamarackquay/internal/membudget"
 	"tamarackquay/internal/mesh"
 	"tamarackquay/internal/port"
 	"tamarackquay/internal/requestbody"
@@ -35,7 +36,9 @@
 func (p *Proxy) ServeCaller(w http.ResponseWriter, r *http.Request) {
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
-	f, err := p.newForwarder(r)
+	hold := p.memory.open(r.Header.Get(p.config.Headers.RequestID))
+	defer hold.close()
+	f, err := p.newForwarder(r, hold)
 	if err == nil {
 		var resp *bufferedResponse
 		resp, err = f.forward(r.Context())
@@ -48,7 +51,7 @@
 }
 
 // newForwarder finds the route of a request and reads its body.
-func (p *Proxy) newForwarder(r *http.Request) (*forwarder, error) {
+func (p *Proxy) newForwarder(r *http.Request, hold *memoryHold) (*forwarder, error) {
 	now := p.ports.Clock.Now()
 	snapshot := p.snapshot.Load()
 	if snapshot == nil || snapshot.Table == nil {
@@ -68,15 +71,22 @@
 	if p.stopsBefore(now.Add(p.timeLeft(r, route))) {
 		return nil, port.Refuse(port.ReasonStopping, retryElsewhere, "this node is stopping")
 	}
+	reserved := heldForBody(r.ContentLength)
+	if refusal := hold.admit(r.Context(), "entry", reserved); refusal != nil {
+		return nil, refusal
+	}
 	body, length, err := requestbody.Read(r.Body, r.ContentLength)
 	if err != nil {
 		return nil, &port.UnknownOutcome{Stage: "body", Cause: err}
 	}
+	if body.IsBuffered() {
+		hold.giveBack(membudget.RequestBody, reserved-body.Held())
+	}
 	f := &forwarder{
 		proxy: p, snapshot: snapshot, route: route, began: now,
 		method: r.Method, uri: r.RequestURI, host: r.Host, header: http.Header{},
 		body: body, length: length, id: r.Header.Get(p.config.Headers.RequestID),
-		tried: map[string]bool{},
+		tried: map[string]bool{}, hold: hold,
 	}
 	f.deadline = now.Add(p.timeLeft(r, route) - responseMargin)
 	if wait, ok := p.callerTimeout(r); ok {
@@ -145,10 +155,17 @@
 	if resp.rest == nil {
 		resp.response.ContentLength = int64(len(resp.body))
 	} else {
-		defer resp.rest.Close()
+		resp.startReadAhead()
+		defer resp.closeRest()
 	}
+	f.hold.startWriting(w)
 	writeHeader(w, resp.response)
-	if err := copyBody(w, resp); err != nil {
+	err := copyBody(w, resp)
+	resp.closeRest()
+	if f.hold.close() {
+		err = errEndedForMemory
+	}
+	if err != nil {
 		p.requestLog.interrupted(p.ports.Clock.Now(), f, err)
 		panic(http.ErrAbortHandler)
 	}
@@ -193,6 +210,23 @@
 	response *exchangeResponse
 	body     []byte
 	rest     io.ReadCloser
+
+	// hold accounts for the memory of the body; nil without a limit. granted is what it
+	// was granted beyond the floor, and floor is true if it uses the floor.
+	hold    *memoryHold
+	granted int64
+	floor   bool
+	// cancel ends a pending read of rest; ahead reads it. Both are nil without a limit.
+	cancel func()
+	ahead  *readAhead
+}
+
+// heldForBody returns how many bytes are held for a request body of the given length.
+func heldForBody(length int64) int64 {
+	if length >= 0 && length <= requestbody.MaxBufferedBytes {
+		return requestbody.HeldBytes(length)
+	}
+	return requestbody.HeldBytes(length) + relayBytes
 }
 
 // maxBuffered is how many bytes of a response body are buffered until its end is known.
@@ -200,26 +234,84 @@
 // bodies are streamed, so that a few of them don't use up the memory of a small VM.
 const maxBuffered = 1 << 20
 
-// bufferResponse reads the body up to maxBuffered.
-func bufferResponse(response *exchangeResponse) (*bufferedResponse, error) {
+// bufferResponse reads the body up to maxBuffered, or up to the memory that is granted.
+func bufferResponse(response *exchangeResponse, hold *memoryHold) (*bufferedResponse, error) {
 	limit := int64(maxBuffered)
 	size := min(max(response.ContentLength, 0), limit)
-	body := make([]byte, 0, size+1)
+	resp := &bufferedResponse{response: response, hold: hold}
+	body := make([]byte, 0, resp.grant(size+1))
 	for int64(len(body)) < limit {
 		if len(body) == cap(body) {
-			body = append(body, 0)[:len(body)]
+			if body = resp.extend(body); len(body) == cap(body) {
+				break
+			}
 		}
 		n, err := response.Body.Read(body[len(body):min(cap(body), maxBuffered)])
 		body = body[:len(body)+n]
 		if err == io.EOF {
-			return &bufferedResponse{response: response, body: body}, response.Body.Close()
+			resp.body = body
+			return resp, response.Body.Close()
 		}
 		if err != nil {
 			_ = response.Body.Close()
+			resp.release()
 			return nil, err
 		}
 	}
-	return &bufferedResponse{response: response, body: body, rest: response.Body}, nil
+	resp.body, resp.rest = body, response.Body
+	return resp, nil
+}
+
+// grant returns how many of the wanted bytes may be buffered; without a limit, all.
+func (resp *bufferedResponse) grant(wanted int64) int64 {
+	if resp.hold == nil {
+		return wanted
+	}
+	allowed := int64(0)
+	if !resp.floor {
+		allowed = min(wanted, resp.hold.useFloor())
+		resp.floor = allowed > 0
+	}
+	if allowed < wanted {
+		granted := resp.hold.grow(membudget.BufferedResponse, wanted-allowed)
+		resp.granted += granted
+		allowed += granted
+	}
+	return allowed
+}
+
+// minExtension is the least number of bytes by which a buffer is extended.
+const minExtension = 512
+
+// extend returns the body with more capacity, if that is granted.
+func (resp *bufferedResponse) extend(body []byte) []byte {
+	if resp.hold == nil {
+		return append(body, 0)[:len(body)]
+	}
+	granted := resp.grant(min(int64(max(cap(body), minExtension)), int64(maxBuffered-cap(body))))
+	if granted == 0 {
+		return body
+	}
+	return append(make([]byte, 0, int64(cap(body))+granted), body...)
+}
+
+// size returns the size of the body in bytes as far as it is known, at most maxBuffered.
+func (resp *bufferedResponse) size() int {
+	if resp.rest == nil {
+		return len(resp.body)
+	}
+	return max(len(resp.body), int(min(resp.response.ContentLength, maxBuffered)))
+}
+
+// release returns the memory of the body, which must not be used any more.
+func (resp *bufferedResponse) release() {
+	resp.body = nil
+	resp.hold.giveBack(membudget.BufferedResponse, resp.granted)
+	resp.granted = 0
+	if resp.floor {
+		resp.hold.freeFloor()
+		resp.floor = false
+	}
 }
 
 // callerWaiting reports whether the caller is still waiting at now.
--- a/internal/proxy/forwarder.go
+++ b/internal/proxy/forwarder.go
@@ -68,6 +68,9 @@
 	unknown error
 	// failureResponse is a target's own response that reports a failure.
 	failureResponse *bufferedResponse
+
+	// hold accounts for the memory of the request; nil without a limit.
+	hold *memoryHold
 }
 
 // Limits on the search for a target.
@@ -170,7 +173,11 @@
 		_ = response.Body.Close()
 		return nil, errUnsigned
 	}
-	return bufferResponse(response)
+	resp, err := bufferResponse(response, f.hold)
+	if err == nil {
+		resp.cancel = cancel
+	}
+	return resp, err
 }
 
 var errUnsigned = errors.New("a success that no target vouches for")
@@ -252,7 +259,7 @@
 		stats.RecordFailure(now)
 		return
 	}
-	relative := p.routeStatsFor(route).Observe(report.holdTime, stats.HoldFactor(), len(resp.body))
+	relative := p.routeStatsFor(route).Observe(report.holdTime, stats.HoldFactor(), resp.size())
 	stats.RecordResponse(now, relative, networkTime)
 	p.recordLoad(now, stats, report)
 }
@@ -315,7 +322,7 @@
 	switch refusal.Reason {
 	case port.ReasonShed, port.ReasonShedWithRoom, port.ReasonMisdirected:
 		f.arrivals++
-	case port.ReasonDeadline, port.ReasonBusy, port.ReasonQueueFull:
+	case port.ReasonDeadline, port.ReasonBusy, port.ReasonQueueFull, port.ReasonMemory:
 		f.fullTargets++
 	case port.ReasonBadRequest, port.ReasonQuarantined:
 		return false
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -67,6 +67,9 @@
 	if refusal := p.checkRunnable(meta, r); refusal != nil {
 		return nil, p.loadReport(received, 0), refusal
 	}
+	if refusal := p.targetMemoryRefusal(r); refusal != nil {
+		return nil, p.loadReport(received, 0), refusal
+	}
 	deadline := received.Add(meta.budget)
 	release, refusal := p.isolate(ctx, meta)
 	if refusal != nil {
@@ -86,7 +89,11 @@
 		p.gate.Release(meta.attemptID)
 		return nil, p.loadReport(received, 0), refusal
 	}
-	p.trackRun(began, meta)
+	if refusal := p.trackRun(began, meta, r); refusal != nil {
+		release()
+		p.endRun(meta.attemptID)
+		return nil, p.loadReport(received, 0), refusal
+	}
 	response, err := p.sendLocal(ctx, meta, r, began, deadline)
 	held := p.ports.Clock.Now().Sub(began)
 	p.recordHold(held, response, err)
@@ -181,6 +188,7 @@
 		return nil, refusal
 	}
 	response.Body = &releasingBody{ReadCloser: response.Body, release: cancel}
+	response.Cancel = cancel
 	return response, nil
 }
 
@@ -267,7 +275,9 @@
 		callhttp.WriteError(w, refusal)
 		return
 	}
-	response, report, err := p.runLocal(r.Context(), &meta, request, received)
+	hold := p.memory.open(request.ID)
+	defer hold.close()
+	response, report, err := p.runAdmitted(r.Context(), &meta, request, received, hold)
 	report.write(w.Header())
 	if err != nil {
 		p.correctLink(&meta, 0)
@@ -277,40 +287,69 @@
 	}
 	// The target's slot is released when the last byte is read from the target, not when
 	// the other node has received all bytes.
-	resp, err := bufferResponse(response)
+	resp, err := bufferResponse(response, hold)
 	if err != nil {
 		p.correctLink(&meta, 0)
 		callhttp.WriteError(w, &port.UnknownOutcome{Stage: "answer", Cause: err})
 		return
 	}
-	p.correctLink(&meta, len(resp.body))
-	if err := p.sendResponse(r.Context(), w, resp, received.Add(meta.dueIn)); err != nil {
+	p.correctLink(&meta, resp.size())
+	resp.cancel = response.Cancel
+	err = p.sendResponse(r.Context(), w, resp, received.Add(meta.dueIn))
+	resp.closeRest()
+	if hold.close() {
+		err = errEndedForMemory
+	}
+	if err != nil {
 		// The response must break off for the entry node as well.
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// runAdmitted runs a request for which this node has memory.
+func (p *Proxy) runAdmitted(ctx context.Context, meta *attemptMeta, r *exchange.Request, received time.Time, hold *memoryHold) (*exchange.Response, loadReport, error) {
+	if refusal := hold.admit(ctx, "owner", heldToRelay(r.ContentLength)); refusal != nil {
+		return nil, p.loadReport(received, 0), refusal
+	}
+	return p.runLocal(ctx, meta, r, received)
+}
+
+// heldToRelay returns how many bytes are held to pass on a request body of the given length,
+// which is negative if unknown.
+func heldToRelay(length int64) int64 {
+	if length < 0 {
+		return relayBytes
+	}
+	return min(length, relayBytes)
+}
+
 // sendResponse sends a response, the buffered part followed by the rest. due is when the
 // caller needs it.
 func (p *Proxy) sendResponse(ctx context.Context, w http.ResponseWriter, resp *bufferedResponse, due time.Time) error {
 	if resp.rest == nil {
 		resp.response.ContentLength = int64(len(resp.body))
 	} else {
-		defer resp.rest.Close()
+		resp.startReadAhead()
+		defer resp.closeRest()
 	}
-	if len(resp.body) >= link.LargeSize && p.link.Rate() > 0 {
+	if resp.size() >= link.LargeSize && p.link.Rate() > 0 {
 		return p.sendPaced(ctx, w, resp, due)
 	}
-	p.countUnpaced(len(resp.body) + placement.HeaderBytes)
+	p.countUnpaced(resp.size() + placement.HeaderBytes)
+	resp.hold.startWriting(w)
 	writeHeader(w, resp.response)
 	return copyBody(w, resp)
 }
 
 // copyBody writes the buffered part of a body, followed by the rest.
 func copyBody(w io.Writer, resp *bufferedResponse) error {
-	if _, err := w.Write(resp.body); err != nil || resp.rest == nil {
+	if err := resp.hold.write(w, resp.body); err != nil || resp.rest == nil {
 		return err
 	}
+	if resp.ahead != nil {
+		resp.release()
+		return resp.ahead.copyTo(w)
+	}
 	_, err := io.Copy(w, resp.rest)
 	return err
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -163,6 +163,8 @@
 	// peerAddresses caches the address of each target's node, by target address.
 	peerAddresses  sync.Map
 	unknownHeaders unknownHeaders
+	// memory accounts for the bytes of bodies that the node holds; nil without a limit.
+	memory *memory
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -212,6 +214,7 @@
 		transferReady: map[*link.Transfer]chan struct{}{},
 		peerReports:   peerReports{},
 	}
+	p.memory = newMemory(config.MemoryLimit, ports, p.requestLog)
 	p.attemptPrefix = attemptPrefix(config.TargetAddress, config.Started)
 	if p.crashes == nil {
 		p.crashes = quarantine.NewSharedLedger(ports.Clock)
@@ -378,6 +381,13 @@
 func (p *Proxy) Tick() {
 	p.refreshWarmup()
 	p.gate.Tick()
+	p.memory.tick()
+}
+
+// MeasureMemory sets the gauges of the memory that the node and its target hold.
+func (p *Proxy) MeasureMemory() {
+	p.memory.measure()
+	p.measureTargetMemory()
 }
 
 // LogDroppedLines logs how many log lines were dropped since the last call.
--- a/internal/proxy/request_log.go
+++ b/internal/proxy/request_log.go
@@ -194,5 +194,17 @@
 	}
 }
 
+// slowReaderEnded logs that a response was ended to free the memory that it held. err is set
+// if the pending write could not be ended.
+func (l *requestLog) slowReaderEnded(now time.Time, id string, held int64, stalled time.Duration, total int64, err error) {
+	if entry := l.newLine(now, lineFailure); entry != nil {
+		if err != nil {
+			entry = entry.Str(logfield.Error, err.Error())
+		}
+		entry.Str(logfield.Request, id).Int64(logfield.HeldBytes, held).Int64(logfield.TotalBytes, total).
+			Int64(logfield.Stalled, millis(stalled)).Msg("slow reader ended")
+	}
+}
+
 // callerDisconnected reports whether the caller of a request has closed its connection.
 func callerDisconnected(r *http.Request) bool { return r.Context().Err() != nil }
--- a/internal/proxy/transfer.go
+++ b/internal/proxy/transfer.go
@@ -59,6 +59,7 @@
 		return err
 	}
 	defer p.endTransfer()
+	resp.hold.startWriting(w)
 	writeHeader(w, resp.response)
 	return copyBody(&pacedWriter{proxy: p, to: w}, resp)
 }
--- a/internal/requestbody/requestbody.go
+++ b/internal/requestbody/requestbody.go
@@ -56,6 +56,21 @@
 	return &Body{buffered: head}, int64(len(head)), nil
 }
 
+// HeldBytes returns how many bytes Read holds at most for a body of the given length, which
+// is negative if unknown.
+func HeldBytes(length int64) int64 {
+	switch {
+	case length > MaxBufferedBytes:
+		return headBytes
+	case length < 0:
+		return MaxBufferedBytes + 1
+	}
+	return length
+}
+
+// Held returns how many bytes the body holds.
+func (b *Body) Held() int64 { return int64(len(b.buffered) + len(b.head)) }
+
 // IsBuffered reports whether any number of attempts can read the whole body.
 func (b *Body) IsBuffered() bool { return b.stream == nil }
 
