--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -124,6 +124,7 @@
 
 func runSidecar(path string, s platform.Settings, options sidecarOptions) error {
 	debug.SetGCPercent(sidecarGCPercent)
+	limitSidecarMemory(s.MemoryBytes)
 	c := newSidecar(s, options)
 	failed := make(chan error, 4)
 	if err := c.listen(options, failed); err != nil {
@@ -178,7 +179,7 @@
 		FirstStart:       s.FirstStart,
 		Announce:         c.proxy.Ping,
 	}, platform.NewStore(s.StoreAddress, logger), feedws.NewClient(feedTransport(), c.crashes, c.proxy.CountSent), wallClock{}, logger, c.meter, c.applyView)
-	c.callers = callerhttp.NewServer(c.proxy, callerhttp.Limits{HeaderBytes: maxHeaderBytes, BodyBytes: maxBodyBytes})
+	c.callers = callerhttp.NewServer(c.proxy, callerhttp.Limits{HeaderBytes: maxHeaderBytes, BodyBytes: maxBodyBytes, SendBytes: callerSendBytes(s.MemoryBytes)})
 	c.peerServer = c.newPeerServer(peerAddress)
 	return c
 }
@@ -188,7 +189,8 @@
 		Headers: platform.Headers(), FailureDomain: s.FailureDomain, Region: s.Region, Regions: s.Regions,
 		TargetAddress: s.TargetAddress, PeerPort: s.PeerPort,
 		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
-		HalfBytes: options.halfBytes, LinkRate: s.LinkRate,
+		HalfBytes: options.halfBytes, KeepLargeInRegion: s.LostRegions > 0, LinkRate: s.LinkRate,
+		MemoryLimit:   accountLimit(s.MemoryBytes),
 		WarmupOverage: s.WarmupOverage, WarmupSlack: s.WarmupSlack,
 		DrainGrace: follow.DrainGrace(propagationBound(s)), Seed: uint64(time.Now().UnixNano()), Started: time.Now(),
 	}
--- a/internal/link/transfer_queue.go
+++ b/internal/link/transfer_queue.go
@@ -42,6 +42,10 @@
 // deadlines at a full link; with half of it, more of the others were late.
 const lateShare = 0.75
 
+// maxDeferral bounds that time. A response that waited for several seconds was cut off when
+// its receiver's node was stopped meanwhile, since a stop waits for some seconds only.
+const maxDeferral = time.Second
+
 // position returns the class of a transfer that would be sent alone from now on at the given
 // rate in bytes per second, and the time by which it is ordered within its class: the time
 // at which the caller needs it or, if it can't arrive by then, a time nearer to its deadline.
@@ -51,7 +55,7 @@
 	case !t.Slow && !t.Due.IsZero() && !arrival.After(t.Due):
 		return inTime, t.Due
 	case !arrival.After(t.Deadline) && t.Due.Before(t.Deadline) && !t.Due.IsZero():
-		return inTime, t.Due.Add(time.Duration(lateShare * float64(t.Deadline.Sub(t.Due))))
+		return inTime, t.Due.Add(min(maxDeferral, time.Duration(lateShare*float64(t.Deadline.Sub(t.Due)))))
 	case !arrival.After(t.Deadline):
 		return inTime, t.Deadline
 	}
--- a/internal/link/transfer_queue_test.go
+++ b/internal/link/transfer_queue_test.go
@@ -28,7 +28,8 @@
 }
 
 // A response that can't arrive in time must not delay one that can, and the one that has
-// missed its due time must not wait until its caller has given up.
+// missed its due time must not wait until its caller has given up, nor longer than maxDeferral
+// behind those that are due after it.
 func TestLateTransfersAreSentAfterThoseInTime(t *testing.T) {
 	const rate = 1e6
 	var q TransferQueue
@@ -40,11 +41,12 @@
 	late := &Transfer{Due: at(50), Deadline: at(2000), Size: 100e3}
 	slow := &Transfer{Due: at(500), Deadline: at(4000), Size: 100e3, Slow: true}
 	timely := &Transfer{Due: at(1000), Deadline: at(4000), Size: 100e3}
-	later := &Transfer{Due: at(2000), Deadline: at(5000), Size: 100e3}
-	for _, transfer := range []*Transfer{gone, slow, later, late, timely} {
+	later := &Transfer{Due: at(1400), Deadline: at(5000), Size: 100e3}
+	last := &Transfer{Due: at(2000), Deadline: at(5000), Size: 100e3}
+	for _, transfer := range []*Transfer{gone, slow, last, later, late, timely} {
 		assert.Assert(t, !q.Start(transfer))
 	}
-	for i, want := range []*Transfer{timely, late, later, slow, gone} {
+	for i, want := range []*Transfer{timely, late, later, slow, last, gone} {
 		assert.Equal(t, q.Finish(start, rate), want, "%d", i)
 	}
 }
--- a/internal/port/refusal.go
+++ b/internal/port/refusal.go
@@ -68,6 +68,8 @@
 	// ReasonShortage: the service has lacked slots for some time, and another attempt
 	// would very likely be refused.
 	ReasonShortage Reason = "shortage"
+	// ReasonMemory: the node, or the target, has no memory for the request.
+	ReasonMemory Reason = "memory"
 )
 
 // Refusal is the error for a request that is proven not to have run.
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -46,7 +46,7 @@
 	if groups == nil {
 		return nil
 	}
-	keepInRegion := f.proxy.serviceLoadFor(f.service).KeepsInRegion(now, request.Route.ResponseBytes)
+	keepInRegion := f.proxy.config.KeepLargeInRegion && f.proxy.serviceLoadFor(f.service).KeepsInRegion(now, request.Route.ResponseBytes)
 	for distance, group := range groups {
 		if best != nil && minCost <= request.MinCost(placement.Distance(distance)) {
 			break
--- a/internal/proxy/choose_test.go
+++ b/internal/proxy/choose_test.go
@@ -119,6 +119,7 @@
 	} {
 		t.Run(test.desc, func(t *testing.T) {
 			f := newChoosingForwarder(157)
+			f.proxy.config.KeepLargeInRegion = true
 			f.firstAt, f.deadline = now, now.Add(time.Second)
 			f.proxy.routeStatsFor(f.route).ResponseBytes = test.size
 			for distance := range placement.OtherRegion {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -88,8 +88,14 @@
 	// HalfBytes is the number of bytes at which leaving the failure domain costs half as
 	// much as a late response; 0 ignores the number of bytes.
 	HalfBytes float64
+	// KeepLargeInRegion keeps large responses in the entry node's region where the links of a
+	// service's targets are the bottleneck. It is meant for meshes whose regions can each do
+	// without the others.
+	KeepLargeInRegion bool
 	// LinkRate is the bandwidth of the VM's link in bytes per second; 0 if unknown.
 	LinkRate float64
+	// MemoryLimit is how many bytes of bodies the node may hold in total; 0 for no limit.
+	MemoryLimit int64
 	// DrainGrace is how long a draining target still accepts requests that were already
 	// on their way. Entry nodes may learn of the drain slightly later than the target's
 	// own node. It holds likewise for a target that reports in its responses that it leaves.
@@ -161,6 +167,8 @@
 	// peerAddresses caches the address of each target's node, by target address.
 	peerAddresses  sync.Map
 	unknownHeaders unknownHeaders
+	// memory accounts for the bytes of bodies that the node holds; nil without a limit.
+	memory *memory
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -216,6 +224,7 @@
 		transferReady: map[*link.Transfer]chan struct{}{},
 		peerReports:   peerReports{},
 	}
+	p.memory = newMemory(config.MemoryLimit, ports, p.requestLog)
 	p.attemptPrefix = attemptPrefix(config.TargetAddress, config.Started)
 	if p.crashes == nil {
 		p.crashes = quarantine.NewSharedLedger(ports.Clock)
@@ -365,6 +374,13 @@
 func (p *Proxy) Tick() {
 	p.refreshWarmup()
 	p.gate.Tick()
+	p.memory.tick()
+}
+
+// MeasureMemory sets the gauges of the memory that the node and its target hold.
+func (p *Proxy) MeasureMemory() {
+	p.memory.measure()
+	p.measureTargetMemory()
 }
 
 // LogDroppedLines logs how many log lines were dropped since the last call.
--- a/internal/proxy/shortage_test.go
+++ b/internal/proxy/shortage_test.go
@@ -16,16 +16,16 @@
 	"tamarackquay/internal/port"
 )
 
-type manualClock struct{ now time.Time }
+type settableClock struct{ now time.Time }
 
-func (c *manualClock) Now() time.Time { return c.now }
+func (c *settableClock) Now() time.Time { return c.now }
 
 // newShortage returns a fleet of one node whose target is full, and its clock. Requests of the
 // route are excluded, and a probe has just been sent. The target reports a work factor if
 // reports is set.
-func newShortage(t testing.TB, reports bool) (*fleet, *manualClock) {
+func newShortage(t testing.TB, reports bool) (*fleet, *settableClock) {
 	f := newFleet(t, 1)
-	clock := &manualClock{now: time.Now()}
+	clock := &settableClock{now: time.Now()}
 	p := f.proxies[0]
 	p.ports.Clock = clock
 	load := placement.Load{Running: testSlots, Waiting: testSlots, Slots: testSlots, Hold: 10 * time.Millisecond}
@@ -90,7 +90,7 @@
 
 // shortForwarder returns a request in a shortage, a function that reports whether it stops now, and
 // the clock.
-func shortForwarder(t testing.TB) (*forwarder, func() bool, *manualClock) {
+func shortForwarder(t testing.TB) (*forwarder, func() bool, *settableClock) {
 	fleet, clock := newShortage(t, true)
 	p := fleet.proxies[0]
 	f := &forwarder{
--- a/internal/proxy/transfer.go
+++ b/internal/proxy/transfer.go
@@ -76,6 +76,7 @@
 	if err := paced.acquire(); err != nil {
 		return err
 	}
+	resp.hold.startWriting(w)
 	writeHeader(w, resp.response)
 	return copyBody(paced, resp)
 }
