placement: scale hold time and wait by the slowdown of a target

The slowdown of a load report scales the expected hold time and wait, decayed to the moment of the choice.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -106,9 +106,12 @@
 	LinkRate float64
 	// Slowdown is how long work takes at the target now, as a multiple of the target's own
 	// mean; 0 if the target doesn't report it. A deviation from 1 decays with the time
-	// constant SlowdownPersistence.
+	// constant SlowdownPersistence; if that is 0, with the last known one.
 	Slowdown            float64
 	SlowdownPersistence time.Duration
+	// SlowdownAge is the time since the target reported it. The decay over that time is
+	// part of Slowdown; the age orders reports.
+	SlowdownAge time.Duration
 }
 
 // Stats holds the measurements that an entry node has of one target. It is not safe for
@@ -127,6 +130,7 @@
 	openAtReport   int
 	load           Load
 	loadReportedAt time.Time
+	slowdown       slowdown
 	rtt            time.Duration
 	holdFactor     float64
 	failureRate    float64
@@ -146,6 +150,7 @@
 	s.load = load
 	s.loadReportedAt = now
 	s.openAtReport = s.openAttempts
+	s.slowdown.record(now, &load)
 	s.Service.record(now, load)
 	s.decayFailureRate(now)
 	s.failureRate = max(s.failureRate, load.FailureRate)
@@ -160,7 +165,8 @@
 }
 
 // RecordResponse records a response: for how long the target held the request, relative
-// to the mean of its route, and the round-trip time.
+// to the mean of its route, and the round-trip time. Of a target that reports its Slowdown, the
+// relative time is that at its mean speed: the slowdown of the moment is not part of it.
 func (s *Stats) RecordResponse(now time.Time, relative float64, rtt time.Duration) {
 	if s.holdFactor == 0 {
 		s.holdFactor = 1
@@ -236,8 +242,14 @@
 	return s.holdFactor
 }
 
-// Hold returns for how long the target holds a request with the given mean hold time.
+// Hold returns for how long the target holds a request with the given mean hold time, if the
+// request starts now.
 func (s *Stats) Hold(now time.Time, usual time.Duration) time.Duration {
+	return scale(s.meanHold(now, usual), s.slowdown.factor(now))
+}
+
+// meanHold returns for how long the target holds a request at its own mean speed.
+func (s *Stats) meanHold(now time.Time, usual time.Duration) time.Duration {
 	factor := s.HoldFactor()
 	if s.holdFactor == 0 && now.Before(s.WarmAt) {
 		factor = coldHoldFactor
@@ -264,8 +276,10 @@
 	if network == 0 {
 		network = defaultRTT[s.Distance]
 	}
-	hold = s.Hold(now, r.Route.Hold)
-	return network + s.transferTime(now, r.Route.ResponseBytes), s.expectedWait(now, hold), hold
+	slowdown := s.slowdown.factor(now)
+	hold = s.meanHold(now, r.Route.Hold)
+	wait = scale(s.expectedWait(now, hold), slowdown)
+	return network + s.transferTime(now, r.Route.ResponseBytes), wait, scale(hold, slowdown)
 }
 
 // transferTime returns how long a large response takes over the link of the target's VM.
@@ -285,9 +299,9 @@
 	return network + wait + time.Duration(multiple*float64(hold))
 }
 
-// expectedWait returns the time until a slot becomes free: the number of requests
-// running and waiting at the target beyond its slots, divided by the rate at which slots
-// become free.
+// expectedWait returns the time until a slot becomes free at the target's mean speed: the number of
+// requests running and waiting at the target beyond its slots, divided by the rate at which slots
+// become free. hold is the mean time for which the target holds a request.
 func (s *Stats) expectedWait(now time.Time, hold time.Duration) time.Duration {
 	slots := s.Slots
 	ahead := s.openAttempts
