admission: scale estimated waits by the slowdown of the target

A queued request was expected to start at the mean pace although its target was slow at the moment. Hold times are now averaged at the target's mean speed, and estimated waits and retry times scaled by the slowdown of the moment. Without reports nothing changes.

--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -75,7 +75,7 @@
 // customer are ahead of it, from the measured rate at which slots become free; zero if
 // nothing has been measured. A customer below its guarantee gets the next slots that
 // anyone frees. Other customers get slots at the rate at which their own become free. The
-// start rate may delay the start further.
+// start rate may delay the start further, and the target may be slower now than on average.
 func (q *Queue) estimateWait(now time.Time, c *customer, ahead int, long bool) time.Duration {
 	needed := float64(ahead + 1)
 	perSlot := q.holdOf(c, long) / c.usableSlots(long)
@@ -83,7 +83,7 @@
 		needed += float64(q.tiers.heaps[heapGuaranteed].Len())
 		perSlot = q.meanRunningHold() / float64(max(q.running, 1))
 	}
-	return max(secondsToDuration(needed*perSlot), q.starts.wait(now, ahead))
+	return max(secondsToDuration(needed*perSlot*q.pace.slowdown(now)), q.starts.wait(now, ahead))
 }
 
 // meanRunningHold returns the mean hold time of the requests that run now, in seconds.
@@ -111,7 +111,7 @@
 // time at which one of the customer's slots is likely to become free, so that callers
 // that were refused together don't retry together.
 func (q *Queue) retryAfter(now time.Time, c *customer, long bool) time.Duration {
-	interval := q.retryInterval(c, long)
+	interval := q.retryInterval(now, c, long)
 	earliest := now.Add(interval)
 	if c.lastRetryAt.Before(earliest) {
 		c.lastRetryAt = earliest
@@ -126,12 +126,12 @@
 
 // retryInterval returns the mean time between two of the customer's slots becoming free, or
 // between two starts if the start rate allows fewer.
-func (q *Queue) retryInterval(c *customer, long bool) time.Duration {
+func (q *Queue) retryInterval(now time.Time, c *customer, long bool) time.Duration {
 	hold := q.holdOf(c, long)
 	if hold == 0 {
 		hold = defaultHold.Seconds()
 	}
-	interval := secondsToDuration(hold / c.usableSlots(long))
+	interval := secondsToDuration(hold / c.usableSlots(long) * q.pace.slowdown(now))
 	if q.starts.limited() {
 		interval = max(interval, q.starts.interval())
 	}
--- a/internal/admission/priority_queue.go
+++ b/internal/admission/priority_queue.go
@@ -12,6 +12,8 @@
 	customer *customer
 	running  bool
 	started  time.Time
+	// slowdown is that of the target when the request started.
+	slowdown float64
 	arrival  uint64
 	bucket   int
 	prev     *entry
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -38,6 +38,7 @@
 	lastEvent        time.Time
 
 	starts    startLimiter
+	pace      pace
 	shortHold meanHold
 	longHold  meanHold
 	random    *rand.Rand
@@ -152,7 +153,7 @@
 	if reason == ReasonBusy {
 		// The entry node tries another target. Reserving a retry time for it would only
 		// delay callers whose refusal is final.
-		after := jitter(q.retryInterval(c, r.Long), q.random)
+		after := jitter(q.retryInterval(now, c, r.Long), q.random)
 		return Decision{Verdict: Refused, Reason: reason, RetryAfter: after}, q.changes
 	}
 	after := q.retryAfter(now, c, r.Long)
@@ -265,6 +266,7 @@
 	q.unlink(e)
 	e.running = true
 	e.started = now
+	e.slowdown = q.pace.slowdown(now)
 	q.starts.record(now)
 	q.adjustHeld(c, e.request.Long, 1)
 	q.tiers.update(c)
@@ -273,7 +275,7 @@
 
 func (q *Queue) finish(now time.Time, e *entry) {
 	c := e.customer
-	held := now.Sub(e.started)
+	held := q.pace.atMeanSpeed(now, now.Sub(e.started), e.slowdown)
 	if e.request.Long {
 		c.longHold.add(held)
 		q.longHold.add(held)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -11,6 +11,7 @@
 
 	"tamarackquay/internal/admission"
 	"tamarackquay/internal/port"
+	"tamarackquay/internal/targetspeed"
 )
 
 // Gate holds the admission queue and the goroutines that wait in it. It is safe for
@@ -79,6 +80,13 @@
 	g.notifyWaiters(g.queue.SetStartRate(g.clock.Now(), rate))
 }
 
+// SetSpeed sets the speed of the target; see admission.Queue.SetSpeed.
+func (g *Gate) SetSpeed(now time.Time, speed targetspeed.Speed) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.SetSpeed(now, speed)
+}
+
 func (g *Gate) finish(id string, refusal *port.Refusal) {
 	w := g.waiters[id]
 	if w == nil {
