proxy: read, forecast and send the work factor of targets

The fourth field of a target's load header was not read. platform.DecodeLoad decodes the header into targetreport.Load and replaces hasFreeSlots; an invalid part is ignored, counted and logged. The owner node tracks the factor from all responses of its target, refusals and health responses included, and sends slowdown, age and persistence in Tamarack-Target-Speed. Hold times are sent at the target's mean speed, so that entry nodes don't count the slowdown twice.

A restart or crash of the target forgets its speed.

--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -185,7 +185,7 @@
 
 func proxyConfig(s platform.Settings, options sidecarOptions) proxy.Config {
 	return proxy.Config{
-		Headers: platform.Headers(), FailureDomain: s.FailureDomain, Region: s.Region, Regions: s.Regions,
+		Headers: platform.Headers(), DecodeLoad: platform.DecodeLoad, FailureDomain: s.FailureDomain, Region: s.Region, Regions: s.Regions,
 		TargetAddress: s.TargetAddress, PeerPort: s.PeerPort,
 		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 		HalfBytes: options.halfBytes, LinkRate: s.LinkRate,
--- a/internal/logfield/logfield.go
+++ b/internal/logfield/logfield.go
@@ -79,6 +79,10 @@
 	// Header is the name of a header of a target's response, and Value a value in one.
 	Header Name = "header"
 	Value  Name = "value"
+	// Slowdown is how long work takes at a target, as a multiple of its own mean, and
+	// SlowdownAge how long before that the target reported it, in milliseconds.
+	Slowdown    Name = "slowdown"
+	SlowdownAge Name = "slowdown_age_ms"
 )
 
 // Ending is the result of a decision about a request.
--- a/internal/port/metric.go
+++ b/internal/port/metric.go
@@ -39,6 +39,14 @@
 	// there; 0 without a limit.
 	MetricTargetLimit Metric = "tamarack_target_limit"
 	MetricStartRate   Metric = "tamarack_target_start_rate"
+	// MetricTargetSlowdown is how long work takes at the VM's own target, as a multiple of
+	// the target's own mean; 0 if it reports no work factor. MetricSlowdownPersistence is the
+	// time constant with which a deviation of it decays, in seconds.
+	MetricTargetSlowdown      Metric = "tamarack_target_slowdown"
+	MetricSlowdownPersistence Metric = "tamarack_target_slowdown_persistence_seconds"
+	// MetricReportsIgnored counts reports of targets that were ignored, in part or as a
+	// whole, because they are invalid, by kind.
+	MetricReportsIgnored Metric = "tamarack_reports_ignored_total"
 	// MetricQuarantined is the number of quarantined requests, which are not sent to
 	// targets.
 	MetricQuarantined Metric = "tamarack_requests_quarantined"
--- a/internal/proxy/attempt_meta.go
+++ b/internal/proxy/attempt_meta.go
@@ -100,13 +100,15 @@
 	placement.Load
 	// target is what the target has reported about itself in its responses.
 	target targetreport.Report
-	// holdTime is how long the target held this request. nodeTime is how long the owner
-	// node took in total, until it had the response header.
+	// holdTime is how long the target held this request, at its mean speed if it reports its
+	// slowdown. nodeTime is how long the owner node took in total, until it had the response
+	// header.
 	holdTime, nodeTime time.Duration
 }
 
 func (r *loadReport) write(header http.Header) {
 	writeTargetReport(header, r.target)
+	writeTargetSpeed(header, &r.Load)
 	header[headerLoad] = []string{strings.Join([]string{
 		strconv.Itoa(r.Running), strconv.Itoa(r.Waiting), strconv.Itoa(r.Slots),
 		strconv.FormatInt(r.Hold.Microseconds(), 10), strconv.FormatFloat(r.FailureRate, 'f', 2, 64),
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -48,11 +48,12 @@
 	maxLoggedSuspects = 16
 )
 
-// trackRun records the start of a run.
-func (p *Proxy) trackRun(now time.Time, meta *attemptMeta) {
+// trackRun records the start of a run, and returns the slowdown of the target at that time.
+func (p *Proxy) trackRun(now time.Time, meta *attemptMeta) (slowdown float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.localRuns.running[meta.attemptID] = localRun{request: meta.fingerprint, began: now}
+	return p.localReports.speed.Speed(now).At(0)
 }
 
 // recordRunEnd records the end of a run; err is nil if the complete response was read.
@@ -120,6 +121,7 @@
 	}
 	crash := quarantine.Crash{ID: p.random.Uint64(), Answered: p.localRuns.answeredSince, Suspects: suspects}
 	p.localRuns.lastCrash, p.localRuns.answeredSince = p.ports.Clock.Now(), false
+	p.forgetTargetSpeed(p.localRuns.lastCrash)
 	return crash, true
 }
 
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -20,6 +20,7 @@
 	"tamarackquay/internal/adapter/exchange"
 	"tamarackquay/internal/adapter/metrics"
 	"tamarackquay/internal/mesh"
+	"tamarackquay/internal/targetreport"
 )
 
 // headers holds the header names used by the callers and targets of the tests.
@@ -29,6 +30,17 @@
 	TargetID: "X-Target", Warmup: "X-Warmup-Ms", RequestLimit: "X-Limit", Leaving: "X-Leaving",
 }
 
+// decodeTestLoad decodes "running,waiting,slots", optionally followed by the work factor in percent.
+func decodeTestLoad(text string) (targetreport.Load, error) {
+	var load targetreport.Load
+	count, err := fmt.Sscanf(text, "%d,%d,%d,%f", &load.Running, &load.Waiting, &load.Slots, &load.WorkFactor)
+	load.WorkFactor /= 100
+	if count >= 3 {
+		return load, nil
+	}
+	return targetreport.Load{}, err
+}
+
 // testDrainGrace is the DrainGrace of the nodes; requests are much faster.
 const testDrainGrace = time.Minute
 
@@ -129,7 +141,7 @@
 func (f *fleet) start(t testing.TB, i int, peers net.Listener, members []*mesh.Member) {
 	options := exchange.Options{DialTimeout: 150 * time.Millisecond, IdleTimeout: time.Second, AckTimeout: time.Second, MaxIdle: 8}
 	p := New(Config{
-		Headers: headers, FailureDomain: "a", Region: "r", Regions: map[string]string{"a": "r"},
+		Headers: headers, DecodeLoad: decodeTestLoad, FailureDomain: "a", Region: "r", Regions: map[string]string{"a": "r"},
 		TargetAddress: members[i].Address, PeerPort: peers.Addr().(*net.TCPAddr).Port, RetryRatio: 0.2, RetrySlack: 100, DrainGrace: testDrainGrace, Seed: uint64(i),
 	}, Ports{
 		Clock: wallClock{}, Peers: exchange.NewPool(options), Target: exchange.NewPool(options),
--- a/internal/proxy/forwarder.go
+++ b/internal/proxy/forwarder.go
@@ -210,7 +210,7 @@
 		return nil, loadReport{}, p.classifyError(err)
 	}
 	p.recordContact(address)
-	report, _ := readLoadReport(response.Header)
+	report := p.readPeerLoad(response.Header)
 	peerErr := callhttp.ReadError(&http.Response{Header: response.Header, Body: response.Body})
 	if peerErr != nil {
 		return nil, report, peerErr
--- a/internal/proxy/local_stats.go
+++ b/internal/proxy/local_stats.go
@@ -6,6 +6,7 @@
 
 	"tamarackquay/internal/adapter/exchange"
 	"tamarackquay/internal/placement"
+	"tamarackquay/internal/targetspeed"
 )
 
 // Weights of the moving averages over requests at the local target.
@@ -15,29 +16,34 @@
 )
 
 // localStats holds the observed behavior of the local target: the mean time that requests
-// hold a slot, and the fraction of requests that fail. It is guarded by the proxy's
+// hold a slot at its mean speed, and the fraction of requests that fail. It is guarded by the proxy's
 // mutex.
 type localStats struct {
 	meanHold    time.Duration
 	failureRate float64
 }
 
-// recordHold updates localStats after a run.
-func (p *Proxy) recordHold(held time.Duration, response *exchange.Response, err error) {
+// recordHold updates localStats after a run, and returns how long the run would have taken at the
+// target's mean speed. slowdown is that at its start. The slowdown of the moment is sent apart from
+// the mean hold time, so it must not be part of that.
+func (p *Proxy) recordHold(began time.Time, slowdown float64, response *exchange.Response, err error) time.Duration {
+	now := p.ports.Clock.Now()
 	failed := 0.0
 	if err != nil || response.Status >= http.StatusInternalServerError {
 		failed = 1
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	held := targetspeed.AtMeanSpeed(now.Sub(began), slowdown, p.localReports.speed.Speed(now).At(0))
 	p.localStats.failureRate += failureWeight * (failed - p.localStats.failureRate)
 	if err != nil {
-		return
+		return held
 	}
 	if p.localStats.meanHold == 0 {
 		p.localStats.meanHold = held
 	}
 	p.localStats.meanHold += time.Duration(holdWeight * float64(held-p.localStats.meanHold))
+	return held
 }
 
 // loadReport returns the current load of the local target.
@@ -55,6 +61,9 @@
 	report.Hold = p.localStats.meanHold
 	report.FailureRate = p.localStats.failureRate
 	report.LinkRate = p.link.Rate()
-	report.LinkWait = p.link.Wait(p.ports.Clock.Now())
+	now := p.ports.Clock.Now()
+	report.LinkWait = p.link.Wait(now)
+	speed := p.localReports.speed.Speed(now)
+	report.Slowdown, report.SlowdownAge, report.SlowdownPersistence = speed.Slowdown, speed.Age, speed.Persistence
 	return report
 }
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -16,6 +15,7 @@
 	"tamarackquay/internal/link"
 	"tamarackquay/internal/placement"
 	"tamarackquay/internal/port"
+	"tamarackquay/internal/targetreport"
 )
 
 // meshCustomer is the only customer of a mesh whose configuration defines none; its
@@ -86,10 +86,9 @@
 		p.gate.Release(meta.attemptID)
 		return nil, p.loadReport(received, 0), refusal
 	}
-	p.trackRun(began, meta)
+	slowdown := p.trackRun(began, meta)
 	response, err := p.sendLocal(ctx, meta, r, began, deadline)
-	held := p.ports.Clock.Now().Sub(began)
-	p.recordHold(held, response, err)
+	held := p.recordHold(began, slowdown, response, err)
 	if err != nil {
 		p.gate.Observe(err)
 		p.recordRunEnd(ctx, meta, 0, err)
@@ -171,11 +170,11 @@
 		cancel()
 		return nil, p.classifyError(err)
 	}
-	p.recordTargetReport(now, response)
+	load := p.recordTargetReport(now, response)
 	if response.Status == http.StatusMisdirectedRequest {
 		p.doubtWarmup()
 	}
-	if refusal := p.notExecuted(response); refusal != nil {
+	if refusal := p.notExecuted(response, load); refusal != nil {
 		p.discard(response.Body)
 		cancel()
 		return nil, refusal
@@ -195,8 +194,9 @@
 }
 
 // notExecuted returns a refusal if a target's response says that it did not run the
-// request, or nil. All other errors of a target are valid responses.
-func (p *Proxy) notExecuted(response *exchange.Response) *port.Refusal {
+// request, or nil. All other errors of a target are valid responses. load is the load that the
+// response reports.
+func (p *Proxy) notExecuted(response *exchange.Response, load targetreport.Load) *port.Refusal {
 	if response.Status == http.StatusMisdirectedRequest {
 		return port.Refuse(port.ReasonMisdirected, retryUnreachable, "another target has the address")
 	}
@@ -209,28 +209,17 @@
 		return nil
 	}
 	after := max(retryShed, callhttp.ExactRetryAfter(response.Header))
-	load := response.Header.Get(p.config.Headers.Load)
-	if hasFreeSlots(load) {
-		return port.Refuse(port.ReasonShedWithRoom, after, "the target shed the request at load %s", load)
+	text := response.Header.Get(p.config.Headers.Load)
+	if load.HasFreeSlots() {
+		return port.Refuse(port.ReasonShedWithRoom, after, "the target shed the request at load %s", text)
 	}
-	return port.Refuse(port.ReasonShed, after, "the target shed the request at load %q", load)
+	return port.Refuse(port.ReasonShed, after, "the target shed the request at load %q", text)
 }
 
 // retryShed is the shortest Retry-After of a shed request. Where many requests run, slots become
 // free every few milliseconds; an unhealthy target sheds at random.
 const retryShed = 50 * time.Millisecond
 
-// hasFreeSlots reports whether the load "running,waiting,slots" leaves free slots. A
-// target that sheds requests with free slots is unhealthy rather than full: sending fewer
-// requests would not make it shed less.
-func hasFreeSlots(load string) bool {
-	var running, waiting, slots int
-	if _, err := fmt.Sscanf(load, "%d,%d,%d", &running, &waiting, &slots); err != nil {
-		return false
-	}
-	return running+waiting < slots
-}
-
 // maxDiscarded is how many bytes of an unused body are read to keep its connection.
 const maxDiscarded = 16 << 10
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -29,6 +29,7 @@
 	"tamarackquay/internal/quarantine"
 	"tamarackquay/internal/routing/clientretry"
 	"tamarackquay/internal/routing/retry"
+	"tamarackquay/internal/targetreport"
 )
 
 // Headers holds the names of the HTTP headers exchanged with callers and targets. A
@@ -47,7 +48,7 @@
 	Signature string
 	// NotExecuted is set on responses of targets that did not run the request.
 	NotExecuted string
-	// Load is the load reported by the target: running, waiting, slots.
+	// Load is the load reported by the target, read by Config.DecodeLoad.
 	Load string
 	// TargetID is the target's id and Warmup its remaining warm-up time in milliseconds, in
 	// responses to health checks.
@@ -71,7 +72,10 @@
 
 // Config holds the settings of a proxy.
 type Config struct {
-	Headers       Headers
+	Headers Headers
+	// DecodeLoad decodes the header Headers.Load of a target. With an error, the load holds
+	// what is valid. If nil, the header is not read.
+	DecodeLoad    func(text string) (targetreport.Load, error)
 	FailureDomain string
 	Region        string
 	// Regions maps failure domains to regions.
@@ -226,7 +230,7 @@
 	previous := p.snapshot.Swap(snapshot)
 	if local := snapshot.Local; local != nil {
 		p.mu.Lock()
-		p.localReports.reset(targetInstance{local.ID, local.Started})
+		p.resetReports(targetInstance{local.ID, local.Started})
 		p.updateStartRate()
 		p.mu.Unlock()
 	}
--- a/internal/proxy/request_log.go
+++ b/internal/proxy/request_log.go
@@ -149,7 +149,7 @@
 	if errors.As(err, &refusal) {
 		entry = entry.Str(logfield.Reason, string(refusal.Reason))
 	}
-	l.withRequest(entry, f, now).Str(logfield.Outcome, logfield.Failed).Str(logfield.Target, member.ID).Str(logfield.Attempt, attemptID).
+	withSlowdown(l.withRequest(entry, f, now), &last.load).Str(logfield.Outcome, logfield.Failed).Str(logfield.Target, member.ID).Str(logfield.Attempt, attemptID).
 		Uint64(logfield.TargetRevision, member.Revision).
 		Str(logfield.ReportedLoad, fmt.Sprintf("%d/%d/%d", last.load.Running, last.load.Waiting, last.load.Slots)).
 		Int64(logfield.ReportedLoadAge, millis(last.age)).Str(logfield.Error, err.Error()).Msg("attempt")
@@ -168,7 +168,7 @@
 		outcome = logfield.Refused
 		entry = entry.Str(logfield.Reason, string(refusal.Reason)).Int64(logfield.RetryAfter, millis(refusal.RetryAfter))
 	}
-	entry.Str(logfield.Request, id).Str(logfield.Fingerprint, meta.fingerprint.String()).Str(logfield.Route, meta.route).Str(logfield.Attempt, meta.attemptID).Str(logfield.Outcome, outcome).
+	withSlowdown(entry, &report.Load).Str(logfield.Request, id).Str(logfield.Fingerprint, meta.fingerprint.String()).Str(logfield.Route, meta.route).Str(logfield.Attempt, meta.attemptID).Str(logfield.Outcome, outcome).
 		Int64(logfield.Elapsed, millis(now.Sub(received))).Int64(logfield.TimeLeft, millis(meta.budget-now.Sub(received))).
 		Str(logfield.ReportedLoad, fmt.Sprintf("%d/%d/%d", report.Running, report.Waiting, report.Slots)).
 		Int64(logfield.ViewAge, millis(l.viewAge())).Str(logfield.Error, err.Error()).Msg("own target")
@@ -194,5 +194,20 @@
 	}
 }
 
+// invalidLoad logs a load header of the local target that is invalid in part or as a whole.
+func (l *requestLog) invalidLoad(now time.Time, text string, err error) {
+	if entry := l.newLine(now, lineTarget); entry != nil {
+		entry.Str(logfield.Value, text).Str(logfield.Error, err.Error()).Msg("target reports an invalid load")
+	}
+}
+
+// withSlowdown adds the slowdown of a target that reports it.
+func withSlowdown(entry *log.Entry, load *placement.Load) *log.Entry {
+	if load.Slowdown <= 0 {
+		return entry
+	}
+	return entry.Float64(logfield.Slowdown, load.Slowdown).Int64(logfield.SlowdownAge, millis(load.SlowdownAge))
+}
+
 // callerDisconnected reports whether the caller of a request has closed its connection.
 func callerDisconnected(r *http.Request) bool { return r.Context().Err() != nil }
--- a/internal/proxy/target_report.go
+++ b/internal/proxy/target_report.go
@@ -9,6 +9,7 @@
 	"tamarackquay/internal/adapter/exchange"
 	"tamarackquay/internal/port"
 	"tamarackquay/internal/targetreport"
+	"tamarackquay/internal/targetspeed"
 )
 
 // targetInstance identifies one start of a target.
@@ -22,20 +23,27 @@
 type localReports struct {
 	instance targetInstance
 	tracker  targetreport.Tracker
+	// speed holds the work factors. restartedAt is when the node learned that the target has
+	// restarted.
+	speed       targetspeed.Tracker
+	restartedAt time.Time
 }
 
-// reset forgets the reports of an earlier start of the target.
-func (l *localReports) reset(instance targetInstance) {
-	if l.instance != instance {
-		*l = localReports{instance: instance}
+// resetReports forgets the reports of an earlier start of the local target. It must be called with
+// the mutex held.
+func (p *Proxy) resetReports(instance targetInstance) {
+	if p.localReports.instance == instance {
+		return
 	}
+	p.localReports = localReports{instance: instance}
+	p.forgetTargetSpeed(p.ports.Clock.Now())
 }
 
-// recordTargetReport records what a response of the local target reports. sent is when its
-// request was sent.
-func (p *Proxy) recordTargetReport(sent time.Time, response *exchange.Response) {
+// recordTargetReport records what a response of the local target reports, and returns the load in
+// it. sent is when its request was sent.
+func (p *Proxy) recordTargetReport(sent time.Time, response *exchange.Response) targetreport.Load {
 	if response.Status == http.StatusMisdirectedRequest {
-		return
+		return targetreport.Load{}
 	}
 	now := p.ports.Clock.Now()
 	p.unknownHeaders.log(p, response.Header)
@@ -44,6 +52,9 @@
 	if before != after {
 		p.requestLog.targetReported(now, before, after)
 	}
+	load := p.readTargetLoad(now, response)
+	p.recordTargetLoad(sent, now, load)
+	return load
 }
 
 // trackTargetReport records a report and returns what was in force before and after it.
@@ -112,7 +123,10 @@
 	p.mu.Lock()
 	limit := p.localReports.tracker.Current().Limit
 	rate := p.startRate.PerSecond
+	speed := p.localReports.speed.Speed(p.ports.Clock.Now())
 	p.mu.Unlock()
 	p.ports.Meter.Set(port.MetricTargetLimit, "", limit)
 	p.ports.Meter.Set(port.MetricStartRate, "", rate)
+	p.ports.Meter.Set(port.MetricTargetSlowdown, "", speed.Slowdown)
+	p.ports.Meter.Set(port.MetricSlowdownPersistence, "", speed.Persistence.Seconds())
 }
--- a/internal/targetspeed/targetspeed_test.go
+++ b/internal/targetspeed/targetspeed_test.go
@@ -85,7 +85,7 @@
 // outside its bounds, in any order of reports.
 func TestSpeedUnderFailures(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var tracker Tracker
+		var tracker, inOrder Tracker
 		last := -1
 		for range rapid.IntRange(0, 60).Draw(t, "reports") {
 			millis := rapid.IntRange(0, 20_000).Draw(t, "at")
@@ -93,8 +93,10 @@
 			tracker.Record(at(millis), factor)
 			if valid := factor >= MinSlowdown && factor <= MaxSlowdown; valid && millis >= last {
 				last = millis
+				inOrder.Record(at(millis), factor)
 			}
 		}
+		assert.Equal(t, tracker, inOrder, "overtaken and invalid reports change nothing")
 		now := 20_000
 		speed := tracker.Speed(at(now))
 		if last < 0 {
