admission: keep an entry at its size with the slowdown of its start

The slowdown at the start of a request enlarged the queue's entries from 160 to 168 bytes, the next size class, and decisions without reports did a needless subtraction of times. It is a float32 in the padding now.

--- a/internal/admission/pace.go
+++ b/internal/admission/pace.go
@@ -15,7 +15,12 @@
 }
 
 // slowdown returns how long work takes now, as a multiple of the target's mean.
-func (p *pace) slowdown(now time.Time) float64 { return p.speed.At(now.Sub(p.at)) }
+func (p *pace) slowdown(now time.Time) float64 {
+	if p.speed.Slowdown <= 0 {
+		return 1
+	}
+	return p.speed.At(now.Sub(p.at))
+}
 
 // atMeanSpeed returns how long a request that ends now would have held its slot at the target's
 // mean speed, given the slowdown at its start.
--- a/internal/admission/priority_queue.go
+++ b/internal/admission/priority_queue.go
@@ -11,9 +11,10 @@
 	request  Request
 	customer *customer
 	running  bool
+	// slowdown is that of the target when the request started. As float32 beside running, it
+	// doesn't enlarge the entry.
+	slowdown float32
 	started  time.Time
-	// slowdown is that of the target when the request started.
-	slowdown float64
 	arrival  uint64
 	bucket   int
 	prev     *entry
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -266,7 +266,7 @@
 	q.unlink(e)
 	e.running = true
 	e.started = now
-	e.slowdown = q.pace.slowdown(now)
+	e.slowdown = float32(q.pace.slowdown(now))
 	q.starts.record(now)
 	q.adjustHeld(c, e.request.Long, 1)
 	q.tiers.update(c)
@@ -275,7 +275,7 @@
 
 func (q *Queue) finish(now time.Time, e *entry) {
 	c := e.customer
-	held := q.pace.atMeanSpeed(now, now.Sub(e.started), e.slowdown)
+	held := q.pace.atMeanSpeed(now, now.Sub(e.started), float64(e.slowdown))
 	if e.request.Long {
 		c.longHold.add(held)
 		q.longHold.add(held)
