--- a/internal/admission/priority_queue.go
+++ b/internal/admission/priority_queue.go
@@ -11,6 +11,9 @@
 	request  Request
 	customer *customer
 	running  bool
+	// slowdown is that of the target when the request started. As float32 beside running, it
+	// doesn't enlarge the entry.
+	slowdown float32
 	started  time.Time
 	arrival  uint64
 	bucket   int
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -16,6 +16,7 @@
 	route := *p.routeStatsFor(f.route)
 	request := &placement.Request{
 		Route: route, TimeLeft: f.dueIn(now), ReceiveTime: p.inbound.Time(route.ResponseBytes),
+		LateWait: f.route.TargetLatency / lateWaitDivisor, Late: f.overdue(now),
 		RequestBytes: float64(max(f.length, 0)), HalfBytes: p.config.HalfBytes,
 	}
 	if best := f.cheapest(now, request, false); best != nil || f.attempts > 0 {
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -55,21 +55,22 @@
 	maxLoggedSuspects = 16
 )
 
-// trackRun records the start of a run, unless the target may not hold the request's body in
-// addition to those that it holds.
-func (p *Proxy) trackRun(now time.Time, meta *attemptMeta, r *exchange.Request) *port.Refusal {
+// trackRun records the start of a run and returns the slowdown of the target at that time. It
+// returns a refusal if the target may not hold the request's body in addition to those that
+// it holds.
+func (p *Proxy) trackRun(now time.Time, meta *attemptMeta, r *exchange.Request) (slowdown float64, refusal *port.Refusal) {
 	length := max(r.ContentLength, 0)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if refusal := p.checkTargetMemory(r); refusal != nil {
-		return refusal
+		return 0, refusal
 	}
 	p.localRuns.memory.Add(length)
 	p.localRuns.running[meta.attemptID] = localRun{request: meta.fingerprint, began: now, bytes: length}
 	if r.ContentLength < 0 && r.Body != nil {
 		r.Body = &countedBody{Reader: r.Body, proxy: p, attemptID: meta.attemptID}
 	}
-	return nil
+	return p.localReports.speed.Speed(now).At(0), nil
 }
 
 // recordRunEnd records the end of a run; err is nil if the complete response was read.
@@ -140,6 +141,7 @@
 	}
 	crash := quarantine.Crash{ID: p.random.Uint64(), Answered: p.localRuns.answeredSince, Suspects: suspects}
 	p.localRuns.lastCrash, p.localRuns.answeredSince = p.ports.Clock.Now(), false
+	p.forgetTargetSpeed(p.localRuns.lastCrash)
 	return crash, held, true
 }
 
--- a/internal/proxy/rank.go
+++ b/internal/proxy/rank.go
@@ -5,6 +5,7 @@
 
 	"tamarackquay/internal/admission"
 	"tamarackquay/internal/mesh"
+	"tamarackquay/internal/placement"
 )
 
 // Ranks of requests that wait for a slot: by the priority of the route and, within a
@@ -30,11 +31,6 @@
 // minLatency is the target latency below which all routes are equally urgent.
 const minLatency = 40 * time.Millisecond
 
-// workMargin is how many times the usual work must fit into the time after a wait. A
-// request that starts with less is likely to be cut off at its deadline, and its work is
-// wasted.
-const workMargin = 1.5
-
 // lateWaitDivisor divides the target latency to give the wait of a request that can't be
 // answered in time any more.
 const lateWaitDivisor = 2
@@ -67,7 +63,7 @@
 // response can still be in time; 0 if it can't.
 func (f *forwarder) rankAndSlack(now time.Time, hold time.Duration) (int, time.Duration) {
 	rank := f.route.Priority * ranksPerPriority
-	if slack := f.dueIn(now) - time.Duration(workMargin*float64(hold)); slack > 0 && !f.overdue(now) {
+	if slack := f.dueIn(now) - time.Duration(placement.WorkMargin*float64(hold)); slack > 0 && !f.overdue(now) {
 		return rank, slack
 	}
 	return rank + rankLate, 0
@@ -80,7 +76,7 @@
 	hold, size := f.expectedHold(now, member)
 	rank, slack := f.rankAndSlack(now, hold)
 	left := f.deadline.Sub(now)
-	maxWait := left - time.Duration(workMargin*float64(hold))
+	maxWait := left - time.Duration(placement.WorkMargin*float64(hold))
 	meta := attemptMeta{
 		attemptID: f.proxy.nextAttemptID(), route: f.route.Name, rank: rank,
 		budget: left, dueIn: f.dueIn(now), responseSize: size, revision: member.Revision,
--- a/internal/proxy/shortage.go
+++ b/internal/proxy/shortage.go
@@ -92,8 +92,6 @@
 	return true
 }
 
-const percent = 100
-
 // retryAfterShortage returns when the caller should retry in a shortage. It must be called with
 // the mutex held.
 func (f *forwarder) retryAfterShortage(now time.Time) time.Duration {
