proxy: return the memory of responses that are not passed on

A failure response that was followed by another attempt, and the response of the slower of two parallel attempts, kept the memory reserved for the request until the request ended. If the account granted nothing more, the response that was passed on waited for that memory for good: its handler, its goroutine and its connections stayed, also when the caller left.

Both now return their memory once another response is chosen.

--- a/internal/proxy/forwarder.go
+++ b/internal/proxy/forwarder.go
@@ -127,6 +127,7 @@
 		}
 		resp, err := f.attempt(ctx, now, member)
 		if err == nil {
+			f.releaseFailure()
 			return resp, nil
 		}
 		if ctx.Err() != nil {
@@ -144,11 +145,21 @@
 // set if the target itself responded with a failure.
 func (f *forwarder) recordFailure(resp *bufferedResponse, err error) bool {
 	if resp != nil {
+		f.releaseFailure()
 		f.failureResponse = resp
 	}
 	return f.mayRetry(err)
 }
 
+// releaseFailure returns the memory of a failure response that is not passed on, so that the
+// response that is can use it.
+func (f *forwarder) releaseFailure() {
+	if f.failureResponse != nil {
+		f.failureResponse.release()
+		f.failureResponse = nil
+	}
+}
+
 // result returns the response or error for the caller after no attempt succeeded.
 func (f *forwarder) result() (*bufferedResponse, error) {
 	switch {
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -106,10 +106,15 @@
 	}
 	slower.cancel()
 	go func() {
-		if unused := <-ended; unused.response != nil && unused.response.rest != nil {
+		unused := (<-ended).response
+		if unused == nil {
+			return
+		}
+		if unused.rest != nil {
 			// Closing it unread ends the connection.
-			_ = unused.response.rest.Close()
+			_ = unused.rest.Close()
 		}
+		unused.release()
 	}()
 	return resp, nil
 }
