membudget: don't blame a receiver for which there is nothing to write

A receiver counted as slow 2 s after it last took bytes, also while the target paused in the middle of its response, and while the response waited for a sending slot or for the pacer of the link. A stream of a target with pauses could be ended although its caller read everything, without need for memory if 129 of them paused at once; a download that waited for a saturated link could be ended although its receiver would have read.

Such time no longer counts: the account is told when a response waits for its source or for the link, and when writing goes on. Writing a chunk of 8 KiB to a link with a pacer takes two more locks of the account.

--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -64,8 +64,8 @@
 type Holder struct {
 	held  [NumPurposes]int64
 	total int64
-	// progressAt is when the receiver of the response last took bytes; zero while no
-	// response is written.
+	// progressAt is when the receiver of the response last took bytes or could begin to;
+	// zero while nothing is written.
 	progressAt time.Time
 	open       bool
 	ended      bool
@@ -159,8 +159,12 @@
 // writing to it begins.
 func (a *Account) Progress(h *Holder, now time.Time) { h.progressAt = now }
 
+// Wait records that nothing can be written to the receiver at the moment, because the rest
+// of the response or its turn on the link is awaited. Progress ends it.
+func (a *Account) Wait(h *Holder) { h.progressAt = time.Time{} }
+
 // Stalled returns the time for which the receiver of the connection's response could have
-// read and did not. It is 0 while no response is written.
+// read and did not. It is 0 while nothing is written.
 func (a *Account) Stalled(h *Holder, now time.Time) time.Duration {
 	if h.progressAt.IsZero() {
 		return 0
--- a/internal/proxy/memory.go
+++ b/internal/proxy/memory.go
@@ -280,8 +280,23 @@
 	return nil
 }
 
-// recordProgress reports whether the connection was ended.
+// wait marks that the receiver gets nothing for the moment, through no fault of its own.
+// recordProgress ends it.
+func (h *memoryHold) wait() {
+	if h == nil {
+		return
+	}
+	h.memory.mu.Lock()
+	defer h.memory.mu.Unlock()
+	h.memory.account.Wait(&h.Holder)
+}
+
+// recordProgress records that the receiver took bytes, or can take them from now on. It
+// reports whether the connection was ended.
 func (h *memoryHold) recordProgress() bool {
+	if h == nil {
+		return false
+	}
 	m := h.memory
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/proxy/paced_writer.go
+++ b/internal/proxy/paced_writer.go
@@ -27,6 +27,9 @@
 	to       io.Writer
 	transfer *link.Transfer
 	stall    *time.Timer
+	// hold accounts for the response's memory; nil without a limit. The receiver is not
+	// blamed for the time in which the response waits for the link.
+	hold *memoryHold
 	// holding reports whether the response holds a slot. It is guarded by the proxy's mutex.
 	holding bool
 }
@@ -85,6 +88,7 @@
 	p := w.proxy
 	written := 0
 	for chunk := range slices.Chunk(b, pacedChunk) {
+		w.hold.wait()
 		if err := w.acquire(); err != nil {
 			return written, err
 		}
@@ -94,6 +98,9 @@
 		if pause > 0 {
 			time.Sleep(pause)
 		}
+		if ended := w.hold.recordProgress(); ended {
+			return written, errEndedForMemory
+		}
 		w.stall.Reset(stallTime)
 		n, err := w.to.Write(chunk)
 		w.stall.Stop()
--- a/internal/proxy/read_ahead.go
+++ b/internal/proxy/read_ahead.go
@@ -147,7 +147,9 @@
 		if err != nil {
 			return aheadPart{}, err
 		}
+		r.hold.wait()
 		<-r.pushed
+		r.hold.recordProgress()
 	}
 }
 
--- a/internal/proxy/transfer.go
+++ b/internal/proxy/transfer.go
@@ -72,6 +72,7 @@
 // of the link's pacer, so that small responses are not delayed behind it.
 func (p *Proxy) sendPaced(ctx context.Context, w http.ResponseWriter, resp *bufferedResponse, transfer *link.Transfer) error {
 	paced := newPacedWriter(ctx, p, w, transfer)
+	paced.hold = resp.hold
 	defer paced.release()
 	if err := paced.acquire(); err != nil {
 		return err
