membudget: let a request alone pass the bound of a target

A target's bound is lifted by its responses. A target that gets only requests with bodies larger than the bound got none, and so refused all of them for good.

While the target holds no request body, one of any size is sent. A single request that crashes targets is kept from them by the quarantine.

--- a/internal/membudget/target.go
+++ b/internal/membudget/target.go
@@ -26,9 +26,11 @@
 // Bound returns the number of bytes that the target may hold; 0 means any.
 func (t *Target) Bound() int64 { return t.bound }
 
-// Fits reports whether a request with a body of the given bytes may be sent.
+// Fits reports whether a request with a body of the given bytes may be sent. One alone always
+// may: a body larger than the bound would otherwise be refused for good at a target that gets
+// no others, because only responses lift the bound.
 func (t *Target) Fits(bytes int64) bool {
-	return t.bound == 0 || bytes <= 0 || bytes <= t.bound-t.held
+	return t.bound == 0 || bytes <= 0 || t.held == 0 || bytes <= t.bound-t.held
 }
 
 // Add counts bytes that are sent to the target, and negative bytes when requests end.
