proxy: check again whether a target that lost connections has ended

A node checked its target once, 20 ms after the first connection that ended without a response, and forgot the requests that ran if the target still listened. A process that ends closes its connections and its listener one after another; if it is stopped in between, as on a busy machine or a VM with a part of a core, the crash was not reported, or without the request that caused it. A connection that ended between the check and the recording of its result was forgotten as well.

A target that still listens is now checked again 40, 80 and 160 ms later, and again from the beginning if connections ended during the last check. Requests whose connection ended meanwhile stay suspects; of those still running, the ones that began before the last check that found the target listening. A target that stays is checked at most 4 times for each 300 ms; before, once for each 20 ms.

--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -23,11 +23,17 @@
 type localRuns struct {
 	// running holds the current runs by attempt id.
 	running map[string]localRun
-	// broken holds runs whose connection ended without a response, until the target is
-	// checked. firstBrokenAt is when the first of them ended.
-	broken        []localRun
-	firstBrokenAt time.Time
-	checking      bool
+	// broken holds runs whose connection ended without a response, until the checks of
+	// the target end. Of the runs that continue, those that began before reachableUntil
+	// may have reached the target: it is when the first connection ended, or the last
+	// check that found the target listening.
+	broken         []localRun
+	reachableUntil time.Time
+	checking       bool
+	// checks is how often the target was found listening since the first of them ended.
+	checks int
+	// schedule calls a function after a delay; tests replace it.
+	schedule func(time.Duration, func())
 	// lastCrash is the time of the target's last crash. answeredSince is set once the
 	// target has answered after it.
 	lastCrash     time.Time
@@ -40,21 +46,35 @@
 type localRun struct {
 	request quarantine.Fingerprint
 	began   time.Time
+	// brokenAt is when its connection ended; zero while it runs.
+	brokenAt time.Time
 	// bytes is the part of the request's body that was sent, or will be if its length is
 	// known.
 	bytes int64
 }
 
 const (
-	// crashCheckDelay is the time from the first broken run to the check of the target.
-	// An exiting process closes its connections and its listener within this time.
+	// crashCheckDelay is the time from the first broken run to the first check of the
+	// target, and doubles for each further one. An exiting process usually closes its
+	// connections and its listener within this time. On a VM with a part of a core, it may
+	// be stopped in between for the rest of a scheduling period of 100 ms, or several.
 	crashCheckDelay = 20 * time.Millisecond
+	// maxCrashChecks is how often a target is checked that still listens: for 300 ms in
+	// total.
+	maxCrashChecks = 4
 	// crashCheckTimeout limits the duration of the check.
 	crashCheckTimeout = 300 * time.Millisecond
 	// maxLoggedSuspects limits the length of a crash's log line.
 	maxLoggedSuspects = 16
 )
 
+func newLocalRuns() localRuns {
+	return localRuns{
+		running:  map[string]localRun{},
+		schedule: func(delay time.Duration, check func()) { time.AfterFunc(delay, check) },
+	}
+}
+
 // trackRun records the start of a run and returns the slowdown of the target at that time. It
 // returns a refusal if the target may not hold the request's body in addition to those that
 // it holds.
@@ -91,11 +111,12 @@
 	if ctx.Err() != nil || !closedByPeer(err) || !run.began.After(p.localRuns.lastCrash) {
 		return
 	}
+	run.brokenAt = p.ports.Clock.Now()
 	p.localRuns.broken = append(p.localRuns.broken, run)
 	if !p.localRuns.checking {
-		p.localRuns.checking = true
-		p.localRuns.firstBrokenAt = p.ports.Clock.Now()
-		time.AfterFunc(crashCheckDelay, p.checkForCrash)
+		p.localRuns.checking, p.localRuns.checks = true, 0
+		p.localRuns.reachableUntil = run.brokenAt
+		p.localRuns.schedule(crashCheckDelay, p.checkForCrash)
 	}
 }
 
@@ -117,7 +138,11 @@
 func (p *Proxy) checkForCrash() {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
+	began := p.ports.Clock.Now()
 	exited := p.ports.Target.ConnectionRefused(ctx, p.config.TargetAddress)
+	if !exited && p.checkAgain(began) {
+		return
+	}
 	crash, held, crashed := p.finishCrashCheck(exited)
 	local := p.stayingTarget()
 	if !crashed || local == nil {
@@ -129,6 +154,25 @@
 	p.crashes.RecordCrash(crash)
 }
 
+// checkAgain starts a further check after one that began at the given time and found the target
+// listening. It returns false if that was the last and no connection has ended since it began.
+func (p *Proxy) checkAgain(began time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	runs := &p.localRuns
+	runs.checks++
+	if runs.checks >= maxCrashChecks {
+		runs.broken = slices.DeleteFunc(runs.broken, func(run localRun) bool { return run.brokenAt.Before(began) })
+		if len(runs.broken) == 0 {
+			return false
+		}
+		runs.checks = 0
+	}
+	runs.reachableUntil = began
+	p.localRuns.schedule(crashCheckDelay<<runs.checks, p.checkForCrash)
+	return true
+}
+
 // finishCrashCheck records the result of a check. If the process has ended, it returns the
 // crash and how many bytes of request bodies the target held.
 func (p *Proxy) finishCrashCheck(exited bool) (quarantine.Crash, int64, bool) {
@@ -145,13 +189,13 @@
 	return crash, held, true
 }
 
-// suspects returns the requests that were running when the first connection broke, the
-// latest first, and how many bytes of request bodies the target held then. It must be called
+// suspects returns the requests that may have been running when the target ended, the latest
+// first, and how many bytes of request bodies the target held then. It must be called
 // with the mutex held.
 func (p *Proxy) suspects() ([]quarantine.Fingerprint, int64) {
 	runs := slices.Clone(p.localRuns.broken)
 	for _, run := range p.localRuns.running {
-		if run.began.Before(p.localRuns.firstBrokenAt) {
+		if run.began.Before(p.localRuns.reachableUntil) {
 			runs = append(runs, run)
 		}
 	}
--- a/internal/proxy/crash_test.go
+++ b/internal/proxy/crash_test.go
@@ -196,6 +196,72 @@
 	}
 }
 
+// holdCrashChecks makes a node queue the checks of its target instead of running them later.
+func (p *Proxy) holdCrashChecks() <-chan func() {
+	checks := make(chan func(), 100)
+	p.localRuns.schedule = func(_ time.Duration, check func()) { checks <- check }
+	return checks
+}
+
+// A target that crashes closes the connection of a request, and some checks later the rest of
+// its connections and its listener. Guards against a crash that is not reported because the
+// target still listened at the first check.
+func TestCrashThatTakesLongIsReported(t *testing.T) {
+	for before := range maxCrashChecks {
+		t.Run(fmt.Sprint(before, " checks before"), func(t *testing.T) {
+			f := newFleet(t, 1)
+			f.warmUp(t)
+			p, checks := f.proxies[0], f.proxies[0].holdCrashChecks()
+			f.targets[0].serve = func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+			f.send(0, "GET", poisonPath, "")
+			for range before {
+				(<-checks)()
+			}
+			f.targets[0].crash()
+			(<-checks)()
+			assert.Equal(t, p.crashes.CrashCount(fingerprintOfPath(poisonPath)), 1)
+			assert.Equal(t, len(checks), 0)
+			assert.Assert(t, !p.localRuns.checking && len(p.localRuns.broken) == 0)
+		})
+	}
+}
+
+// Guards against a crash that is not reported because its connections end during the last
+// check of the target for an earlier connection.
+func TestCrashDuringLastCheckIsReported(t *testing.T) {
+	f := newFleet(t, 1)
+	f.warmUp(t)
+	p, checks := f.proxies[0], f.proxies[0].holdCrashChecks()
+	f.targets[0].serve = func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	f.send(0, "POST", "/once/x", "")
+	for range maxCrashChecks - 1 {
+		(<-checks)()
+	}
+	// The last check begins and finds the target listening.
+	<-checks
+	began := p.ports.Clock.Now()
+	f.send(0, "GET", poisonPath, "")
+	assert.Assert(t, p.checkAgain(began))
+	f.targets[0].crash()
+	(<-checks)()
+	assert.Equal(t, p.crashes.CrashCount(fingerprintOfPath(poisonPath)), 1)
+	assert.Equal(t, p.crashes.CrashCount(quarantine.FingerprintOf(&quarantine.Content{Method: "POST", Host: "h", URI: "/once/x"})), 0)
+}
+
+// A target ends connections and stays. Guards against checks without end.
+func TestChecksOfTargetThatStaysEnd(t *testing.T) {
+	f := newFleet(t, 1)
+	p := f.proxies[0]
+	checks := p.holdCrashChecks()
+	f.targets[0].serve = func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	f.send(0, "POST", "/once/x", "")
+	for range maxCrashChecks {
+		(<-checks)()
+	}
+	assert.Equal(t, len(checks), 0)
+	assert.Assert(t, !p.localRuns.checking && len(p.localRuns.broken) == 0)
+}
+
 func waitForCrashCount(t *testing.T, crashes *quarantine.SharedLedger, request quarantine.Fingerprint, want int) {
 	t.Helper()
 	waitFor(t, fmt.Sprint("count ", want), func() bool { return crashes.CrashCount(request) == want })
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -218,7 +218,7 @@
 		serviceLoads:  map[string]*placement.ServiceLoad{},
 		shortages:     map[string]*serviceShortage{},
 		retries:       retry.NewFleetBudget(config.RetryWindow),
-		localRuns:     localRuns{running: map[string]localRun{}},
+		localRuns:     newLocalRuns(),
 		crashes:       ports.Crashes,
 		suspectSlot:   make(chan struct{}, 1),
 		callerRetries: clientretry.NewTracker(),
