proxy: in a shortage of a service, requests stay in their region

In a shortage, by the same evidence by which requests are refused at once, other regions are as full; requests now leave the region only if it has no usable target.

--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -52,7 +52,7 @@
 		if best != nil && minCost <= request.MinCost(placement.Distance(distance)) {
 			break
 		}
-		if placement.Distance(distance) == placement.OtherRegion && keepInRegion && f.usableInRegion(now, groups) {
+		if placement.Distance(distance) == placement.OtherRegion && (keepInRegion || f.lacksSlotsEverywhere(now)) && f.usableInRegion(now, groups) {
 			break
 		}
 		for _, c := range group {
@@ -68,6 +68,16 @@
 	return best
 }
 
+// lacksSlotsEverywhere reports whether the service is in a shortage, in which targets of other
+// regions are as full as those of the entry node's region. It must be called with the mutex held.
+func (f *forwarder) lacksSlotsEverywhere(now time.Time) bool {
+	if f.shortage == nil {
+		return false
+	}
+	_, short := f.inShortage(now)
+	return short
+}
+
 // usableInRegion reports whether the entry node's region has a target that may run the request,
 // tried or not. It must be called with the mutex held.
 func (f *forwarder) usableInRegion(now time.Time, groups *candidates) bool {
--- a/internal/proxy/choose_test.go
+++ b/internal/proxy/choose_test.go
@@ -133,3 +133,39 @@
 		})
 	}
 }
+
+// Guards against requests that leave the region in a shortage of the whole service, where other
+// regions are as full, and against staying there without a usable target.
+func TestRequestsStayInRegionInAShortage(t *testing.T) {
+	now := time.Now()
+	full := placement.Load{Running: 9, Waiting: 30, Slots: 9, Hold: time.Second, Slowdown: 1}
+	for _, test := range []struct {
+		desc   string
+		short  bool
+		near   func(c candidate)
+		leaves bool
+	}{
+		{"no shortage", false, func(candidate) {}, true},
+		{"a shortage", true, func(candidate) {}, false},
+		{"a shortage, the region's targets are in backoff", true, func(c candidate) { c.stats.BackOff(now) }, true},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			f := newChoosingForwarder(157)
+			f.firstAt, f.deadline = now, now.Add(2*time.Second)
+			for distance, group := range f.proxy.candidates["s"] {
+				for _, c := range group {
+					if placement.Distance(distance) < placement.OtherRegion {
+						c.stats.RecordLoad(now, full)
+						test.near(c)
+					}
+				}
+			}
+			f.shortage = f.proxy.shortageOf("s")
+			for range 20 {
+				f.shortage.tracker.RecordFirst(now, 0, !test.short)
+			}
+			got := f.choose(now)
+			assert.Equal(t, got != nil && f.proxy.distance(got) == placement.OtherRegion, test.leaves, "%v", got)
+		})
+	}
+}
