proxy: show what a node counts and allows in the retry budget

Callers and operators could not see why targets got more retries than the fleet's budget allows: no log line and no metric showed what a node had counted, by which number of VMs it divided the fixed part, and how long it had been counting. So the hypotheses of the incident could not be told apart.

Each second a node whose part refuses retries logs "retry budget used up" with these numbers; gauges show the use without refusals, and a counter the refusals, by service.

TestUsedUpRetryBudgetIsLogged passes; no logic changed.

--- a/cmd/tamarackd/sidecar_loop.go
+++ b/cmd/tamarackd/sidecar_loop.go
@@ -86,6 +86,7 @@
 	c.meter.Set(port.MetricQueueWaiting, "", float64(waiting))
 	c.proxy.MeasureTarget()
 	c.proxy.MeasureShortages()
+	c.proxy.MeasureRetries()
 	c.proxy.MeasureMemory()
 	c.meter.Set(port.MetricRequestsOpen, "", float64(c.proxy.InFlight()))
 	c.meter.Set(port.MetricLinkWait, "", c.proxy.LinkWait().Seconds())
--- a/internal/logfield/logfield.go
+++ b/internal/logfield/logfield.go
@@ -78,6 +78,16 @@
 	Limit   Name = "limit_per_s"
 	// ShortageAge is how long a shortage of a service has lasted, in milliseconds.
 	ShortageAge Name = "shortage_ms"
+	// Requests and Retries are the numbers that a node has counted in the window of the
+	// retry budget, Allowed the most retries that it may reach, Denied the number that it
+	// didn't allow since the last line, and VMs the number of VMs that share the budget's
+	// fixed part. Uptime is the time since the start of the process, in milliseconds.
+	Requests Name = "requests"
+	Retries  Name = "retries"
+	Allowed  Name = "allowed"
+	Denied   Name = "denied"
+	VMs      Name = "vms"
+	Uptime   Name = "uptime_ms"
 	// HeldBytes is the number of bytes that a connection or the target holds, TotalBytes
 	// that of all connections, and BoundBytes the most that the target may hold. Stalled
 	// is how long a receiver has read nothing, in milliseconds.
--- a/internal/port/metric.go
+++ b/internal/port/metric.go
@@ -14,6 +14,14 @@
 	MetricUnknown Metric = "tamarack_requests_unknown_total"
 	// MetricRetries counts attempts after the first one of a request, by route.
 	MetricRetries Metric = "tamarack_requests_retried_total"
+	// MetricRetriesDenied counts attempts that the fleet's retry budget didn't allow, by
+	// service. MetricBudgetUsed is the number of retries that this node has counted in the
+	// budget's window, and MetricBudgetAllowed the most that it may reach, both by service.
+	// MetricBudgetVMs is the number of VMs among which the fixed part of the budget is divided.
+	MetricRetriesDenied Metric = "tamarack_retries_denied_total"
+	MetricBudgetUsed    Metric = "tamarack_retry_budget_used"
+	MetricBudgetAllowed Metric = "tamarack_retry_budget_allowed"
+	MetricBudgetVMs     Metric = "tamarack_retry_budget_vms"
 	// MetricAttemptsFull counts attempts that a target's node refused for lack of slots,
 	// and MetricShortage is 1 while a service lacks slots as this node sees it, both by
 	// service.
--- a/internal/proxy/operations_test.go
+++ b/internal/proxy/operations_test.go
@@ -27,6 +27,20 @@
 	return lines
 }
 
+// linesWith returns the fields of the log lines with the given message.
+func (f *fleet) linesWith(t *testing.T, message string) []map[string]any {
+	t.Helper()
+	var found []map[string]any
+	for line := range strings.Lines(f.logs.String()) {
+		var fields map[string]any
+		assert.NilError(t, json.Unmarshal([]byte(line), &fields))
+		if fields["message"] == message {
+			found = append(found, fields)
+		}
+	}
+	return found
+}
+
 // summaries returns the lines as "node message outcome reason".
 func summaries(lines []trace.Line) []string {
 	var got []string
@@ -127,3 +141,27 @@
 	}
 	assert.Equal(t, failed, 1)
 }
+
+// Targets shed, and the node's part of the retry budget is used up. One line for the service
+// must tell what the node counted and how many retries it refused since the last line.
+func TestUsedUpRetryBudgetIsLogged(t *testing.T) {
+	const requests = 20
+	f := newFleet(t, 2)
+	f.proxies[0].config.RetrySlack = 4
+	for _, target := range f.targets {
+		target.serve = shedHandler("1,0,4")
+	}
+	for range requests {
+		f.send(0, "GET", "/idempotent/x", "")
+	}
+	f.proxies[0].MeasureRetries()
+	f.proxies[0].MeasureRetries()
+	lines := f.linesWith(t, "retry budget used up")
+	assert.Equal(t, len(lines), 1)
+	fields := lines[0]
+	assert.Equal(t, fields[logfield.Service], "s")
+	assert.Equal(t, fields[logfield.Requests], float64(requests))
+	assert.Equal(t, fields[logfield.VMs], 2.0)
+	assert.Equal(t, fields[logfield.Denied].(float64)+fields[logfield.Retries].(float64), float64(requests))
+	assert.Assert(t, fields[logfield.Retries].(float64) <= fields[logfield.Allowed].(float64))
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -186,8 +186,10 @@
 	// routeStats holds the statistics of routes, by name.
 	routeStats map[string]*placement.RouteStats
 	// shortages holds the shortage state of services whose targets report how long work takes.
-	shortages     map[string]*serviceShortage
-	retries       *retry.FleetBudget
+	shortages map[string]*serviceShortage
+	retries   *retry.FleetBudget
+	// deniedRetries counts the retries refused since the last measurement, by service.
+	deniedRetries map[string]int
 	localRuns     localRuns
 	callerRetries *clientretry.Tracker
 	localStats    localStats
@@ -218,6 +220,7 @@
 		serviceLoads:  map[string]*placement.ServiceLoad{},
 		shortages:     map[string]*serviceShortage{},
 		retries:       retry.NewFleetBudget(config.RetryWindow),
+		deniedRetries: map[string]int{},
 		localRuns:     newLocalRuns(),
 		crashes:       ports.Crashes,
 		suspectSlot:   make(chan struct{}, 1),
--- a/internal/proxy/request_log.go
+++ b/internal/proxy/request_log.go
@@ -14,6 +14,7 @@
 	"tamarackquay/internal/mesh"
 	"tamarackquay/internal/placement"
 	"tamarackquay/internal/port"
+	"tamarackquay/internal/routing/retry"
 	"tamarackquay/internal/targetreport"
 )
 
@@ -209,6 +210,13 @@
 	entry.Str(logfield.Service, service).Int64(logfield.ShortageAge, millis(lasted)).Msg("shortage ends")
 }
 
+// retryBudgetUsedUp logs what the node has counted for a service whose retries it refuses.
+func (l *requestLog) retryBudgetUsedUp(service string, usage retry.Usage, denied, vms int, uptime time.Duration) {
+	l.log.Info().Str(logfield.Service, service).Int(logfield.Denied, denied).Int(logfield.Requests, usage.Requests).
+		Float64(logfield.Retries, usage.Retries).Float64(logfield.Allowed, usage.Allowed).
+		Int(logfield.VMs, vms).Int64(logfield.Uptime, millis(uptime)).Msg("retry budget used up")
+}
+
 // slowReaderEnded logs that a response was ended to free the memory that it held. err is set
 // if the pending write could not be ended.
 func (l *requestLog) slowReaderEnded(now time.Time, id string, held int64, stalled time.Duration, total int64, err error) {
--- a/internal/proxy/retry_budget.go
+++ b/internal/proxy/retry_budget.go
@@ -17,12 +17,40 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.retries.AllowRetry(now, f.service, p.retryLimits(f.snapshot)) {
+		p.denyRetry(f.service)
 		return false
 	}
 	p.ports.Meter.Count(port.MetricRetries, f.route.Name, 1)
 	return true
 }
 
+// denyRetry counts a retry that the budget didn't allow. It must be called with the mutex held.
+func (p *Proxy) denyRetry(service string) {
+	p.deniedRetries[service]++
+	p.ports.Meter.Count(port.MetricRetriesDenied, service, 1)
+}
+
+// MeasureRetries sets the gauges of the retry budget, and logs the services of which retries
+// were refused since the last call.
+func (p *Proxy) MeasureRetries() {
+	snapshot := p.snapshot.Load()
+	if snapshot == nil {
+		return
+	}
+	now := p.ports.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ports.Meter.Set(port.MetricBudgetVMs, "", float64(snapshot.Nodes))
+	for service, usage := range p.retries.Usage(now, p.retryLimits(snapshot)) {
+		p.ports.Meter.Set(port.MetricBudgetUsed, service, usage.Retries)
+		p.ports.Meter.Set(port.MetricBudgetAllowed, service, usage.Allowed)
+		if denied := p.deniedRetries[service]; denied > 0 {
+			p.requestLog.retryBudgetUsedUp(service, usage, denied, snapshot.Nodes, now.Sub(p.config.Started))
+		}
+	}
+	clear(p.deniedRetries)
+}
+
 // retryLimits returns this node's part of the fleet's retry budget.
 func (p *Proxy) retryLimits(snapshot *Snapshot) retry.Limits {
 	nodes := 1
@@ -58,6 +86,7 @@
 	if p.retries.BeginRun(now, meta.attemptID, run, p.retryLimits(p.snapshot.Load())) {
 		return nil
 	}
+	p.denyRetry(*p.service.Load())
 	return port.Refuse(port.ReasonBusy, retryAfterBudget, "the budget of repeats has no room for the calls of one more")
 }
 
--- a/internal/routing/retry/fleet_budget.go
+++ b/internal/routing/retry/fleet_budget.go
@@ -118,7 +118,31 @@
 		}
 	}
 	total := f.window(service).sum(now)
-	return total.retries+extra <= localFraction*(limits.Ratio*float64(total.requests)+limits.Slack)
+	return total.retries+extra <= allowed(total, limits)
+}
+
+// Usage is what a node has counted for one service, and what it may use.
+type Usage struct {
+	// Requests is the number of requests in the last window.
+	Requests int
+	// Retries is the number of retries in the last window, including the expected number
+	// of calls by retried runs; Allowed is the most that the node may reach with its own.
+	Retries, Allowed float64
+}
+
+// Usage returns the usage of each service that had requests.
+func (f *FleetBudget) Usage(now time.Time, limits Limits) map[string]Usage {
+	usages := make(map[string]Usage, len(f.windows))
+	for service, w := range f.windows {
+		total := w.sum(now)
+		usages[service] = Usage{Requests: total.requests, Retries: total.retries, Allowed: allowed(total, limits)}
+	}
+	return usages
+}
+
+// allowed returns the number of retries that a node may reach with its own.
+func allowed(total bucket, limits Limits) float64 {
+	return localFraction * (limits.Ratio*float64(total.requests) + limits.Slack)
 }
 
 // localFraction is the fraction of its budget that a node may use up with its own
