--- a/internal/proxy/retry_budget_test.go
+++ b/internal/proxy/retry_budget_test.go
@@ -93,3 +93,27 @@
 	snapshot.Table = mesh.NewTable(&mesh.Config{Version: 2, Routes: routes})
 	p.SetSnapshot(&snapshot)
 }
+
+// Targets crash and their entries lapse, while the nodes on their VMs go on serving callers. The
+// retries of all nodes must stay within the fixed part of the budget.
+func TestSlackIsSharedWithNodesOfUnlistedTargets(t *testing.T) {
+	const nodes, listed, slack, requests = 6, 2, 12, 20
+	f := newFleet(t, nodes)
+	arrivals := &arrivalCounter{byRequest: map[string]int{}}
+	for i, p := range f.proxies {
+		p.config.RetryRatio, p.config.RetrySlack = 0, slack
+		f.targets[i].serve = func(w http.ResponseWriter, r *http.Request) {
+			arrivals.isFirst(r)
+			shedHandler("1,0,4")(w, r)
+		}
+		snapshot := *p.snapshot.Load()
+		snapshot.Services = map[string][]*mesh.Member{"s": snapshot.Services["s"][:listed]}
+		snapshot.Nodes = listed
+		p.SetSnapshot(&snapshot)
+	}
+	for i := range nodes * requests {
+		f.send(i%nodes, "GET", "/idempotent/x", "")
+	}
+	assert.Assert(t, arrivals.retries > 0)
+	assert.Assert(t, arrivals.retries <= slack, "%d retries", arrivals.retries)
+}
