proxy: divide the slack of the retry budget among all nodes, not listed targets

Cause: a node divides the fixed part of the budget by the VMs whose targets the platform lists, and takes that for the number of nodes. The node beside a crashed target runs on and serves its callers, so the parts of all nodes add up to more than the whole: with 2 of 6 listed, to three times as much.

--- a/cmd/tamarackd/sidecar_loop.go
+++ b/cmd/tamarackd/sidecar_loop.go
@@ -49,7 +49,7 @@
 	for _, member := range view.Members() {
 		hosts[follow.HostOf(member.Address)] = true
 	}
-	snapshot.Nodes = len(hosts)
+	snapshot.ListedVMs = len(hosts)
 	for service, members := range snapshot.Services {
 		c.meter.Set(port.MetricTargetsUsable, service, float64(len(members)))
 	}
--- a/internal/proxy/choose_test.go
+++ b/internal/proxy/choose_test.go
@@ -34,7 +34,7 @@
 			FailureDomain: fmt.Sprint("d", i%9), Slots: 9, State: mesh.Ready,
 		}})
 	}
-	p.SetSnapshot(&Snapshot{Services: map[string][]*mesh.Member{"s": members}, Nodes: targets})
+	p.SetSnapshot(&Snapshot{Services: map[string][]*mesh.Member{"s": members}, ListedVMs: targets})
 	route := testRoute("/idempotent/", mesh.Idempotent)
 	return &forwarder{proxy: p, route: &route, service: "s", tried: map[string]bool{}, firstAt: time.Now(), deadline: time.Now().Add(time.Minute)}
 }
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -151,7 +151,7 @@
 		}, Meter: metrics.New(),
 	})
 	p.SetService("caller-service")
-	p.SetSnapshot(&Snapshot{Table: f.table, Services: map[string][]*mesh.Member{"s": members}, Local: members[i], Nodes: len(members)})
+	p.SetSnapshot(&Snapshot{Table: f.table, Services: map[string][]*mesh.Member{"s": members}, Local: members[i], ListedVMs: len(members)})
 	serveUntilCleanup(t, peers, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != PingPath {
 			p.ServePeer(w, r)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -138,8 +138,9 @@
 	Local *mesh.Member
 	// LocalEvacuated reports whether an operator evacuates this VM's failure domain.
 	LocalEvacuated bool
-	// Nodes is the number of VMs in the mesh.
-	Nodes int
+	// ListedVMs is the number of VMs with listed targets. There may be more nodes: those of
+	// targets whose entries have lapsed run on.
+	ListedVMs int
 	// MembersGeneration increases with each change of the targets: two snapshots with the
 	// same number above zero have the same targets.
 	MembersGeneration uint64
@@ -188,6 +189,7 @@
 	// shortages holds the shortage state of services whose targets report how long work takes.
 	shortages map[string]*serviceShortage
 	retries   *retry.FleetBudget
+	fleetSize retry.FleetSize
 	// deniedRetries counts the retries refused since the last measurement, by service.
 	deniedRetries map[string]int
 	localRuns     localRuns
@@ -268,6 +270,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.fleetSize.Observe(p.ports.Clock.Now(), snapshot.ListedVMs)
 	p.dropRemoved(snapshot)
 	p.candidates = make(map[string]*candidates, len(snapshot.Services))
 	for service, members := range snapshot.Services {
--- a/internal/proxy/retry_budget.go
+++ b/internal/proxy/retry_budget.go
@@ -16,7 +16,7 @@
 	p := f.proxy
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.retries.AllowRetry(now, f.service, p.retryLimits(f.snapshot)) {
+	if !p.retries.AllowRetry(now, f.service, p.retryLimits()) {
 		p.denyRetry(f.service)
 		return false
 	}
@@ -40,24 +40,23 @@
 	now := p.ports.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.ports.Meter.Set(port.MetricBudgetVMs, "", float64(snapshot.Nodes))
-	for service, usage := range p.retries.Usage(now, p.retryLimits(snapshot)) {
+	p.fleetSize.Observe(now, snapshot.ListedVMs)
+	nodes := p.fleetSize.Nodes()
+	p.ports.Meter.Set(port.MetricBudgetVMs, "", float64(nodes))
+	for service, usage := range p.retries.Usage(now, p.retryLimits()) {
 		p.ports.Meter.Set(port.MetricBudgetUsed, service, usage.Retries)
 		p.ports.Meter.Set(port.MetricBudgetAllowed, service, usage.Allowed)
 		if denied := p.deniedRetries[service]; denied > 0 {
-			p.requestLog.retryBudgetUsedUp(service, usage, denied, snapshot.Nodes, now.Sub(p.config.Started))
+			p.requestLog.retryBudgetUsedUp(service, usage, denied, nodes, now.Sub(p.config.Started))
 		}
 	}
 	clear(p.deniedRetries)
 }
 
-// retryLimits returns this node's part of the fleet's retry budget.
-func (p *Proxy) retryLimits(snapshot *Snapshot) retry.Limits {
-	nodes := 1
-	if snapshot != nil {
-		nodes = max(snapshot.Nodes, 1)
-	}
-	return retry.Limits{Ratio: p.config.RetryRatio, Slack: p.config.RetrySlack / float64(nodes)}
+// retryLimits returns this node's part of the fleet's retry budget. It must be called with the
+// mutex held.
+func (p *Proxy) retryLimits() retry.Limits {
+	return retry.Limits{Ratio: p.config.RetryRatio, Slack: p.config.RetrySlack / float64(p.fleetSize.Nodes())}
 }
 
 // countRequest counts a caller's request for the retry budget, and looks up the state of its
@@ -83,7 +82,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	run := retry.Run{Route: meta.route, RetryProbability: meta.retryProbability, Deadline: deadline}
-	if p.retries.BeginRun(now, meta.attemptID, run, p.retryLimits(p.snapshot.Load())) {
+	if p.retries.BeginRun(now, meta.attemptID, run, p.retryLimits()) {
 		return nil
 	}
 	p.denyRetry(*p.service.Load())
--- a/internal/proxy/retry_budget_test.go
+++ b/internal/proxy/retry_budget_test.go
@@ -108,7 +108,7 @@
 		}
 		snapshot := *p.snapshot.Load()
 		snapshot.Services = map[string][]*mesh.Member{"s": snapshot.Services["s"][:listed]}
-		snapshot.Nodes = listed
+		snapshot.ListedVMs = listed
 		p.SetSnapshot(&snapshot)
 	}
 	for i := range nodes * requests {
