retry: count requests over the windows of the fleet's budget

Targets got up to 1.45 of the retries that the fleet's budget allows where load started, ended, peaked or moved to other nodes while targets shed, with no node restarted and all targets listed.

Cause: a node allowed retries for the requests of the window before each retry. The budget counts the retries of a window and the requests of that window, of the one before or of the one half a window before, whichever has most over the whole fleet. Requests that a node counted may lie between these, and nodes that each take their own best window add up to more than any window of the fleet has.

Each node now allows, for every window that includes the retry, those of a fixed weighted mean of the three (0.5, 0.25, 0.25). A mean is linear: the means of the nodes add up to the mean of the fleet, which is at most the largest of the three, however requests are distributed. Requests count in buckets that lie completely inside a window.

The cases of restarts with much load pass too, since a new process has no requests of before its start; one with little load is added, which fails: the slack.

The cost: half of the ratio in the first half window of a new load, and a burst of three eighths of the retries that it was.

--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -48,6 +48,13 @@
 
 func (wallClock) Now() time.Time { return time.Now() }
 
+// shiftedClock is ahead of the wall clock by an offset.
+type shiftedClock struct{ offset atomic.Int64 }
+
+func (c *shiftedClock) Now() time.Time { return time.Now().Add(time.Duration(c.offset.Load())) }
+
+func (c *shiftedClock) advance(d time.Duration) { c.offset.Add(int64(d)) }
+
 // testTarget is a target of the fleet. Tests may replace serve.
 type testTarget struct {
 	id      string
--- a/internal/routing/retry/disturbed_fleet_test.go
+++ b/internal/routing/retry/disturbed_fleet_test.go
@@ -120,6 +120,10 @@
 			restarts:  []time.Duration{13 * seconds, 15 * seconds, 17 * seconds, 19 * seconds, 21 * seconds},
 			restarted: func(node, restart int) bool { return node%2 == restart%2 },
 		}},
+		{"again and again, with little load", disturbance{
+			length: 25 * seconds, shedFrom: 12 * seconds, shedTo: 25 * seconds, rate: constantRate(1),
+			restarts: []time.Duration{14 * seconds, 16 * seconds, 18 * seconds, 20 * seconds},
+		}},
 		{"with little load", disturbance{length: 25 * seconds, shedFrom: 12 * seconds, shedTo: 25 * seconds, rate: constantRate(3), restarts: []time.Duration{15 * seconds, 18 * seconds}}},
 	} {
 		t.Run(test.desc, func(t *testing.T) { assertWithinBudget(t, &test.disturbance) })
--- a/internal/routing/retry/fleet_budget.go
+++ b/internal/routing/retry/fleet_budget.go
@@ -117,8 +117,7 @@
 			extra += r.RetryProbability * f.callStats.route(r.Route).callsPerRun(service)
 		}
 	}
-	total := f.window(service).sum(now)
-	return total.retries+extra <= allowed(total, limits)
+	return extra <= f.window(service).remaining(now, limits)
 }
 
 // Usage is what a node has counted for one service, and what it may use.
@@ -134,17 +133,12 @@
 func (f *FleetBudget) Usage(now time.Time, limits Limits) map[string]Usage {
 	usages := make(map[string]Usage, len(f.windows))
 	for service, w := range f.windows {
-		total := w.sum(now)
-		usages[service] = Usage{Requests: total.requests, Retries: total.retries, Allowed: allowed(total, limits)}
+		total := w.total(now)
+		usages[service] = Usage{Requests: total.requests, Retries: total.retries, Allowed: total.retries + w.remaining(now, limits)}
 	}
 	return usages
 }
 
-// allowed returns the number of retries that a node may reach with its own.
-func allowed(total bucket, limits Limits) float64 {
-	return localFraction * (limits.Ratio*float64(total.requests) + limits.Slack)
-}
-
 // localFraction is the fraction of its budget that a node may use up with its own
 // retries. The rest is reserved: along a chain of calls a node receives calls of
 // retried runs that it can no longer refuse, even if its budget is used up, and no
