retry: a restarted node takes no part of the slack for its first window

Cause: a node counts from the start of its process. One before it may have used the node's part of the slack, and what its requests allowed, in the same window; the new process took both again, after each start. What requests allow is bounded since requests count over the fleet's windows; the slack wasn't.

A window that begins before the start of the process has no slack now.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -221,7 +221,7 @@
 		routeStats:    map[string]*placement.RouteStats{},
 		serviceLoads:  map[string]*placement.ServiceLoad{},
 		shortages:     map[string]*serviceShortage{},
-		retries:       retry.NewFleetBudget(config.RetryWindow),
+		retries:       retry.NewFleetBudget(config.RetryWindow, config.Started),
 		deniedRetries: map[string]int{},
 		localRuns:     newLocalRuns(),
 		crashes:       ports.Crashes,
--- a/internal/routing/retry/disturbed_fleet_test.go
+++ b/internal/routing/retry/disturbed_fleet_test.go
@@ -37,7 +37,7 @@
 	}
 	s := &fleetService{name: "s"}
 	for range disturbedNodes {
-		node := &fleetNode{budget: NewFleetBudget(f.window), service: s}
+		node := &fleetNode{budget: NewFleetBudget(f.window, time.Time{}), service: s}
 		s.nodes = append(s.nodes, node)
 	}
 	f.nodes, f.services = s.nodes, []*fleetService{s}
@@ -56,7 +56,7 @@
 func (f *fleet) restart(d *disturbance, restart int) {
 	for i, node := range f.nodes {
 		if d.restarted == nil || d.restarted(i, restart) {
-			node.budget = NewFleetBudget(f.window)
+			node.budget = NewFleetBudget(f.window, f.now)
 		}
 	}
 }
--- a/internal/routing/retry/fleet_budget.go
+++ b/internal/routing/retry/fleet_budget.go
@@ -7,7 +7,8 @@
 	// Ratio is the maximum ratio of retries to the service's requests.
 	Ratio float64
 	// Slack is this node's share of the number of retries that are allowed in
-	// addition to the ratio.
+	// addition to the ratio. It counts only in windows that begin after the start of the
+	// process.
 	Slack float64
 }
 
@@ -28,8 +29,10 @@
 // A FleetBudget is not safe for concurrent use.
 type FleetBudget struct {
 	windowLength time.Duration
-	windows      map[string]*window
-	callStats    *callStats
+	// started is when this process began to count; zero if nothing was sent before.
+	started   time.Time
+	windows   map[string]*window
+	callStats *callStats
 	// running holds the runs in progress at the VM's own target, by attempt id.
 	running map[string]*run
 }
@@ -49,13 +52,14 @@
 	start time.Time
 }
 
-// NewFleetBudget returns an unused budget with the given window length; zero means
-// DefaultWindow.
-func NewFleetBudget(windowLength time.Duration) *FleetBudget {
+// NewFleetBudget returns a budget with the given window length; zero means
+// DefaultWindow. started is the start of the process: one before it may have used the
+// slack of all windows that begin before then. It is zero if there was none.
+func NewFleetBudget(windowLength time.Duration, started time.Time) *FleetBudget {
 	if windowLength <= 0 {
 		windowLength = DefaultWindow
 	}
-	return &FleetBudget{windowLength: windowLength, windows: map[string]*window{}, callStats: newCallStats(), running: map[string]*run{}}
+	return &FleetBudget{windowLength: windowLength, started: started, windows: map[string]*window{}, callStats: newCallStats(), running: map[string]*run{}}
 }
 
 // CountRequest counts a request for a service and returns the probability that it is
@@ -176,7 +180,7 @@
 func (f *FleetBudget) window(service string) *window {
 	w := f.windows[service]
 	if w == nil {
-		w = newWindow(f.windowLength)
+		w = newWindow(f.windowLength, f.started)
 		f.windows[service] = w
 	}
 	return w
--- a/internal/routing/retry/fleet_budget_test.go
+++ b/internal/routing/retry/fleet_budget_test.go
@@ -15,7 +15,7 @@
 	limits := Limits{Ratio: 0.2, Slack: 3}
 	rapid.Check(t, func(t *rapid.T) {
 		window := time.Duration(rapid.IntRange(2, 20).Draw(t, "window")) * time.Second
-		budget := NewFleetBudget(window)
+		budget := NewFleetBudget(window, time.Time{})
 		type event struct {
 			at    time.Time
 			retry bool
@@ -63,7 +63,7 @@
 
 func TestFleetBudgetExpires(t *testing.T) {
 	limits := Limits{Slack: 2}
-	budget := NewFleetBudget(0)
+	budget := NewFleetBudget(0, time.Time{})
 	now := time.Unix(1_000_000, 0)
 	assert.Assert(t, budget.AllowRetry(now, "s", limits))
 	assert.Assert(t, !budget.AllowRetry(now.Add(9*time.Second), "s", limits))
@@ -74,7 +74,7 @@
 // calls. No node can see which. Within some seconds nearly all calls must be
 // attributed to that route.
 func TestCallsAreAttributedToTheCallingRoute(t *testing.T) {
-	budget := NewFleetBudget(0)
+	budget := NewFleetBudget(0, time.Time{})
 	random := rand.New(rand.NewPCG(1, 2))
 	now := time.Unix(1_000_000, 0)
 	ordering := false
@@ -103,7 +103,7 @@
 // A caller's own request has a later deadline than any run at the target. It can't
 // be a call and must not count as a retry, even if all runs are retries.
 func TestCallerRequestsAreNotAttributedToRuns(t *testing.T) {
-	budget := NewFleetBudget(0)
+	budget := NewFleetBudget(0, time.Time{})
 	now := time.Unix(1_000_000, 0)
 	limits := Limits{Slack: 10}
 	assert.Assert(t, budget.BeginRun(now, "1", Run{Route: "r", RetryProbability: 1, Deadline: now.Add(time.Second)}, limits))
--- a/internal/routing/retry/fleet_test.go
+++ b/internal/routing/retry/fleet_test.go
@@ -154,7 +154,7 @@
 			s.shedRate = 0.7 * random.Float64()
 		}
 		for range 2 + random.IntN(7) {
-			node := &fleetNode{budget: NewFleetBudget(f.window), service: s}
+			node := &fleetNode{budget: NewFleetBudget(f.window, time.Time{}), service: s}
 			s.nodes = append(s.nodes, node)
 			f.nodes = append(f.nodes, node)
 		}
--- a/internal/routing/retry/window.go
+++ b/internal/routing/retry/window.go
@@ -31,6 +31,8 @@
 // counts of two windows, so that a limit holds in every window, wherever it begins.
 type window struct {
 	length time.Duration
+	// started is the start of the process, or zero.
+	started time.Time
 	// origin is the first time seen. Buckets are numbered relative to it, since the
 	// wall clock may be stepped, and a step would discard the recorded usage.
 	origin  time.Time
@@ -46,7 +48,9 @@
 	retries float64
 }
 
-func newWindow(length time.Duration) *window { return &window{length: length} }
+func newWindow(length time.Duration, started time.Time) *window {
+	return &window{length: length, started: started}
+}
 
 func (w *window) bucket(now time.Time) *bucket {
 	if w.origin.IsZero() {
@@ -99,6 +103,7 @@
 		first, end = max(first, 0), min(end, historyBuckets)
 		return float64(requestsBefore[max(first, end)] - requestsBefore[first])
 	}
+	firstWithSlack := historyBuckets - w.completeSinceStart(now)
 	remaining, retries := 0.0, 0.0
 	for start := historyBuckets - 1; start >= historyBuckets-1-windowBuckets; start-- {
 		// The window begins within the bucket at start, and includes now. Its retries include
@@ -109,10 +114,24 @@
 		requests := sameWindowWeight*between(start+1, historyBuckets) +
 			halfBeforeWeight*between(start+1-windowBuckets/2, start+windowBuckets/2) +
 			windowBeforeWeight*between(start+1-windowBuckets, start+1)
-		room := localFraction*(limits.Ratio*requests+limits.Slack) - retries
+		allowed := limits.Ratio * requests
+		if start >= firstWithSlack {
+			allowed += limits.Slack
+		}
+		room := localFraction*allowed - retries
 		if start == historyBuckets-1 || room < remaining {
 			remaining = room
 		}
 	}
 	return remaining
 }
+
+// completeSinceStart returns how many of the latest buckets lie completely after the start of
+// the process, at most those in which a window that includes now may begin.
+func (w *window) completeSinceStart(now time.Time) int {
+	const most = windowBuckets + 1
+	if w.started.IsZero() {
+		return most
+	}
+	return int(min(now.Sub(w.started)*windowBuckets/w.length, most))
+}
