retry: count requests that arrive before the latest counted one

Cause: a request is counted as of the time at which it began to arrive, after its body was read. If another request was counted meanwhile, the time lies before the origin of the window, and the index of the bucket is negative: a panic. With an earlier time within the window, the older bucket overwrote a newer one, or the other way round.

Such times count in the latest bucket now. Found while looking for other places where a node's counts are lost.

--- a/internal/routing/retry/window.go
+++ b/internal/routing/retry/window.go
@@ -35,7 +35,9 @@
 	started time.Time
 	// origin is the first time seen. Buckets are numbered relative to it, since the
 	// wall clock may be stepped, and a step would discard the recorded usage.
-	origin  time.Time
+	origin time.Time
+	// latest is the index of the latest bucket.
+	latest  int64
 	buckets [historyBuckets]bucket
 }
 
@@ -56,10 +58,12 @@
 	if w.origin.IsZero() {
 		w.origin = now
 	}
-	index := int64(now.Sub(w.origin)*windowBuckets/w.length) + 1
-	b := &w.buckets[index%historyBuckets]
-	if b.index != index {
-		*b = bucket{index: index}
+	// A request is counted as of its arrival, but only once its body has been read, and so
+	// after requests that arrived later.
+	w.latest = max(w.latest, int64(now.Sub(w.origin)*windowBuckets/w.length)+1)
+	b := &w.buckets[w.latest%historyBuckets]
+	if b.index != w.latest {
+		*b = bucket{index: w.latest}
 	}
 	return b
 }
