--- a/internal/routing/retry/fleet_budget.go
+++ b/internal/routing/retry/fleet_budget.go
@@ -14,9 +14,12 @@
 
 // FleetBudget is one node's share of a retry budget that the whole fleet keeps
 // without communication between nodes: in any window, the retries at a service may be
-// at most a ratio of its requests, plus a fixed slack. Each node counts only the
-// requests that it received as entry node, so the retries that the nodes allow add up
-// to the ratio of all requests. The slack is divided among the nodes.
+// at most a ratio of its requests, plus a fixed slack. The requests are those of that
+// window, of the one before or of the one half a window before, whichever has most over
+// the whole fleet. Each node counts only the requests that it received as entry node,
+// and allows retries for the same weighted mean of the three, so that what the nodes
+// allow adds up to at most the ratio of the fleet's requests. The slack is divided among
+// the nodes, and a process uses none of it in windows that begin before its start.
 //
 // A call made by a retried run is a retry at the called service. The node of the
 // target's VM handles both: it owns the run and is the entry node of the call. A
@@ -146,7 +149,8 @@
 // localFraction is the fraction of its budget that a node may use up with its own
 // retries. The rest is reserved: along a chain of calls a node receives calls of
 // retried runs that it can no longer refuse, even if its budget is used up, and no
-// other node can reserve budget for them.
+// other node can reserve budget for them. Retries also reach their targets later than
+// they are counted, and so a little closer together.
 const localFraction = 0.85
 
 // BeginRun records a run at the VM's own target. It returns false for a retry whose
