feedws: test the idle timeout of a slow feed in virtual time

Cause: the check compares wall times. The feed ends if no byte arrives for 1.2 s; the test's own server sends 2 KB each 150 ms, and a process that gets no processor time for 1.2 s sends nothing.

--- a/internal/adapter/feedws/feedws_test.go
+++ b/internal/adapter/feedws/feedws_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -98,13 +99,37 @@
 	}
 }
 
-// slowListener simulates the server's side of a congested link: its connections write a few
-// bytes at a time.
-type slowListener struct{ net.Listener }
+// slowListener simulates the server's side of a congested link in virtual time: its
+// connections write a few bytes at a time.
+type slowListener struct {
+	accepted chan net.Conn
+	closed   chan struct{}
+}
+
+func newSlowListener() *slowListener {
+	return &slowListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *slowListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.accepted:
+		return slowConn{conn}, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
 
-func (l slowListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	return slowConn{conn}, err
+func (l *slowListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+func (l *slowListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (l *slowListener) dial(context.Context, string, string) (net.Conn, error) {
+	client, server := net.Pipe()
+	l.accepted <- server
+	return client, nil
 }
 
 type slowConn struct{ net.Conn }
@@ -156,20 +181,26 @@
 // Guards against an idle timeout during a large update: on a congested link its transfer
 // takes longer than idleTimeout. Each received byte must reset the timeout.
 func TestSlowMessageResetsIdleTimeout(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	sent := 0
-	update := &mesh.Update{Config: mesh.Diff(nil, &mesh.Config{Version: 3, Routes: makeRoutes(2500)})}
-	serveFeed(t, slowListener{listener}, singleUpdateSource{update}, func(bytes int) { sent += bytes })
-	client := newClient()
-	begin := time.Now()
-	err = client.Follow(context.Background(), listener.Addr().String(), mesh.Checkpoint{}, func(got *mesh.Update) error {
-		assert.Equal(t, len(got.Config.Changed), 2500)
-		return errStop
+	synctest.Test(t, func(t *testing.T) {
+		listener := newSlowListener()
+		sent := 0
+		update := &mesh.Update{Config: mesh.Diff(nil, &mesh.Config{Version: 3, Routes: makeRoutes(2500)})}
+		server := &http.Server{Handler: NewHandler(singleUpdateSource{update}, quarantine.NewSharedLedger(wallClock{}), func(bytes int) { sent += bytes })}
+		go func() { _ = server.Serve(listener) }()
+		client := NewClient(&http.Transport{DialContext: listener.dial}, quarantine.NewSharedLedger(wallClock{}), func(int) {})
+		begin := time.Now()
+		err := client.Follow(t.Context(), "slow-node:1", mesh.Checkpoint{}, func(got *mesh.Update) error {
+			assert.Equal(t, len(got.Config.Changed), 2500)
+			return errStop
+		})
+		took := time.Since(begin)
+		// The handler ends once it has noticed that the follower is gone.
+		assert.Check(t, server.Close())
+		time.Sleep(writeTimeout)
+		assert.Equal(t, err, errStop)
+		assert.Assert(t, took > idleTimeout, "the link was not slow")
+		assert.Assert(t, sent > 8*slowChunkBytes, "%d bytes counted", sent)
 	})
-	assert.Equal(t, err, errStop)
-	assert.Assert(t, time.Since(begin) > idleTimeout, "the link was not slow")
-	assert.Assert(t, sent > 8*slowChunkBytes, "%d bytes counted", sent)
 }
 
 // Guards against a follower that stays with an unresponsive node: the followed node keeps the
