--- a/internal/routing/retry/disturbed_fleet_test.go
+++ b/internal/routing/retry/disturbed_fleet_test.go
@@ -17,16 +17,15 @@
 	shedFrom, shedTo time.Duration
 	// rate returns the requests per second at a node.
 	rate func(node int, at time.Duration) float64
-	// restarts holds when nodes restart; restarted returns whether a node does.
+	// restarts holds when nodes restart. restarted returns whether a node takes part in the
+	// restart with the given index; if it is nil, all nodes do.
 	restarts  []time.Duration
 	restarted func(node, restart int) bool
 }
 
-const (
-	disturbedNodes = 12
-	disturbedSlack = 24
-	seconds        = time.Second
-)
+// disturbedSlack is the number of retries that the budget of all disturbedNodes allows in
+// addition to the ratio.
+const disturbedNodes, disturbedSlack = 12, 24
 
 // newDisturbedFleet returns a fleet of one service whose targets shed nine in ten while the
 // disturbance says so.
@@ -113,18 +112,18 @@
 		desc string
 		disturbance
 	}{
-		{"all at once", disturbance{length: 25 * seconds, shedFrom: 12 * seconds, shedTo: 25 * seconds, rate: constantRate(30), restarts: []time.Duration{15 * seconds}}},
-		{"all at once, twice", disturbance{length: 25 * seconds, shedFrom: 12 * seconds, shedTo: 25 * seconds, rate: constantRate(30), restarts: []time.Duration{14 * seconds, 17 * seconds}}},
+		{"all at once", disturbance{length: 25 * time.Second, shedFrom: 12 * time.Second, shedTo: 25 * time.Second, rate: constantRate(30), restarts: []time.Duration{15 * time.Second}}},
+		{"all at once, twice", disturbance{length: 25 * time.Second, shedFrom: 12 * time.Second, shedTo: 25 * time.Second, rate: constantRate(30), restarts: []time.Duration{14 * time.Second, 17 * time.Second}}},
 		{"half of them in turn, again and again", disturbance{
-			length: 30 * seconds, shedFrom: 12 * seconds, shedTo: 30 * seconds, rate: constantRate(30),
-			restarts:  []time.Duration{13 * seconds, 15 * seconds, 17 * seconds, 19 * seconds, 21 * seconds},
+			length: 30 * time.Second, shedFrom: 12 * time.Second, shedTo: 30 * time.Second, rate: constantRate(30),
+			restarts:  []time.Duration{13 * time.Second, 15 * time.Second, 17 * time.Second, 19 * time.Second, 21 * time.Second},
 			restarted: func(node, restart int) bool { return node%2 == restart%2 },
 		}},
 		{"again and again, with little load", disturbance{
-			length: 25 * seconds, shedFrom: 12 * seconds, shedTo: 25 * seconds, rate: constantRate(1),
-			restarts: []time.Duration{14 * seconds, 16 * seconds, 18 * seconds, 20 * seconds},
+			length: 25 * time.Second, shedFrom: 12 * time.Second, shedTo: 25 * time.Second, rate: constantRate(1),
+			restarts: []time.Duration{14 * time.Second, 16 * time.Second, 18 * time.Second, 20 * time.Second},
 		}},
-		{"with little load", disturbance{length: 25 * seconds, shedFrom: 12 * seconds, shedTo: 25 * seconds, rate: constantRate(3), restarts: []time.Duration{15 * seconds, 18 * seconds}}},
+		{"with little load", disturbance{length: 25 * time.Second, shedFrom: 12 * time.Second, shedTo: 25 * time.Second, rate: constantRate(3), restarts: []time.Duration{15 * time.Second, 18 * time.Second}}},
 	} {
 		t.Run(test.desc, func(t *testing.T) { assertWithinBudget(t, &test.disturbance) })
 	}
@@ -137,10 +136,10 @@
 		desc string
 		disturbance
 	}{
-		{"load starts and ends with the shedding", disturbance{length: 22 * seconds, shedFrom: 14500 * time.Millisecond, shedTo: 22 * seconds, rate: rateWithin(12*seconds, 22*seconds, 60, 0)}},
-		{"a burst ends after the shedding starts", disturbance{length: 30 * seconds, shedFrom: 20 * seconds, shedTo: 30 * seconds, rate: rateWithin(12500*time.Millisecond, 22500*time.Millisecond, 80, 2)}},
+		{"load starts and ends with the shedding", disturbance{length: 22 * time.Second, shedFrom: 14500 * time.Millisecond, shedTo: 22 * time.Second, rate: rateWithin(12*time.Second, 22*time.Second, 60, 0)}},
+		{"a burst ends after the shedding starts", disturbance{length: 30 * time.Second, shedFrom: 20 * time.Second, shedTo: 30 * time.Second, rate: rateWithin(12500*time.Millisecond, 22500*time.Millisecond, 80, 2)}},
 		{"callers move to other nodes", disturbance{
-			length: 30 * seconds, shedFrom: 18 * seconds, shedTo: 30 * seconds,
+			length: 30 * time.Second, shedFrom: 18 * time.Second, shedTo: 30 * time.Second,
 			rate: func(node int, at time.Duration) float64 {
 				if (node < disturbedNodes/2) == (at < 20500*time.Millisecond) {
 					return 80
