callerhttp: wait in a test until the server runs before it is stopped

Cause: the test starts the server in a goroutine and stops it. If that goroutine gets no processor time before, StopAccepting finds no listener and returns, and the server goes on accepting. Shown by a run: with Run delayed by 0.2 s the test fails with the same message, 2 of 2. Nodes stop accepting 2.5 s after the signal at the earliest, when Run has long begun.

The test waits until Run has begun; its checks stay. With the same delay 3 of 3 runs pass.

--- a/internal/adapter/callerhttp/idle_test.go
+++ b/internal/adapter/callerhttp/idle_test.go
@@ -108,6 +108,20 @@
 	t.Fatalf("no %d connections reached the state", want)
 }
 
+// awaitRun waits until Run has begun; StopAccepting does nothing before.
+func awaitRun(t *testing.T, server *Server) {
+	t.Helper()
+	for deadline := time.Now().Add(time.Minute); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		server.mu.Lock()
+		running := server.listener != nil
+		server.mu.Unlock()
+		if running {
+			return
+		}
+	}
+	t.Fatal("the server doesn't run")
+}
+
 // blockedListener simulates a process that gets no CPU time: it accepts no connection
 // until released is closed.
 type blockedListener struct {
@@ -143,6 +157,7 @@
 		assert.NilError(t, err)
 		conns = append(conns, conn)
 	}
+	awaitRun(t, server)
 	stopped := make(chan error)
 	go func() { stopped <- server.StopAccepting() }()
 	time.Sleep(2 * acceptGrace)
