--- a/review/2/main.go
+++ b/review/2/main.go
@@ -22,7 +22,7 @@
 	drain     = 2500 * time.Millisecond
 	afterTime = 6 * time.Second
 	// restartDelay is the time from the end of a node's process to its next start.
-	restartDelay = 500 * time.Millisecond
+	restartDelay = 400 * time.Millisecond
 	// removalDelay is the time from the kill to the removal of the entry.
 	removalDelay = 200 * time.Millisecond
 	// callInterval is the time between two requests of the clients on the VM.
--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -130,9 +131,21 @@
 		return nil, err
 	}
 	f := &Fleet{Record: record, Store: userstore.New(), Bounds: bounds, MemoryMb: 284, Zones: zones, dir: dir, program: program}
+	f.closeOnSignal()
 	return f, f.chooseSubnet()
 }
 
+// closeOnSignal ends the processes of the fleet if the script is ended from outside.
+func (f *Fleet) closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		f.Close()
+		os.Exit(ExitNotRun)
+	}()
+}
+
 // chooseSubnet chooses loopback addresses on which the ports are free.
 func (f *Fleet) chooseSubnet() error {
 	for range 20 {
