--- a/internal/adapter/callhttp/callhttp.go
+++ b/internal/adapter/callhttp/callhttp.go
@@ -73,6 +73,18 @@
 	return listed
 }
 
+// KeepBody leaves the rest of the request's body to the handler, and closes the connection
+// after the response. It must be called before the response header is written if the body is
+// still being sent on. By default, net/http then reads and discards the rest, and the receiver
+// would get later bytes in place of the discarded ones.
+func KeepBody(w http.ResponseWriter) {
+	// Connections support this; the response recorders of tests discard nothing.
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	// If a connection with an unread body were kept, net/http would read the body and the
+	// next request at the same time.
+	w.Header().Set("Connection", "close")
+}
+
 // RetryAfter returns the value of the Retry-After header, which must be in whole seconds.
 // It returns zero if the header is missing or invalid.
 func RetryAfter(header http.Header) time.Duration {
--- a/internal/adapter/exchange/exchange.go
+++ b/internal/adapter/exchange/exchange.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -47,6 +48,10 @@
 	// ContentLength is -1 if it is unknown.
 	ContentLength int64
 	Body          io.ReadCloser
+	// BodySent is closed once no further byte of the request's body will be sent: it was sent
+	// completely, or the connection is closed. Until then only Do may read that body. It is
+	// nil if the response came without Do, and the body then counts as sent.
+	BodySent <-chan struct{}
 	// Cancel makes a pending read of Body fail; unlike Close, it may be called at the same
 	// time as Read. It is nil if the sender provides none: then the end of the context
 	// passed to Do has this effect.
@@ -92,9 +97,26 @@
 	errDeadline       = errors.New("the deadline is over")
 )
 
+// IsBodySent reports whether no further byte of the request's body will be sent.
+func (r *Response) IsBodySent() bool {
+	if r.BodySent == nil {
+		return true
+	}
+	select {
+	case <-r.BodySent:
+		return true
+	default:
+		return false
+	}
+}
+
 // Do sends the request to an address (IP:port) and returns the response. When ctx ends,
 // the connection is reset, so that the receiver can stop running the request. The error
-// is always a *Failure.
+// is always a *Failure, and no further byte of the request's body is then sent.
+//
+// A receiver may respond successfully before it has read a long body and read on afterwards.
+// Do goes on sending the body then, also when the response has been read completely, until a
+// read of the request's body fails or the deadline of ctx passes.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Response, error) {
 	c, err := p.get(ctx, address)
 	if err != nil {
@@ -107,13 +129,13 @@
 		c.close(true)
 		return nil, &Failure{Cause: ctx.Err()}
 	}
-	written := make(chan error, 1)
 	c.wrote.Store(false)
+	sent := newBodySending()
 	if isLongBody(r) {
 		// The receiver may respond before it has read a long body.
-		go func() { written <- c.write(r) }()
+		go func() { sent.finish(c.write(r)) }()
 	} else {
-		written <- c.write(r)
+		sent.finish(c.write(r))
 	}
 	response, err := c.readResponse(r)
 	if err != nil {
@@ -121,10 +143,32 @@
 		c.close(true)
 		return nil, &Failure{Sent: c.wrote.Load(), Cause: firstError(ctx.Err(), err)}
 	}
-	body := &body{ReadCloser: response.Body, conn: c, stop: stop, writeDone: written, response: response}
-	return &Response{Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength, Body: body}, nil
+	body := &body{ReadCloser: response.Body, conn: c, stop: stop, sending: sent, response: response}
+	return &Response{
+		Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength, Body: body, BodySent: sent.ended,
+	}, nil
+}
+
+// bodySending is the sending of a request and its body.
+type bodySending struct {
+	// written receives the result of writing the request.
+	written chan error
+	// ended is closed when no further byte will be sent.
+	ended chan struct{}
+	once  sync.Once
+}
+
+func newBodySending() *bodySending {
+	return &bodySending{written: make(chan error, 1), ended: make(chan struct{})}
+}
+
+func (s *bodySending) finish(err error) {
+	s.written <- err
+	s.end()
 }
 
+func (s *bodySending) end() { s.once.Do(func() { close(s.ended) }) }
+
 func firstError(errs ...error) error {
 	for _, err := range errs {
 		if err != nil {
@@ -218,11 +262,11 @@
 // completely, and resets the connection if it is closed before.
 type body struct {
 	io.ReadCloser
-	conn      *conn
-	stop      func() bool
-	writeDone chan error
-	response  *http.Response
-	done      bool
+	conn     *conn
+	stop     func() bool
+	sending  *bodySending
+	response *http.Response
+	done     bool
 }
 
 // Read implements io.Reader.
@@ -245,20 +289,43 @@
 		return
 	}
 	b.done = true
-	reusable := b.stop()
+	active := b.stop()
 	select {
-	case err := <-b.writeDone:
-		reusable = reusable && err == nil
+	case err := <-b.sending.written:
+		b.release(complete && active && err == nil)
 	default:
 		// The response came before the request's body was written completely.
+		if complete && active && b.acceptsRest() {
+			go b.sendRest()
+			return
+		}
 		// The receiver would read the next request as a part of that body.
-		reusable = false
+		b.release(false)
 	}
-	if complete && reusable && !b.response.Close && b.conn.reader.Buffered() == 0 {
+}
+
+// sendRest waits until the request's body is sent. The end of the context doesn't cut it off,
+// but its deadline does.
+func (b *body) sendRest() {
+	// These fail only on a closed connection, to which the body can't be written either.
+	_ = b.conn.SetWriteDeadline(b.conn.writeDeadline)
+	err := <-b.sending.written
+	_ = b.conn.SetWriteDeadline(time.Time{})
+	b.release(err == nil)
+}
+
+// acceptsRest reports whether the receiver may read the rest of the request's body after its
+// response. After a failure, the sender should stop (RFC 9112, section 9.5).
+func (b *body) acceptsRest() bool { return b.response.StatusCode < http.StatusMultipleChoices }
+
+// release returns the connection to the pool, or resets it.
+func (b *body) release(reusable bool) {
+	defer b.sending.end()
+	if reusable && !b.response.Close && b.conn.reader.Buffered() == 0 {
 		b.conn.pool.put(b.conn, keepAliveTimeout(b.response.Header))
 		return
 	}
-	b.conn.close(!complete || !reusable)
+	b.conn.close(!reusable)
 }
 
 // writeTracker records that the first byte of a request is written.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -51,6 +51,7 @@
 	f := n.newForwarder(call, route, current.Service(call.Service), body)
 	f.shortDeadline = r.Header.Get(callhttp.HeaderBudget) != ""
 	resp, err := f.dispatch(r.Context())
+	keepBody(w, body)
 	if err != nil {
 		n.writeError(w, route.Name, err)
 		return
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -12,6 +12,7 @@
 	"tamarackquay/internal/admission"
 	"tamarackquay/internal/contract"
 	"tamarackquay/internal/port"
+	"tamarackquay/internal/requestbody"
 )
 
 // ServeForwarded implements peerforward.Owner: it runs a call that another node
@@ -27,7 +28,10 @@
 		callhttp.WriteError(w, &port.UnknownOutcome{Stage: stageDuplicate, Cause: errors.Errorf("call %s came twice", call.ID)})
 		return
 	}
+	body := requestbody.Stream(call.Body)
+	call.Body = body.Reader()
 	response, done, err := n.runLocal(r.Context(), call)
+	keepBody(w, body)
 	if err != nil {
 		callhttp.WriteError(w, err)
 		return
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -12,6 +12,7 @@
 
 	"tamarackquay/internal/adapter/callhttp"
 	"tamarackquay/internal/port"
+	"tamarackquay/internal/requestbody"
 )
 
 // copyBufferBytes is the size of the buffers for copying bodies.
@@ -19,6 +20,14 @@
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
 
+// keepBody is to be called before a response is written. If a request's body is still being
+// sent on, nothing else may read it.
+func keepBody(w http.ResponseWriter, body *requestbody.Body) {
+	if body.Release() {
+		callhttp.KeepBody(w)
+	}
+}
+
 // writeResponse writes a response to the caller or to the entry node. If its
 // body breaks, the connection is aborted: with a clean end of stream, half an
 // archive would look complete.
--- a/internal/port/metric.go
+++ b/internal/port/metric.go
@@ -84,6 +84,9 @@
 	// time constant with which a deviation of it decays, in seconds.
 	MetricTargetSlowdown      Metric = "tamarack_target_slowdown"
 	MetricSlowdownPersistence Metric = "tamarack_target_slowdown_persistence_seconds"
+	// MetricEarlyResponses counts responses that are passed on while the request's body is
+	// still being sent on, by where: at the entry or the owner node.
+	MetricEarlyResponses Metric = "tamarack_early_responses_total"
 	// MetricReportsIgnored counts reports of targets that were ignored, in part or as a
 	// whole, because they are invalid, by kind.
 	MetricReportsIgnored Metric = "tamarack_reports_ignored_total"
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -45,7 +45,7 @@
 		if err == nil {
 			complete := false
 			defer func() { p.recordCompletion(f, complete) }()
-			p.respond(w, f, resp)
+			p.respond(r.Context(), w, f, resp)
 			complete = true
 			return
 		}
@@ -154,7 +154,7 @@
 // respond writes a response to the caller. A buffered response is known to be complete.
 // If a body too large to buffer breaks off, the caller's response breaks off at the same
 // place.
-func (p *Proxy) respond(w http.ResponseWriter, f *forwarder, resp *bufferedResponse) {
+func (p *Proxy) respond(ctx context.Context, w http.ResponseWriter, f *forwarder, resp *bufferedResponse) {
 	p.closeWhenStopping(w)
 	p.ports.Meter.Count(port.MetricAnswered, f.route.Name, 1)
 	if resp.response.Status >= http.StatusInternalServerError {
@@ -169,9 +169,16 @@
 		resp.startReadAhead()
 		defer resp.closeRest()
 	}
+	uploading := !f.body.IsBuffered() && !resp.response.IsBodySent()
+	if uploading {
+		p.keepUpload(w, "entry")
+	}
 	f.hold.startWriting(w)
 	writeHeader(w, resp.response)
 	err := copyBody(w, resp)
+	if err == nil && uploading {
+		p.awaitUpload(ctx, w, resp, f.deadline)
+	}
 	resp.closeRest()
 	if f.hold.close() {
 		err = errEndedForMemory
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -293,7 +293,14 @@
 	}
 	p.correctLink(&meta, transfer, resp.size())
 	resp.cancel = response.Cancel
+	uploading := !response.IsBodySent()
+	if uploading {
+		p.keepUpload(w, "owner")
+	}
 	err = p.sendResponse(r.Context(), w, resp, transfer)
+	if err == nil && uploading {
+		p.awaitUpload(r.Context(), w, resp, received.Add(meta.budget))
+	}
 	resp.closeRest()
 	if hold.close() {
 		err = errEndedForMemory
--- a/internal/requestbody/requestbody.go
+++ b/internal/requestbody/requestbody.go
@@ -33,8 +33,13 @@
 	mu       sync.Mutex
 	current  *bodyReader
 	consumed bool
+	// ended is true once a read has returned the end of the stream or an error.
+	ended bool
 }
 
+// Stream returns a body of which nothing is read ahead. It can be passed to one attempt.
+func Stream(body io.Reader) *Body { return &Body{stream: body} }
+
 // Read reads a small body completely and the beginning of a large one. The length is
 // negative if unknown. It returns the body and its length, which is known for every small
 // body.
@@ -116,6 +121,21 @@
 	return !b.consumed
 }
 
+// Release ends the passing of a large body to attempts that have read none of it. It reports
+// whether an attempt goes on reading: then nothing else may read the stream, until that attempt
+// has reached its end.
+func (b *Body) Release() (reading bool) {
+	if b.stream == nil {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.consumed {
+		b.current = nil
+	}
+	return b.consumed && !b.ended
+}
+
 // bodyReader reads a large body for one attempt.
 type bodyReader struct{ body *Body }
 
@@ -124,7 +144,17 @@
 	if !r.body.consume(r) {
 		return 0, ErrRevoked
 	}
-	return r.body.stream.Read(p)
+	n, err := r.body.stream.Read(p)
+	if err != nil {
+		r.body.end()
+	}
+	return n, err
+}
+
+func (b *Body) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ended = true
 }
 
 func (b *Body) consume(by *bodyReader) bool {
