--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -185,10 +185,13 @@
 func (f *Follower) apply(update *mesh.Update, sent time.Time) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := f.clock.Now()
+	if update.Complete {
+		f.view.AddImplied(update, f.removalGrace(now))
+	}
 	before, version := f.view.Generation(), f.view.Version()
 	members := f.statesOf(update)
 	evacuated := f.view.Evacuations()
-	now := f.clock.Now()
 	age := f.view.Age(now)
 	outage := f.view.Outage(now)
 	err := f.view.Apply(sent, update)
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -72,8 +72,8 @@
 
 func (f *Follower) applyBootstrap(listing *Listing) {
 	f.bootstrappedAt = f.clock.Now()
-	update := &mesh.Update{Targets: listing.Targets, Evacuations: listing.Evacuations, Age: -1, Revision: listing.Revision}
-	f.addConfig(update, listing.Config)
+	update := completeUpdate(listing)
+	update.Age = -1
 	if err := f.apply(update, listing.RespondedAt); err != nil {
 		f.log.Warn().Err(err).Msg("stale listing could not be applied")
 	}
@@ -181,11 +181,13 @@
 	}
 	f.revision = max(f.revision, changes.Revision)
 	update := &mesh.Update{Targets: changes.Targets, Removed: changes.Removed, Evacuations: changes.Evacuations, RTT: f.platform.RTT(), Revision: f.revision}
-	grace := f.removalGrace()
+	f.mu.Lock()
+	grace := f.removalGrace(f.clock.Now())
+	f.mu.Unlock()
 	for i := range update.Removed {
 		update.Removed[i].Grace = grace
 	}
-	f.addConfig(update, changes.Config)
+	addConfig(update, changes.Config)
 	return !update.Empty(), f.apply(update, changes.RespondedAt)
 }
 
@@ -202,20 +204,26 @@
 	if err != nil {
 		return err
 	}
-	update := &mesh.Update{Targets: listing.Targets, Evacuations: listing.Evacuations, RTT: f.platform.RTT(), Revision: listing.Revision}
-	grace := f.removalGrace()
-	f.mu.Lock()
-	update.Removed = f.view.ImpliedRemovals(listing.Targets, listing.Revision, grace)
-	update.Evacuations = append(update.Evacuations, f.view.ImpliedEvacuationEnds(listing.Evacuations, listing.Revision)...)
-	f.mu.Unlock()
-	f.addConfig(update, listing.Config)
+	update := completeUpdate(listing)
+	update.RTT = f.platform.RTT()
 	f.revision = listing.Revision
 	f.compacted = false
 	return f.apply(update, listing.RespondedAt)
 }
 
+// completeUpdate returns an update with the complete contents of the platform. It tells nothing
+// of what ended before them.
+func completeUpdate(listing *Listing) *mesh.Update {
+	update := &mesh.Update{
+		Targets: listing.Targets, Evacuations: listing.Evacuations, Revision: listing.Revision,
+		Complete: true, RecordedSince: listing.Revision,
+	}
+	addConfig(update, listing.Config)
+	return update
+}
+
 // addConfig adds a configuration to the update as a delta without a base.
-func (f *Follower) addConfig(update *mesh.Update, config *mesh.Config) {
+func addConfig(update *mesh.Update, config *mesh.Config) {
 	if config != nil {
 		update.Config = mesh.Diff(nil, config)
 	}
@@ -225,11 +233,8 @@
 // zero during a platform outage and shortly after it, when live targets may not have renewed
 // their leases yet. Reads that failed on neighbours count like this node's own: otherwise a
 // node that only ever received updates from neighbours would drop all targets and propagate
-// the removals.
-func (f *Follower) removalGrace() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.clock.Now()
+// the removals. It must be called with the mutex held.
+func (f *Follower) removalGrace(now time.Time) time.Duration {
 	if f.view.Outage(now) || !f.recoveredAt.IsZero() && now.Sub(f.recoveredAt) < recoveryWindow {
 		return mesh.SuspectGrace
 	}
--- a/internal/mesh/evacuation.go
+++ b/internal/mesh/evacuation.go
@@ -27,10 +27,10 @@
 	return domains
 }
 
-// applyEvacuation applies a request unless a newer one for the domain is known.
+// applyEvacuation applies a request unless the view holds it, or a later one for the domain.
 func (v *View) applyEvacuation(evacuation Evacuation) {
 	known, ok := v.evacuations[evacuation.FailureDomain]
-	if ok && known.Revision >= evacuation.Revision {
+	if evacuation.Revision <= v.membersRevision || ok && known.Revision >= evacuation.Revision {
 		return
 	}
 	v.generation++
@@ -40,11 +40,12 @@
 	}
 }
 
-// evacuationsSince returns the evacuations that changed after a position, sorted by domain.
-func (v *View) evacuationsSince(position Position) []Evacuation {
+// evacuationsSince returns the evacuations that changed after a position, sorted by domain. If
+// complete is set, it returns all active ones as well.
+func (v *View) evacuationsSince(position Position, complete bool) []Evacuation {
 	var evacuations []Evacuation
 	for _, state := range v.evacuations {
-		if !position.covers(state.generation, state.Revision) {
+		if complete && state.Active || !position.covers(state.generation, state.Revision) {
 			evacuations = append(evacuations, state.Evacuation)
 		}
 	}
@@ -52,16 +53,17 @@
 	return evacuations
 }
 
-// ImpliedEvacuationEnds returns the withdrawals implied by a complete listing of the platform at
-// a revision: the active evacuations that it doesn't contain.
-func (v *View) ImpliedEvacuationEnds(listed []Evacuation, revision uint64) []Evacuation {
-	isListed := func(domain string) bool {
-		return slices.ContainsFunc(listed, func(e Evacuation) bool { return e.FailureDomain == domain })
-	}
+// impliedEvacuationEnds returns the withdrawals implied by a complete list at a revision: those of
+// the active evacuations that it doesn't contain.
+func (v *View) impliedEvacuationEnds(listed []Evacuation, revision uint64) []Evacuation {
 	var ends []Evacuation
 	for _, domain := range slices.Sorted(maps.Keys(v.evacuations)) {
 		state := v.evacuations[domain]
-		if state.Active && state.Revision < revision && !isListed(domain) {
+		isListed := slices.ContainsFunc(listed, func(e Evacuation) bool {
+			// An older end is of an earlier evacuation.
+			return e.FailureDomain == domain && (e.Active || e.Revision >= state.Revision)
+		})
+		if state.Active && state.Revision < revision && !isListed {
 			ends = append(ends, Evacuation{FailureDomain: domain, Revision: revision})
 		}
 	}
--- a/internal/mesh/evacuation_test.go
+++ b/internal/mesh/evacuation_test.go
@@ -27,13 +27,13 @@
 		newest := uint64(0)
 		for range rapid.IntRange(1, 12).Draw(t, "updates") {
 			revision := rapid.Uint64Range(1, 8).Draw(t, "revision")
-			update := &Update{Age: -1}
+			update := &Update{Age: -1, Complete: true, Revision: revision}
 			for _, domain := range domains {
 				if state, ok := history[revision][domain]; ok && state.Active {
 					update.Evacuations = append(update.Evacuations, state)
 				}
 			}
-			update.Evacuations = append(update.Evacuations, view.ImpliedEvacuationEnds(update.Evacuations, revision)...)
+			view.AddImplied(update, 0)
 			assert.NilError(t, view.Apply(start, update))
 			newest = max(newest, revision)
 		}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -96,9 +96,10 @@
 	view := NewView()
 	target := Target{ID: "i", Service: "s", State: Ready, Revision: 5}
 	assert.NilError(t, view.Apply(start, &Update{Targets: []Target{target}}))
-	removals := view.ImpliedRemovals(nil, 9, SuspectGrace)
-	assert.Equal(t, len(removals), 1)
-	assert.NilError(t, view.Apply(start, &Update{Removed: removals}))
+	listing := &Update{Complete: true, Revision: 9}
+	view.AddImplied(listing, SuspectGrace)
+	assert.Equal(t, len(listing.Removed), 1)
+	assert.NilError(t, view.Apply(start, listing))
 	assert.Assert(t, view.Members()["i"].Usable(start.Add(time.Second)))
 	assert.Assert(t, !view.Members()["i"].Usable(start.Add(SuspectGrace)))
 	target.Revision = 12
@@ -115,7 +116,9 @@
 	for _, view := range views {
 		assert.NilError(t, view.Apply(start, &Update{Targets: []Target{target}}))
 	}
-	assert.NilError(t, views[0].Apply(start, &Update{Removed: views[0].ImpliedRemovals(nil, 9, SuspectGrace)}))
+	listing := &Update{Complete: true, Revision: 9}
+	views[0].AddImplied(listing, SuspectGrace)
+	assert.NilError(t, views[0].Apply(start, listing))
 	now := start
 	for i, view := range views[1:] {
 		now = now.Add(SuspectGrace * 2 / 5)
--- a/internal/mesh/since.go
+++ b/internal/mesh/since.go
@@ -18,6 +18,8 @@
 	// Revision is the platform revision up to which the neighbour held all changes before
 	// it received any update.
 	Revision uint64
+	// held is the platform revision up to which the neighbour holds all changes.
+	held uint64
 }
 
 // Checkpoint is the state that a neighbour reports when it opens a feed.
@@ -32,7 +34,7 @@
 
 // PositionFor returns the initial position of a neighbour that reported a checkpoint.
 func (v *View) PositionFor(checkpoint Checkpoint) Position {
-	position := Position{Revision: checkpoint.Revision}
+	position := Position{Revision: checkpoint.Revision, held: checkpoint.Revision}
 	if v.table != nil && v.Version() == checkpoint.Version {
 		position.Config = v.table.Config
 	}
@@ -53,18 +55,39 @@
 	if v.ReadFailed() {
 		update.FailedReadAge = max(1, now.Sub(v.failedReadAt))
 	}
-	if position.Generation != v.generation {
+	if position.held < v.recordedSince {
+		v.complete(update, position)
+	}
+	if position.Generation != v.generation || update.Complete {
 		update.Targets = v.targetsSince(now, position)
 		update.Removed = v.removedSince(now, position)
-		update.Evacuations = v.evacuationsSince(position)
+		update.Evacuations = v.evacuationsSince(position, update.Complete)
 		position.Generation = v.generation
 		position.Revision = 0
 	}
+	position.held = max(position.held, v.revision)
 	update.Config, position = v.nextPart(position)
 	update.ConfigPending = update.ConfigPending || position.Pending()
 	return update, position
 }
 
+// complete prepares an update for a neighbour that may hold targets or evacuations of whose end
+// this view has no record, because this process has read the platform only later, or has dropped
+// the record since. Until the view itself is complete, the update claims nothing.
+func (v *View) complete(update *Update, position Position) {
+	if v.revision < v.recordedSince {
+		update.Age, update.Revision = -1, 0
+		return
+	}
+	update.Complete, update.RecordedSince = true, v.recordedSince
+	for id, member := range v.members {
+		if position.covers(member.generation, member.Revision) && member.UsableUntil.IsZero() {
+			update.Unchanged = append(update.Unchanged, id)
+		}
+	}
+	slices.Sort(update.Unchanged)
+}
+
 // Pending reports whether parts of a configuration remain to be sent.
 func (p *Position) Pending() bool { return p.sending != nil }
 
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -81,6 +81,13 @@
 	membersCurrentAt time.Time
 	// revision is the platform revision up to which the view holds all changes.
 	revision uint64
+	// membersRevision is like revision for targets and evacuations alone, which arrive before a
+	// configuration that is sent in parts.
+	membersRevision uint64
+	// recordedSince is the platform revision after which the view knows every removal and every
+	// end of an evacuation. Earlier ones may have been dropped, or have happened before this
+	// process read the platform.
+	recordedSince uint64
 	// rtt is the round trip to the platform, measured by the node whose read set currentAt.
 	rtt time.Duration
 	// failedReadAt is the latest time at which a read of the platform, by any node, is
@@ -111,6 +118,15 @@
 	// Revision is the platform revision up to which the sender holds all changes, whether
 	// or not its view is current; zero if unknown.
 	Revision uint64 `cbor:"v,omitempty"`
+	// Complete is set if the update names everything that existed at Revision: Targets and
+	// Unchanged all targets, Evacuations all active ones. What else the receiver holds up to
+	// that revision is gone.
+	Complete bool `cbor:"k,omitempty"`
+	// Unchanged holds the ids of the targets of a complete update that the receiver holds.
+	Unchanged []string `cbor:"u,omitempty"`
+	// RecordedSince is the platform revision after which the sender of a complete update knows
+	// every removal and every end of an evacuation.
+	RecordedSince uint64 `cbor:"l,omitempty"`
 	// ConfigPending is set if a configuration is still being sent, to the sender or in
 	// parts by it. The receiver's view isn't current without it.
 	ConfigPending bool `cbor:"m,omitempty"`
@@ -240,6 +256,8 @@
 		v.applyEvacuation(evacuation)
 	}
 	v.expire(sent)
+	v.membersRevision = max(v.membersRevision, update.Revision)
+	v.recordedSince = max(v.recordedSince, update.RecordedSince)
 	if update.FailedReadAge > 0 {
 		v.RecordFailedRead(sent.Add(-update.FailedReadAge))
 	}
@@ -306,6 +324,11 @@
 }
 
 func (v *View) applyTarget(sent time.Time, target *Target) {
+	if target.Revision <= v.membersRevision {
+		// The view holds the entry, or a later change of it: also if that is a removal whose
+		// record was dropped.
+		return
+	}
 	if removed, ok := v.removed[target.ID]; ok && removed.Revision >= target.Revision {
 		return
 	}
@@ -419,24 +442,34 @@
 	for id, removed := range v.removed {
 		if now.Sub(removed.at) > removalRetention {
 			delete(v.removed, id)
+			v.recordedSince = max(v.recordedSince, removed.Revision)
 		}
 	}
 }
 
-// ImpliedRemovals returns the removals implied by a complete listing of the platform at a
-// revision: the known targets that it doesn't contain. They stay in use for the grace
-// period.
-func (v *View) ImpliedRemovals(listed []Target, revision uint64, grace time.Duration) []Removal {
-	isListed := make(map[string]bool, len(listed))
-	for i := range listed {
-		isListed[listed[i].ID] = true
+// AddImplied adds to a complete update the removals and the ends of evacuations that it implies:
+// those of the known targets and evacuated failure domains that it doesn't name. The targets
+// stay in use for the grace period.
+func (v *View) AddImplied(update *Update, grace time.Duration) {
+	named := make(map[string]bool, len(update.Targets)+len(update.Unchanged))
+	for i := range update.Targets {
+		named[update.Targets[i].ID] = true
+	}
+	for _, id := range update.Unchanged {
+		named[id] = true
+	}
+	for i := range update.Removed {
+		// An older removal is of an earlier entry under the same id.
+		removal := &update.Removed[i]
+		if member := v.members[removal.ID]; member != nil && member.Revision <= removal.Revision {
+			named[removal.ID] = true
+		}
 	}
-	var removals []Removal
 	for _, id := range slices.Sorted(maps.Keys(v.members)) {
 		member := v.members[id]
-		if !isListed[id] && member.Revision <= revision && member.UsableUntil.IsZero() {
-			removals = append(removals, Removal{ID: id, Revision: revision, Grace: grace})
+		if !named[id] && member.Revision <= update.Revision && member.UsableUntil.IsZero() {
+			update.Removed = append(update.Removed, Removal{ID: id, Revision: update.Revision, Grace: grace})
 		}
 	}
-	return removals
+	update.Evacuations = append(update.Evacuations, v.impliedEvacuationEnds(update.Evacuations, update.Revision)...)
 }
