--- a/cmd/tamarackd/run.go
+++ b/cmd/tamarackd/run.go
@@ -170,7 +170,7 @@
 	e.HideBanner = true
 	e.GET(peerws.Path, echo.WrapHandler(peerws.NewServer(n)))
 	e.Any(peerforward.Prefix+"/*", echo.WrapHandler(peerforward.NewHandler(n, now)))
-	return &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout, ConnContext: callhttp.ConnContext}
+	return &http.Server{Handler: e, MaxHeaderBytes: maxPeerHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, ConnContext: callhttp.ConnContext}
 }
 
 func (d *daemon) listen(s settings.Settings, identity *peertls.Config, failed chan<- error) error {
--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -36,24 +36,32 @@
 		// Round trips take 40 ms at most. A VM that takes longer to accept a
 		// connection is down, or too slow to be used in time.
 		DialTimeout: 150 * time.Millisecond, IdleTimeout: 20 * time.Second,
-		AckTimeout: 500 * time.Millisecond, MaxIdle: 16,
+		AckTimeout: 500 * time.Millisecond, MaxIdle: 16, MaxHeaderBytes: maxPeerHeaderBytes,
 	}
 	// targetConnections are to the local target, a process on the same VM, where
 	// a connection opens at once: a target that doesn't accept is stopped or
 	// overloaded.
 	targetConnections = exchange.Options{
 		DialTimeout: 300 * time.Millisecond, IdleTimeout: 4 * time.Second,
-		AckTimeout: 2 * time.Second, MaxIdle: 64,
+		AckTimeout: 2 * time.Second, MaxIdle: 64, MaxHeaderBytes: maxHeaderBytes,
 	}
 )
 
-// Size limits of the callers' listener. The limits of the configuration are
-// checked for each request in addition.
+// Size limits of the callers' listener and of targets' responses. The limits of the
+// configuration are checked for each request in addition.
 const (
 	maxHeaderBytes = 64 << 10
 	maxBodyBytes   = 1 << 30
 )
 
+// maxPeerHeaderBytes limits the headers of messages between nodes: those of a caller, which may
+// have twice maxHeaderBytes, or of a target, with the headers that nodes add.
+const maxPeerHeaderBytes = 3 * maxHeaderBytes
+
+// maxQueryHeaderBytes limits the headers of requests for readiness and metrics, and of responses
+// that open feeds.
+const maxQueryHeaderBytes = 16 << 10
+
 // sidecarGCPercent keeps the heap small: peak memory is paid for, and the live heap
 // is only a few megabytes. It is in percent, as GOGC.
 const sidecarGCPercent = 60
@@ -215,5 +223,5 @@
 // heartbeats of a feed show when the connection no longer works.
 func feedTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: feedDialTimeout}
-	return &http.Transport{DialContext: dialer.DialContext}
+	return &http.Transport{DialContext: dialer.DialContext, MaxResponseHeaderBytes: maxQueryHeaderBytes}
 }
--- a/cmd/tamarackd/sidecar_listen.go
+++ b/cmd/tamarackd/sidecar_listen.go
@@ -30,7 +30,7 @@
 		c.proxy.ServePeer(context.Response(), context.Request())
 		return nil
 	})
-	return &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout, ConnContext: callhttp.ConnContext}
+	return &http.Server{Handler: e, MaxHeaderBytes: maxPeerHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, ConnContext: callhttp.ConnContext}
 }
 
 func (c *sidecar) listen(options sidecarOptions, failed chan<- error) error {
@@ -44,7 +44,7 @@
 	}{
 		{"callers listener", s.CallerAddress, c.callers.Run},
 		{"peers listener", net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), c.peerServer.Serve},
-		{"readiness listener", s.ReadinessAddress, (&http.Server{Handler: readiness, ReadHeaderTimeout: readHeaderTimeout}).Serve},
+		{"readiness listener", s.ReadinessAddress, (&http.Server{Handler: readiness, MaxHeaderBytes: maxQueryHeaderBytes, ReadHeaderTimeout: readHeaderTimeout}).Serve},
 	}
 	for _, server := range servers {
 		listener, err := net.Listen("tcp", server.address)
@@ -70,7 +70,7 @@
 	if err != nil {
 		return errors.Wrap(err, "metrics listener")
 	}
-	go serve((&http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout}).Serve, listener, failed)
+	go serve((&http.Server{Handler: e, MaxHeaderBytes: maxQueryHeaderBytes, ReadHeaderTimeout: readHeaderTimeout}).Serve, listener, failed)
 	return nil
 }
 
--- a/internal/adapter/callhttp/callhttp.go
+++ b/internal/adapter/callhttp/callhttp.go
@@ -36,6 +36,10 @@
 	HeaderChain = "Tamarack-Chain"
 )
 
+// MaxResponseHeaderBytes limits the headers of responses of targets, other nodes and the
+// platform.
+const MaxResponseHeaderBytes = 64 << 10
+
 // The values of HeaderOutcome. Responses of targets don't have this header.
 const (
 	OutcomeDidNotRun = "did-not-run"
--- a/internal/adapter/exchange/exchange.go
+++ b/internal/adapter/exchange/exchange.go
@@ -38,6 +38,9 @@
 	// and ID the expected value. If IDHeader is empty, any response is accepted.
 	IDHeader string
 	ID       string
+	// Reserve is called before more of a response's header is read than a connection buffers
+	// anyway. It reports whether memory is granted; Do fails if it isn't. It may be nil.
+	Reserve func(bytes int64) bool
 }
 
 // Response is a response whose header has been received. Body must be closed. A read
@@ -224,7 +227,7 @@
 // other requests are skipped.
 func (c *conn) readResponse(r *Request) (*http.Response, error) {
 	for range maxUnmatched {
-		response, err := c.readFinalResponse(r.Method)
+		response, err := c.readFinalResponse(r)
 		if err != nil {
 			return nil, err
 		}
@@ -243,16 +246,19 @@
 }
 
 // readFinalResponse returns the next response that is not informational (1xx).
-func (c *conn) readFinalResponse(method string) (*http.Response, error) {
+func (c *conn) readFinalResponse(r *Request) (*http.Response, error) {
+	c.header.expect(r.Reserve)
 	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
-			return nil, err
+			// net/http may report what it has read until then as malformed.
+			return nil, firstError(c.header.err, err)
 		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errProtocolChange
 		}
 		if response.StatusCode >= http.StatusOK {
+			c.header.expecting = false
 			return response, nil
 		}
 	}
--- a/internal/adapter/exchange/exchange_test.go
+++ b/internal/adapter/exchange/exchange_test.go
@@ -18,7 +18,7 @@
 
 // server starts a listener that calls serve for each request. The number counts the
 // requests on a connection from 0. accepted returns the number of accepted connections.
-func server(t *testing.T, serve func(c net.Conn, request *http.Request, number int)) (address string, accepted func() int) {
+func server(t testing.TB, serve func(c net.Conn, request *http.Request, number int)) (address string, accepted func() int) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { listener.Close() })
--- a/internal/adapter/exchange/pool.go
+++ b/internal/adapter/exchange/pool.go
@@ -26,6 +26,9 @@
 	AckTimeout time.Duration
 	// MaxIdle limits the number of idle connections per address.
 	MaxIdle int
+	// MaxHeaderBytes limits what is read of a response until the end of its header, with the
+	// interim responses (1xx) before it; 0 means no limit.
+	MaxHeaderBytes int64
 	// PeerClosed is called when an idle connection is found closed by the receiver before
 	// its announced timeout; it may be nil.
 	PeerClosed func(address string)
@@ -72,6 +75,7 @@
 	net.Conn
 	pool    *Pool
 	address string
+	header  *headerReader
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	// wrote is true once the first byte of the current request is written.
@@ -90,7 +94,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: raw, pool: p, address: address, reader: bufio.NewReader(raw)}
+	c := &conn{Conn: raw, pool: p, address: address, header: &headerReader{source: raw, limit: p.options.MaxHeaderBytes}}
+	c.reader = bufio.NewReaderSize(c.header, bufferBytes)
 	c.writer = bufio.NewWriter(writeTracker{raw, c})
 	return c, nil
 }
--- a/internal/adapter/peerforward/peerforward.go
+++ b/internal/adapter/peerforward/peerforward.go
@@ -53,6 +53,9 @@
 			MaxIdleConnsPerHost: maxIdlePerPeer,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+
+			// The owner node adds headers to those of the target.
+			MaxResponseHeaderBytes: 2 * callhttp.MaxResponseHeaderBytes,
 		},
 	}
 }
--- a/internal/adapter/peerws/client.go
+++ b/internal/adapter/peerws/client.go
@@ -41,9 +41,12 @@
 
 var _ port.Peers = (*Client)(nil)
 
+// maxHeaderBytes limits the header of the response that opens a connection.
+const maxHeaderBytes = 16 << 10
+
 // NewClient returns a client that authenticates itself with the TLS configuration.
 func NewClient(tls *peertls.Config, now func() time.Time) *Client {
-	transport := &http.Transport{TLSClientConfig: tls.Client}
+	transport := &http.Transport{TLSClientConfig: tls.Client, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &Client{http: &http.Client{Transport: transport}, now: now, conns: map[string]*clientConn{}}
 }
 
@@ -51,7 +54,7 @@
 // connections in port.MetricControlBytes.
 func NewCountingClient(tls *peertls.Config, now func() time.Time, meter port.Meter) *Client {
 	c := NewClient(tls, now)
-	c.http.Transport = &http.Transport{TLSClientConfig: tls.Client, DialContext: dialCounting(meter)}
+	c.http.Transport = &http.Transport{TLSClientConfig: tls.Client, DialContext: dialCounting(meter), MaxResponseHeaderBytes: maxHeaderBytes}
 	return c
 }
 
--- a/internal/adapter/platformhttp/platformhttp.go
+++ b/internal/adapter/platformhttp/platformhttp.go
@@ -16,6 +16,7 @@
 
 	"github.com/pkg/errors"
 
+	"tamarackquay/internal/adapter/callhttp"
 	"tamarackquay/internal/membership"
 	"tamarackquay/internal/port"
 	"tamarackquay/internal/snapshot"
@@ -47,6 +48,8 @@
 		DialContext:         (&net.Dialer{Timeout: readTimeout}).DialContext,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     time.Minute,
+
+		MaxResponseHeaderBytes: callhttp.MaxResponseHeaderBytes,
 	}
 	return &Client{base: base, http: &http.Client{Transport: transport}, readTimeout: readTimeout, watchTimeout: watchTimeout}
 }
--- a/internal/adapter/targethttp/targethttp.go
+++ b/internal/adapter/targethttp/targethttp.go
@@ -47,6 +47,8 @@
 			MaxIdleConnsPerHost: maxConnections,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: callhttp.MaxResponseHeaderBytes,
 		},
 	}
 }
--- a/internal/port/metric.go
+++ b/internal/port/metric.go
@@ -87,6 +87,9 @@
 	// MetricEarlyResponses counts responses that are passed on while the request's body is
 	// still being sent on, by where: at the entry or the owner node.
 	MetricEarlyResponses Metric = "tamarack_early_responses_total"
+	// MetricHeadersRejected counts responses whose header was too large, or for whose header
+	// there was no memory.
+	MetricHeadersRejected Metric = "tamarack_response_headers_rejected_total"
 	// MetricReportsIgnored counts reports of targets that were ignored, in part or as a
 	// whole, because they are invalid, by kind.
 	MetricReportsIgnored Metric = "tamarack_reports_ignored_total"
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -146,7 +146,7 @@
 }
 
 func (f *fleet) start(t testing.TB, i int, peers net.Listener, members []*mesh.Member) {
-	options := exchange.Options{DialTimeout: 150 * time.Millisecond, IdleTimeout: time.Second, AckTimeout: time.Second, MaxIdle: 8}
+	options := exchange.Options{DialTimeout: 150 * time.Millisecond, IdleTimeout: time.Second, AckTimeout: time.Second, MaxIdle: 8, MaxHeaderBytes: 64 << 10}
 	p := New(Config{
 		Headers: headers, DecodeLoad: decodeTestLoad, FailureDomain: "a", Region: "r", Regions: map[string]string{"a": "r"},
 		TargetAddress: members[i].Address, PeerPort: peers.Addr().(*net.TCPAddr).Port, RetryRatio: 0.2, RetrySlack: 100, DrainGrace: testDrainGrace, Seed: uint64(i),
--- a/internal/proxy/forwarder.go
+++ b/internal/proxy/forwarder.go
@@ -205,6 +205,7 @@
 	r := &exchange.Request{
 		Method: f.method, URI: f.uri, Host: f.host, Header: header,
 		ContentLength: f.length, IDHeader: f.proxy.config.Headers.RequestID, ID: f.id,
+		Reserve: f.hold.reserveHeader,
 	}
 	if body := f.body.Reader(); body != nil {
 		r.Body = body
--- a/internal/proxy/memory.go
+++ b/internal/proxy/memory.go
@@ -212,6 +212,17 @@
 	return h.memory.account.Grow(&h.Holder, purpose, wanted)
 }
 
+// reserveHeader reserves memory for the header of a response, until the request ends. It reports
+// whether it was granted.
+func (h *memoryHold) reserveHeader(bytes int64) bool {
+	if h == nil {
+		return true
+	}
+	h.memory.mu.Lock()
+	defer h.memory.mu.Unlock()
+	return h.memory.account.Reserve(&h.Holder, membudget.BufferedResponse, bytes)
+}
+
 // giveBack returns granted bytes.
 func (h *memoryHold) giveBack(purpose membudget.Purpose, bytes int64) {
 	if h == nil || bytes == 0 {
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -195,6 +195,9 @@
 // classifyError returns a refusal if no part of the request was sent, and a
 // *port.UnknownOutcome otherwise.
 func (p *Proxy) classifyError(err error) error {
+	if errors.Is(err, exchange.ErrHeaderTooLarge) || errors.Is(err, exchange.ErrNoMemory) {
+		p.ports.Meter.Count(port.MetricHeadersRejected, "", 1)
+	}
 	var failure *exchange.Failure
 	if errors.As(err, &failure) && !failure.Sent {
 		return port.Refuse(port.ReasonUnreachable, retryUnreachable, "%v", failure.Cause)
@@ -269,6 +272,7 @@
 	}
 	hold := p.memory.open(request.ID)
 	defer hold.close()
+	request.Reserve = hold.reserveHeader
 	response, report, err := p.runAdmitted(r.Context(), &meta, request, received, hold)
 	report.write(w.Header())
 	if err != nil {
