--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -54,9 +54,9 @@
 	maxBodyBytes   = 1 << 30
 )
 
-// maxPeerHeaderBytes limits the headers of messages between nodes: those of a caller, which may
-// have twice maxHeaderBytes, or of a target, with the headers that nodes add.
-const maxPeerHeaderBytes = 3 * maxHeaderBytes
+// maxPeerHeaderBytes limits the headers of messages between nodes: those of a caller or a target,
+// with the headers that nodes add.
+const maxPeerHeaderBytes = 2 * maxHeaderBytes
 
 // maxQueryHeaderBytes limits the headers of requests for readiness and metrics, and of responses
 // that open feeds.
