--- a/internal/adapter/feedws/feedws_test.go
+++ b/internal/adapter/feedws/feedws_test.go
@@ -218,3 +218,28 @@
 	assert.Equal(t, err, errIdle)
 	assert.Equal(t, received, 1)
 }
+
+// Guards against followers that get all targets again when the node that they follow restarts:
+// the links of a large fleet would be full while it starts.
+func TestCompleteUpdateHoldsFewBytesPerTarget(t *testing.T) {
+	const count = 1600
+	listing := &mesh.Update{Complete: true, RecordedSince: 2 * count, Revision: 2 * count}
+	for i := range count {
+		listing.Targets = append(listing.Targets, mesh.Target{
+			ID: fmt.Sprintf("i-%08x", i*7919), Service: "tally", Address: "10.1.0.41:8628", FailureDomain: "lm-a", Slots: 12,
+			State: mesh.Ready, Started: time.Now().UnixMilli(), Revision: uint64(i) + 1,
+		})
+	}
+	view := mesh.NewView()
+	assert.NilError(t, view.Apply(time.Now(), listing))
+	size := func(revision uint64) int {
+		update, _ := view.Since(time.Now(), view.PositionFor(mesh.Checkpoint{Revision: revision}))
+		assert.Assert(t, update.Complete)
+		content, err := (&encoder{}).encode(update)
+		assert.NilError(t, err)
+		return len(content)
+	}
+	held, all := size(2*count-1), size(0)
+	t.Logf("%d bytes to a follower that holds all targets, %d to one that holds none", held, all)
+	assert.Assert(t, held < all/5, "%d of %d bytes", held, all)
+}
--- a/internal/follow/world_link_test.go
+++ b/internal/follow/world_link_test.go
@@ -236,10 +236,11 @@
 	entryBytes     = 90
 	routeBytes     = 12
 	removeBytes    = 20
+	idBytes        = 12
 )
 
 func sizeOf(update *mesh.Update) int {
-	size := heartbeatBytes + entryBytes*len(update.Targets) + removeBytes*len(update.Removed)
+	size := heartbeatBytes + entryBytes*len(update.Targets) + removeBytes*len(update.Removed) + idBytes*len(update.Unchanged)
 	if update.Config != nil {
 		size += routeBytes * len(update.Config.Changed)
 	}
