--- a/internal/mesh/claims_test.go
+++ b/internal/mesh/claims_test.go
@@ -19,16 +19,7 @@
 
 // modelRoutes holds the routes of a configuration that is sent whole, and of one that is sent in
 // parts.
-var modelRoutes = [][]Route{{route("r", "h", "/r/")}, numberedRoutes(routesPerPart + 1)}
-
-func numberedRoutes(count int) []Route {
-	var routes []Route
-	for i := range count {
-		name := fmt.Sprintf("r%04d", i)
-		routes = append(routes, route(name, "h", "/"+name+"/"))
-	}
-	return routes
-}
+var modelRoutes = [][]Route{{route("r", "h", "/r/")}, manyRoutes(routesPerPart+1, "/")}
 
 // claimsModel is a platform and views that read it and follow each other. Messages of a feed
 // may be delivered late, and feeds, processes and the records of removals may end at any moment.
