--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -197,7 +197,9 @@
 	err := f.view.Apply(sent, update)
 	if outage && !f.view.Outage(now) {
 		f.recoveredAt = now
+		f.log.Info().Int64(logfield.ViewAge, age.Milliseconds()).Uint64(logfield.Revision, f.view.Revision()).Msg("outage over")
 	}
+	f.logIgnored(update)
 	changed := f.view.Generation() != before
 	if changed {
 		f.logTransitions(members, age, now.Sub(sent))
--- a/internal/follow/states.go
+++ b/internal/follow/states.go
@@ -24,6 +24,9 @@
 	stateRemoved = "gone"
 )
 
+// stateNames holds the names of the states that targets report.
+var stateNames = map[mesh.TargetState]string{mesh.Ready: stateReady, mesh.Draining: stateDraining}
+
 // statesOf returns the current states of the targets in an update.
 func (f *Follower) statesOf(update *mesh.Update) map[string]targetStatus {
 	states := map[string]targetStatus{}
@@ -67,6 +70,21 @@
 	}
 }
 
+// logIgnored logs the entries of an update that the view ignores although the platform wrote
+// them later than the one that it holds, because another process seems to have started later.
+func (f *Follower) logIgnored(update *mesh.Update) {
+	for i := range update.Targets {
+		target := &update.Targets[i]
+		known := f.view.Members()[target.ID]
+		if known == nil || known.Revision >= target.Revision {
+			continue
+		}
+		f.log.Warn().Str(logfield.Target, target.ID).Str(logfield.State, stateNames[target.State]).
+			Uint64(logfield.TargetRevision, target.Revision).Int64(logfield.Started, target.Started).
+			Uint64(logfield.Revision, known.Revision).Int64(logfield.KnownStart, known.Started).Msg("entry of an earlier start ignored")
+	}
+}
+
 // logEvacuations logs the failure domains whose evacuation was requested or withdrawn. Before
 // holds the domains that were evacuated, late is the time that the update was in transit.
 func (f *Follower) logEvacuations(before []string, late time.Duration) {
--- a/internal/logfield/logfield.go
+++ b/internal/logfield/logfield.go
@@ -66,6 +66,10 @@
 	// UsableFor is the time for which a target stays in use after its entry was
 	// removed, in milliseconds.
 	UsableFor Name = "usable_ms"
+	// Started is the start of the process that wrote a target's entry, and KnownStart that of
+	// the process that the node knows, in Unix milliseconds by the clock of the target's VM.
+	Started    Name = "started_ms"
+	KnownStart Name = "known_start_ms"
 	// FailureDomain is the failure domain that an operator evacuates, or no longer does,
 	// as Evacuated says.
 	FailureDomain Name = "failure_domain"
