mesh: believe the newest entry of a target if it says that it drains

What callers saw: requests reached a target later than Drain after the store had accepted that it drains, until it ended.

Cause: which of two entries of one id is newer was told by the starts of the processes that wrote them. A start is a time of day of the target's VM, and that may step back by seconds. A target that restarted under its id behind its clock was taken for the ended process: its entries were ignored, draining among them.

So the newest revision decides, if it says draining. A late write of an ended process can still say so for a running target; the upstream writes every Heartbeat, so it lacks requests for one interval at most. A late ready entry is still ignored.

--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -333,7 +333,7 @@
 		return
 	}
 	known := v.members[target.ID]
-	if known != nil && (known.Revision >= target.Revision || fromEarlierStart(known, target)) {
+	if known != nil && (known.Revision >= target.Revision || isLateWrite(known, target)) {
 		return
 	}
 	v.generation++
@@ -399,14 +399,13 @@
 	return a.Revision < b.Revision
 }
 
-// fromEarlierStart reports whether an entry was written by an earlier process than that of
-// the known target. The last write of an ended process can reach the platform after the
-// first write of the process that reuses its id. If that entry were accepted as the newest,
-// "draining" would keep requests from the target until its next change, and "ready" would
-// send requests to a draining one. Ignoring it loses nothing: the running process writes
-// again.
-func fromEarlierStart(known *Member, target *Target) bool {
-	return target.Started != 0 && target.Started < known.Started
+// isLateWrite reports whether a ready entry seems to be written by an earlier process than that of
+// the known target. The last write of an ended process can reach the platform after the first write
+// of the process that reuses its id. A draining entry is never taken for a late one: the clock of its
+// VM may have stepped back before the process started. If it is late all the same, the target gets no
+// requests until the running process writes again, one report interval later at most.
+func isLateWrite(known *Member, target *Target) bool {
+	return target.State == Ready && target.Started != 0 && target.Started < known.Started
 }
 
 func (v *View) remove(sent time.Time, removal Removal) {
