mesh: let a ready entry after a draining one count only when it is confirmed

What callers saw: requests reached a draining target, for up to a report interval, whenever the store carried out one of its earlier writes late.

Cause: the newest revision was believed, unless its writer's start was an earlier one. A late write of the same process has the same start and says ready, so the target got requests again until its next write.

A process that says draining doesn't become ready again. A ready entry after it counts at once if its process started later than all that are known under the id. Otherwise it may be a late write, or the entry of a process whose clock lies behind; it counts when it has stood for three report intervals, in which a running process writes again and the store removes the entry of a silent one. Followers that didn't know the draining entry get the rest of the wait.

--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -184,6 +184,7 @@
 		SelfAddress: peerAddress(s.IP), FailureDomain: s.FailureDomain, Region: s.Region, Regions: s.Regions,
 		PeerAddress:      func(target string) string { return peerAddress(follow.HostOf(target)) },
 		PropagationBound: propagationBound(s),
+		ReportInterval:   s.ReportInterval,
 		FirstStart:       s.FirstStart,
 		Announce:         c.proxy.Ping,
 	}, platform.NewStore(s.StoreAddress, logger), feedws.NewClient(feedTransport(), c.crashes, c.proxy.CountSent), wallClock{}, logger, c.meter, c.applyView)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -80,6 +80,9 @@
 	// PropagationBound is the time within which a change must be applied on all nodes; zero
 	// means defaultPropagationBound.
 	PropagationBound time.Duration
+	// ReportInterval is the time between two writes of a target's entry; zero means
+	// mesh.DefaultReportInterval.
+	ReportInterval time.Duration
 	// FirstStart is set if the whole fleet starts for the first time: no callers are
 	// waiting yet, and the platform lists few targets.
 	FirstStart bool
@@ -165,9 +168,13 @@
 // New returns a follower with an empty view. OnChange is called after each change of the
 // view, with the lock held; it must not retain the view.
 func New(config Config, platform Platform, feed Feed, clock port.Clock, logger *log.Logger, meter port.Meter, onChange func(*mesh.View)) *Follower {
+	view := mesh.NewView()
+	if config.ReportInterval > 0 {
+		view.SetReportInterval(config.ReportInterval)
+	}
 	return &Follower{
 		config: config, timing: timingFor(config.PropagationBound), platform: platform, feed: feed, clock: clock, log: logger, meter: meter, onChange: onChange,
-		view: mesh.NewView(), addresses: map[string]string{}, changed: make(chan struct{}), feeds: map[string]int{}, broken: map[string]bool{},
+		view: view, addresses: map[string]string{}, changed: make(chan struct{}), feeds: map[string]int{}, broken: map[string]bool{},
 	}
 }
 
--- a/internal/follow/states.go
+++ b/internal/follow/states.go
@@ -11,8 +11,9 @@
 // targetStatus is the state of a target in the view.
 type targetStatus struct {
 	state string
-	// usableUntil is set if the target stays in use although its entry was removed.
-	usableUntil time.Time
+	// usableUntil is set if the target stays in use although its entry was removed, usableFrom if
+	// it is out of use although its entry says that it is ready.
+	usableUntil, usableFrom time.Time
 }
 
 // Names of target states in the log.
@@ -22,6 +23,8 @@
 	// stateLapsed is a target that stays in use although its entry was removed.
 	stateLapsed  = "lapsed"
 	stateRemoved = "gone"
+	// stateUnconfirmed is a target whose ready entry may be a late write, after a draining one.
+	stateUnconfirmed = "unconfirmed"
 )
 
 // stateNames holds the names of the states that targets report.
@@ -48,6 +51,8 @@
 		return targetStatus{state: stateLapsed, usableUntil: member.UsableUntil}
 	case member.State == mesh.Draining:
 		return targetStatus{state: stateDraining}
+	case f.clock.Now().Before(member.UsableFrom):
+		return targetStatus{state: stateUnconfirmed, usableFrom: member.UsableFrom}
 	}
 	return targetStatus{state: stateReady}
 }
@@ -63,8 +68,11 @@
 		}
 		line := f.log.Info().Str(logfield.Target, id).Str(logfield.State, is.state).Str(logfield.Before, was.state).
 			Int64(logfield.ViewAge, age.Milliseconds()).Int64(logfield.UpdateDelay, late.Milliseconds())
-		if is.state == stateLapsed {
+		switch is.state {
+		case stateLapsed:
 			line = line.Int64(logfield.UsableFor, is.usableUntil.Sub(now).Milliseconds())
+		case stateUnconfirmed:
+			line = line.Int64(logfield.UnconfirmedFor, is.usableFrom.Sub(now).Milliseconds())
 		}
 		line.Msg("target")
 	}
--- a/internal/logfield/logfield.go
+++ b/internal/logfield/logfield.go
@@ -66,6 +66,9 @@
 	// UsableFor is the time for which a target stays in use after its entry was
 	// removed, in milliseconds.
 	UsableFor Name = "usable_ms"
+	// UnconfirmedFor is the time for which a target's ready entry doesn't count, in
+	// milliseconds.
+	UnconfirmedFor Name = "unconfirmed_ms"
 	// Started is the start of the process that wrote a target's entry, and KnownStart that of
 	// the process that the node knows, in Unix milliseconds by the clock of the target's VM.
 	Started    Name = "started_ms"
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -125,6 +125,9 @@
 	WarmupRemaining time.Duration `cbor:"c,omitempty"`
 	// DrainingFor is how long, up to now, the target has been known to drain.
 	DrainingFor time.Duration `cbor:"d,omitempty"`
+	// UnconfirmedFor is how long, from now, a ready entry doesn't count because it may be a late
+	// write of a process that has drained.
+	UnconfirmedFor time.Duration `cbor:"u,omitempty"`
 	// Started is when the target's process started, in Unix milliseconds by its own clock;
 	// 0 if not reported. It orders the starts of targets with the same id.
 	Started int64 `cbor:"b,omitempty"`
--- a/internal/mesh/since.go
+++ b/internal/mesh/since.go
@@ -120,6 +120,7 @@
 		}
 		target := member.Target
 		target.WarmupRemaining = max(0, member.WarmAt.Sub(now))
+		target.UnconfirmedFor = max(0, member.UsableFrom.Sub(now))
 		if target.State == Draining {
 			target.DrainingFor = now.Sub(member.DrainingSince)
 		}
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -15,6 +15,13 @@
 	SuspectGrace = 2 * time.Second
 	// outageAfter is the shortest platform outage in which a lease may expire.
 	outageAfter = 2500 * time.Millisecond
+	// DefaultReportInterval is the time between two writes of a target's entry if the settings
+	// name none.
+	DefaultReportInterval = 1500 * time.Millisecond
+	// confirmIntervals is how many report intervals a ready entry must stand before it ends the
+	// draining of a target. A running process writes its entry in each interval, and the platform
+	// removes that of a silent one after three.
+	confirmIntervals = 3
 	// removalRetention is how long a removal is retained, so that an older entry that
 	// arrives late from another neighbour doesn't restore the target.
 	removalRetention = time.Minute
@@ -28,14 +35,19 @@
 	// UsableUntil is set if the entry was removed and its target stays in use for a grace
 	// period; zero otherwise.
 	UsableUntil time.Time
+	// UsableFrom is set if a ready entry followed a draining one and may be a late write: when it
+	// counts, unless the target drains again before; zero otherwise.
+	UsableFrom time.Time
 	// DrainingSince is when the first node learned that the target drains.
 	DrainingSince time.Time
-	generation    uint64
+	// latestStart is the latest start of all processes known under the target's id, as in Target.
+	latestStart int64
+	generation  uint64
 }
 
 // Usable reports whether the target may receive new requests.
 func (m *Member) Usable(now time.Time) bool {
-	return m.State == Ready && (m.UsableUntil.IsZero() || now.Before(m.UsableUntil))
+	return m.State == Ready && !now.Before(m.UsableFrom) && (m.UsableUntil.IsZero() || now.Before(m.UsableUntil))
 }
 
 // maxRecentConfigs is how many configurations are kept as bases of deltas. In a burst of
@@ -93,13 +105,21 @@
 	// failedReadAt is the latest time at which a read of the platform, by any node, is
 	// known to have failed.
 	failedReadAt time.Time
+	// reportInterval is the time between two writes of a target's entry.
+	reportInterval time.Duration
 }
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{members: map[string]*Member{}, removed: map[string]removedTarget{}, evacuations: map[string]evacuationState{}}
+	return &View{
+		members: map[string]*Member{}, removed: map[string]removedTarget{}, evacuations: map[string]evacuationState{},
+		reportInterval: DefaultReportInterval,
+	}
 }
 
+// SetReportInterval sets the time between two writes of a target's entry.
+func (v *View) SetReportInterval(interval time.Duration) { v.reportInterval = interval }
+
 // Update holds the changes from one message of a neighbour or one read of the platform.
 type Update struct {
 	Config  *ConfigDelta `cbor:"c,omitempty"`
@@ -337,12 +357,17 @@
 		return
 	}
 	v.generation++
-	next := &Member{Target: *target, generation: v.generation}
+	next := &Member{Target: *target, latestStart: target.Started, generation: v.generation}
+	if known != nil {
+		next.latestStart = max(next.latestStart, known.latestStart)
+	}
 	if target.WarmupRemaining > 0 {
 		next.WarmAt = sent.Add(target.WarmupRemaining)
 	}
 	if target.State == Draining {
 		next.DrainingSince = drainingSince(sent, known, target)
+	} else {
+		next.UsableFrom = v.usableFrom(sent, known, target)
 	}
 	delete(v.removed, target.ID)
 	v.setMember(target.ID, next)
@@ -359,18 +384,40 @@
 }
 
 // drainingSince returns the latest time at which a target may have begun to drain. A target
-// that is first seen draining, without a time, may have been draining for a long time, so
-// the result is removalRetention before the time of the update.
+// that is first seen draining, or whose late ready entry is replaced, without a time, may have
+// been draining for a long time, so the result is removalRetention before the time of the
+// update.
 func drainingSince(sent time.Time, known *Member, target *Target) time.Time {
 	switch {
 	case known != nil && known.State == Draining:
 		return known.DrainingSince
-	case known == nil && target.DrainingFor == 0:
+	case target.DrainingFor == 0 && (known == nil || sent.Before(known.UsableFrom)):
 		return sent.Add(-removalRetention)
 	}
 	return sent.Add(-target.DrainingFor)
 }
 
+// usableFrom returns when a ready entry counts, or zero if it does at once. A process that drains
+// doesn't become ready again. After it, a ready entry is that of a later start, a late write, or that of
+// a later start whose clock lies behind. The latter two can't be told apart until the running process
+// writes again, or the platform would have removed the entry.
+func (v *View) usableFrom(sent time.Time, known *Member, target *Target) time.Time {
+	var from time.Time
+	if known != nil && target.Started <= known.latestStart {
+		from = known.UsableFrom
+		if known.State == Draining {
+			from = sent.Add(confirmIntervals * v.reportInterval)
+		}
+	}
+	if target.UnconfirmedFor > 0 {
+		// The sender may have received the entry earlier than this node.
+		if reported := sent.Add(target.UnconfirmedFor); from.IsZero() || reported.Before(from) {
+			from = reported
+		}
+	}
+	return from
+}
+
 // MemberAt returns the target that started last at an address, or nil.
 func (v *View) MemberAt(address string) *Member { return v.latestByAddress()[address] }
 
@@ -399,13 +446,14 @@
 	return a.Revision < b.Revision
 }
 
-// isLateWrite reports whether a ready entry seems to be written by an earlier process than that of
-// the known target. The last write of an ended process can reach the platform after the first write
-// of the process that reuses its id. A draining entry is never taken for a late one: the clock of its
-// VM may have stepped back before the process started. If it is late all the same, the target gets no
-// requests until the running process writes again, one report interval later at most.
+// isLateWrite reports whether an entry that says the same as the known one, that the target is ready,
+// seems to be written by an earlier process. The last write of an ended process can reach the platform
+// after the first write of the process that reuses its id. A draining entry is never taken for a late
+// one: the clock of its VM may have stepped back before the process started. If it is late all the
+// same, the target gets no requests until the running process writes again, one report interval later
+// at most.
 func isLateWrite(known *Member, target *Target) bool {
-	return target.State == Ready && target.Started != 0 && target.Started < known.Started
+	return target.State == Ready && known.State == Ready && target.Started != 0 && target.Started < known.Started
 }
 
 func (v *View) remove(sent time.Time, removal Removal) {
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -215,10 +215,14 @@
 // expected and not caused by the requests that it ran.
 func (p *Proxy) stayingTarget() *mesh.Member {
 	snapshot := p.snapshot.Load()
-	if snapshot == nil || snapshot.Local == nil || !snapshot.Local.DrainingSince.IsZero() || !snapshot.Local.UsableUntil.IsZero() {
+	if snapshot == nil || snapshot.Local == nil {
 		return nil
 	}
-	return snapshot.Local
+	local := snapshot.Local
+	if !local.DrainingSince.IsZero() || !local.UsableUntil.IsZero() || p.ports.Clock.Now().Before(local.UsableFrom) {
+		return nil
+	}
+	return local
 }
 
 func (p *Proxy) logCrash(local *mesh.Member, c *quarantine.Crash) {
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -143,6 +143,9 @@
 		// Entry nodes may have received the removal later than this node.
 		return port.Refuse(port.ReasonDraining, retryUnreachable, "the target's entry is gone")
 	}
+	if now.Before(local.UsableFrom) {
+		return port.Refuse(port.ReasonDraining, retryUnreachable, "the target drained, and its ready entry isn't confirmed")
+	}
 	if !local.DrainingSince.IsZero() && now.Sub(local.DrainingSince) > p.config.DrainGrace {
 		return port.Refuse(port.ReasonDraining, retryUnreachable, "the target drains")
 	}
