follow: end the grace of lapsed leases 2 s after the outage, and keep it to the node that had one

What callers saw: requests reached a target up to 1.05 s later than Drain (2.5 s) after its entry was removed, if nodes had been cut off for some seconds before, also through nodes that had not been.

Cause: a node that could read nothing and heard nothing takes that for an outage of the platform, and keeps targets whose entries are gone for 2 s, since their leases may have run out. The 2 s began anew with each removal read in the 2.5 s after the outage, and other nodes took them over with the removal.

So the grace ends 2 s after the node's view is current again. And a removal's grace is at most the receiving node's own: a node whose view was current meanwhile knows that the platform was available.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -116,9 +116,6 @@
 	// announceInterval is the interval at which a node announces itself to the nodes that
 	// should follow it and don't.
 	announceInterval = 500 * time.Millisecond
-	// recoveryWindow is the time after a platform outage in which a removal may stem from a
-	// lease that expired during the outage.
-	recoveryWindow = 2500 * time.Millisecond
 )
 
 // Follower maintains one view. It is safe for concurrent use.
@@ -193,6 +190,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
+	f.limitGrace(now, update)
 	if update.Complete {
 		f.view.AddImplied(update, f.removalGrace(now))
 	}
--- a/internal/follow/large_test.go
+++ b/internal/follow/large_test.go
@@ -137,18 +137,15 @@
 		part        float64
 		withReaders bool
 		lose        func(w *world, id string)
-		// grace is how much longer a departed target may stay in use: entries removed
-		// during a platform outage may come back.
-		grace time.Duration
 	}{
-		{"a third cut off from everybody", 0.33, false, func(w *world, id string) { w.cut[id] = true }, 0},
-		{"a third cut off, the readers among them", 0.33, true, func(w *world, id string) { w.cut[id] = true }, 0},
-		{"the readers rejected by the platform", 0, true, func(w *world, id string) { w.rejected[id] = true }, 0},
-		{"a third rejected by the platform, the readers among them", 0.33, true, func(w *world, id string) { w.rejected[id] = true }, mesh.SuspectGrace},
+		{"a third cut off from everybody", 0.33, false, func(w *world, id string) { w.cut[id] = true }},
+		{"a third cut off, the readers among them", 0.33, true, func(w *world, id string) { w.cut[id] = true }},
+		{"the readers rejected by the platform", 0, true, func(w *world, id string) { w.rejected[id] = true }},
+		{"a third rejected by the platform, the readers among them", 0.33, true, func(w *world, id string) { w.rejected[id] = true }},
 		{"half of the processes end, the readers among them", 0.5, true, func(w *world, id string) {
 			w.stops[id]()
 			w.cut[id] = true
-		}, 0},
+		}},
 	} {
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprint(test.desc, " ", seed), func(t *testing.T) {
@@ -165,7 +162,6 @@
 					w.publish(2)
 					time.Sleep(largeBound * 9 / 10)
 					assert.Equal(t, len(w.lagging(2)), 0, "%v", w.lagging(2))
-					time.Sleep(test.grace)
 					used := slices.DeleteFunc(w.nodesUsing("a1-7"), func(id string) bool { return w.cut[id] })
 					assert.Equal(t, len(used), 0, "%v", used)
 				})
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -230,15 +230,28 @@
 }
 
 // removalGrace returns how long targets whose entries were removed stay in use. It is above
-// zero during a platform outage and shortly after it, when live targets may not have renewed
-// their leases yet. Reads that failed on neighbours count like this node's own: otherwise a
-// node that only ever received updates from neighbours would drop all targets and propagate
-// the removals. It must be called with the mutex held.
+// zero during a platform outage and for mesh.SuspectGrace after it, in which live targets renew
+// their leases. Reads that failed on neighbours count like this node's own: otherwise a node that
+// only ever received updates from neighbours would drop all targets and propagate the removals. It
+// must be called with the mutex held.
 func (f *Follower) removalGrace(now time.Time) time.Duration {
-	if f.view.Outage(now) || !f.recoveredAt.IsZero() && now.Sub(f.recoveredAt) < recoveryWindow {
+	switch {
+	case f.view.Outage(now):
 		return mesh.SuspectGrace
+	case f.recoveredAt.IsZero():
+		return 0
+	}
+	return max(0, f.recoveredAt.Add(mesh.SuspectGrace).Sub(now))
+}
+
+// limitGrace shortens the grace of removals in an update to this node's own. If this node has been
+// current, the platform was available, and the sender was cut off from it: the leases of the removed
+// targets did not expire in an outage. It must be called with the mutex held.
+func (f *Follower) limitGrace(now time.Time, update *mesh.Update) {
+	grace := f.removalGrace(now)
+	for i := range update.Removed {
+		update.Removed[i].Grace = min(update.Removed[i].Grace, grace)
 	}
-	return 0
 }
 
 // recordReadResult records the result of a read and logs the loss and the return of the
