--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -245,9 +245,14 @@
 // SetService sets the name of the service that runs on this VM.
 func (p *Proxy) SetService(name string) { p.service.Store(&name) }
 
-// SetSnapshot replaces the active snapshot.
+// SetSnapshot replaces the active snapshot. It must not be called concurrently.
 func (p *Proxy) SetSnapshot(snapshot *Snapshot) {
-	previous := p.snapshot.Swap(snapshot)
+	previous := p.snapshot.Load()
+	if snapshot.Local != nil && (previous == nil || previous.Local == nil || previous.Local.Slots != snapshot.Local.Slots) {
+		// Requests are admitted as soon as they find the local target in the snapshot.
+		p.gate.Configure(admissionTerms(snapshot.Local.Slots))
+	}
+	p.snapshot.Store(snapshot)
 	if previous == nil || previous.Table != snapshot.Table {
 		p.completions.retain(snapshot.Table)
 	}
@@ -262,9 +267,6 @@
 	} else {
 		p.refreshWarmup()
 	}
-	if snapshot.Local != nil && (previous == nil || previous.Local == nil || previous.Local.Slots != snapshot.Local.Slots) {
-		p.gate.Configure(admissionTerms(snapshot.Local.Slots))
-	}
 	if previous != nil && snapshot.MembersGeneration != 0 && previous.MembersGeneration == snapshot.MembersGeneration {
 		return
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"tamarackquay/internal/adapter/callhttp"
+	"tamarackquay/internal/admission"
 	"tamarackquay/internal/logfield"
 	"tamarackquay/internal/mesh"
 	"tamarackquay/internal/placement"
@@ -411,3 +412,20 @@
 	}
 	assert.Equal(t, len(seen), 2)
 }
+
+// Guards against a node that has just started and tells callers that its target serves them never: a
+// request arrived between the first view of the mesh and the terms of admission.
+func TestFirstSnapshotFindsTermsOfAdmission(t *testing.T) {
+	f := newFleet(t, 1)
+	started := New(f.proxies[0].config, f.proxies[0].ports)
+	started.mu.Lock()
+	var setting sync.WaitGroup
+	setting.Go(func() { started.SetSnapshot(f.proxies[0].snapshot.Load()) })
+	for started.snapshot.Load() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	refusal := started.gate.Acquire(t.Context(), admission.Request{ID: "1", Customer: meshCustomer, Deadline: time.Now().Add(time.Second)})
+	started.mu.Unlock()
+	setting.Wait()
+	assert.Assert(t, refusal == nil, "%v", refusal)
+}
