follow: limit the grace of removals in one place

The node's own reads asked for the grace of their moment, and apply limited it again. Reads and complete updates now ask for the longest one, and apply limits it.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -190,10 +190,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	f.limitGrace(now, update)
 	if update.Complete {
-		f.view.AddImplied(update, f.removalGrace(now))
+		f.view.AddImplied(update, mesh.SuspectGrace)
 	}
+	f.limitGrace(now, update)
 	before, version := f.view.Generation(), f.view.Version()
 	members := f.statesOf(update)
 	evacuated := f.view.Evacuations()
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -181,11 +181,8 @@
 	}
 	f.revision = max(f.revision, changes.Revision)
 	update := &mesh.Update{Targets: changes.Targets, Removed: changes.Removed, Evacuations: changes.Evacuations, RTT: f.platform.RTT(), Revision: f.revision}
-	f.mu.Lock()
-	grace := f.removalGrace(f.clock.Now())
-	f.mu.Unlock()
 	for i := range update.Removed {
-		update.Removed[i].Grace = grace
+		update.Removed[i].Grace = mesh.SuspectGrace
 	}
 	addConfig(update, changes.Config)
 	return !update.Empty(), f.apply(update, changes.RespondedAt)
@@ -244,9 +241,9 @@
 	return max(0, f.recoveredAt.Add(mesh.SuspectGrace).Sub(now))
 }
 
-// limitGrace shortens the grace of removals in an update to this node's own. If this node has been
-// current, the platform was available, and the sender was cut off from it: the leases of the removed
-// targets did not expire in an outage. It must be called with the mutex held.
+// limitGrace limits the grace of the removals in an update, its own reads included, to the one that
+// this node grants. A sender that was cut off takes that for an outage; if this node has been current
+// meanwhile, the platform was available. It must be called with the mutex held.
 func (f *Follower) limitGrace(now time.Time, update *mesh.Update) {
 	grace := f.removalGrace(now)
 	for i := range update.Removed {
