soak: departures of targets beside restarts, late writes and stepped clocks

Each plan gets one departure beside another fault, drawn apart so that the rest of the plan stays: a removal while the other nodes are down just after a change; a draining target of which the store carries out an earlier write late; a target that restarts under its name behind its clock and drains.

--- a/internal/soak/cli/standins.go
+++ b/internal/soak/cli/standins.go
@@ -47,7 +47,9 @@
 
 type targetOptions struct {
 	listen, control, ledger string
-	registration            usertarget.Registration
+	// clockBehind is how far the clock of the target's VM lies behind at its start.
+	clockBehind  time.Duration
+	registration usertarget.Registration
 }
 
 func newTargetCommand() *cobra.Command {
@@ -62,6 +64,7 @@
 	flags.StringVar(&o.listen, "listen", "", "address to listen on")
 	flags.StringVar(&o.control, "control", "", "address for control requests of the soak")
 	flags.StringVar(&o.ledger, "ledger", "", "file in which arriving requests are recorded")
+	flags.DurationVar(&o.clockBehind, "clock-behind", 0, "how far the clock lies behind at the start")
 	flags.StringVar(&o.registration.Store, "store", "", "address of the store")
 	flags.StringVar(&o.registration.Address, "address", "", "address in the target's entry in the store")
 	flags.StringVar(&o.registration.Instance, "instance", "", "name of this instance")
@@ -75,7 +78,7 @@
 	if err != nil {
 		return errors.Wrap(err, "open ledger")
 	}
-	startTime := time.Now()
+	startTime := time.Now().Add(-o.clockBehind)
 	t := usertarget.New(o.registration.Instance, o.registration.Service, targetSlots, targetWork, ledger, crash)
 	listener, err := net.Listen("tcp", o.listen)
 	if err != nil {
@@ -85,9 +88,9 @@
 	defer stop()
 	failed := make(chan error, 2)
 	go func() { failed <- http.Serve(listener, t) }()
-	go func() { failed <- http.ListenAndServe(o.control, o.controlHandler(t, startTime, stop)) }()
 	registered, end := context.WithCancel(context.Background())
 	defer end()
+	go func() { failed <- http.ListenAndServe(o.control, o.controlHandler(t, startTime, stop, end)) }()
 	go o.registration.Run(registered, startTime)
 	select {
 	case err := <-failed:
@@ -104,9 +107,13 @@
 
 func crash() { os.Exit(crashExitCode) }
 
+// quiet is the query parameter of /drain by which the target doesn't say in its responses that it
+// leaves.
+const quiet = "quiet"
+
 // controlHandler serves the soak's control requests: /mode sets the behaviour of the
-// target, /drain makes it leave.
-func (o *targetOptions) controlHandler(t *usertarget.Target, startTime time.Time, stop func()) http.Handler {
+// target, /drain makes it leave, and /remove makes it remove its entry and serve on.
+func (o *targetOptions) controlHandler(t *usertarget.Target, startTime time.Time, stop, endRegistration func()) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/mode", func(w http.ResponseWriter, r *http.Request) {
 		var mode usertarget.Mode
@@ -118,10 +125,18 @@
 	})
 	mux.HandleFunc("/drain", func(w http.ResponseWriter, r *http.Request) {
 		stop()
-		t.Leave()
+		if !r.URL.Query().Has(quiet) {
+			t.Leave()
+		}
 		if err := o.registration.Drain(r.Context(), startTime); err != nil {
 			http.Error(w, err.Error(), http.StatusBadGateway)
 		}
 	})
+	mux.HandleFunc("/remove", func(w http.ResponseWriter, r *http.Request) {
+		endRegistration()
+		if err := o.registration.Deregister(r.Context()); err != nil {
+			http.Error(w, err.Error(), http.StatusBadGateway)
+		}
+	})
 	return mux
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -189,12 +189,17 @@
 	name := fmt.Sprintf("i-%d", len(f.instances)+1)
 	f.instances = append(f.instances, instance{name: name, vm: m.number})
 	f.mu.Unlock()
+	return f.startInstance(m, name, 0)
+}
+
+// startInstance starts a target with a name, whose clock lies behind by the given time.
+func (f *fleet) startInstance(m *machine, name string, clockBehind time.Duration) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	started, err := startProcess(&m.targetLog, nil, f.programs.Self, "target",
 		"--listen", hostPort(m.private, portTarget), "--control", hostPort(m.private, portControl), "--address", hostPort(m.public, portTarget),
 		"--store", f.storeAddress(), "--instance", name, "--service", m.service, "--zone", m.zone,
-		"--ledger", filepath.Join(f.dir, name+".ledger"))
+		"--ledger", filepath.Join(f.dir, name+".ledger"), "--clock-behind", clockBehind.String())
 	m.target, m.instance = started, name
 	if err == nil {
 		go f.restartCrashedTarget(m, started, name)
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -62,7 +62,8 @@
 // target don't: the node must still receive updates and act in time.
 func (e *Event) affectsNode(vm int) bool {
 	switch e.Kind {
-	case KillTarget, DrainTarget, FailingTarget, SlowTarget, LimitTarget, OverloadedService, CrashRequest, TargetCrashed:
+	case KillTarget, DrainTarget, FailingTarget, SlowTarget, LimitTarget, OverloadedService, CrashRequest, TargetCrashed,
+		DepartInRestart, LateWrite, ClockBehind:
 		return false
 	}
 	return e.affects(vm)
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -106,6 +106,8 @@
 		return f.replaceNode(ctx, m, fault.Kind)
 	case KillTarget, DrainTarget:
 		return f.replaceTarget(ctx, m, fault, event)
+	case DepartInRestart, LateWrite, ClockBehind:
+		return f.departTarget(ctx, m, fault, event)
 	}
 	if fault.Kind == OverloadedService {
 		return f.overloadService(ctx, m.service, fault.Duration)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -54,6 +54,13 @@
 	CrashRequest Kind = "crash-request"
 	// LimitTarget makes a target name a limit on its requests in its responses.
 	LimitTarget Kind = "limit-target"
+	// DepartInRestart removes a target's entry while the other nodes restart just after a
+	// change. The target serves on.
+	DepartInRestart Kind = "depart-in-restart"
+	// LateWrite drains a target, and the store carries out an earlier write of it late.
+	LateWrite Kind = "late-write"
+	// ClockBehind restarts a target under its name with its clock behind, and drains it.
+	ClockBehind Kind = "clock-behind"
 	// TargetCrashed is an event only: a target crashed under such a request.
 	TargetCrashed Kind = "target-crashed"
 	// NodeExited is an event only: a node's process exited by itself.
@@ -130,6 +137,8 @@
 	// which callers send for crashRequestDuration.
 	crashRequestProbability = 0.5
 	crashRequestDuration    = 8 * time.Second
+	// departureDuration is how long a target serves on after it has left.
+	departureDuration = 6 * time.Second
 	// limitDuration leaves several windows in which a limit must hold.
 	limitDuration      = 9 * time.Second
 	seriesProbability  = 0.2
@@ -166,6 +175,7 @@
 	}
 	plan = append(plan, drawCrashRequest(seed, duration)...)
 	plan = append(plan, drawLimit(seed, duration, vms)...)
+	plan = append(plan, drawDeparture(seed, duration, vms)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
 	return plan
 }
@@ -194,6 +204,19 @@
 	return []Fault{{At: at, Duration: limitDuration, Kind: LimitTarget, VM: random.IntN(vms)}}
 }
 
+// drawDeparture draws a departure of a target beside another fault, with a random source of its own
+// like drawCrashRequest.
+func drawDeparture(seed uint64, duration time.Duration, vms int) []Fault {
+	random := rand.New(rand.NewPCG(seed, 5))
+	kinds := []Kind{DepartInRestart, LateWrite, ClockBehind}
+	last := duration - killAllLead - departureDuration
+	if last <= firstFault {
+		return nil
+	}
+	at := firstFault + time.Duration(random.Int64N(int64(last-firstFault)))
+	return []Fault{{At: at, Duration: departureDuration, Kind: kinds[random.IntN(len(kinds))], VM: random.IntN(vms)}}
+}
+
 // FilterKinds returns the faults of the given kinds.
 func FilterKinds(plan []Fault, kinds []Kind) []Fault {
 	return slices.DeleteFunc(plan, func(f Fault) bool { return !slices.Contains(kinds, f.Kind) })
--- a/standin/usertarget/register.go
+++ b/standin/usertarget/register.go
@@ -51,17 +51,18 @@
 // Key returns the key of an instance in the store.
 func Key(instance string) string { return "servers/" + instance }
 
-// Run registers the target and renews its entry until ctx ends, also while the
-// target drains. Failed requests to the store are retried at the next heartbeat; if
-// they fail for longer than the lease, the entry expires.
+// Run registers the target and renews its entry until ctx ends. While the target drains it writes
+// the entry anew, so that a write of an earlier state that the store carries out late doesn't
+// remain. Failed requests to the store are retried at the next heartbeat; if they fail for longer
+// than the lease, the entry expires.
 func (r *Registration) Run(ctx context.Context, startTime time.Time) {
 	registered := false
 	for {
 		query := url.Values{"key": {Key(r.Instance)}, "ttl_ms": {fmt.Sprint((ttlHeartbeats * r.Heartbeat).Milliseconds())}}
-		if registered {
+		if registered && !r.draining.Load() {
 			registered = r.post(ctx, userstore.PathRenew, query, nil) == nil
 		}
-		if !registered {
+		if !registered || r.draining.Load() {
 			registered = r.put(ctx, startTime) == nil
 		}
 		if !wait.Sleep(ctx, r.Heartbeat) {
