test/process: try addresses while no process is forked

TestRollingRestartInterruptsNoRequest failed once, as the stand-in platform could not listen: address already in use. A child that another test forks in between holds a copy of it until its exec, which takes longer on a busy machine; the program that is started with the address then can't listen.

--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -80,8 +80,13 @@
 	loopback = fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()>>16%64, os.Getpid()>>8%256, os.Getpid()%256)
 )
 
+// freeAddress returns an address on which nothing listens. No process may be forked while the
+// address is tried: until its exec the child keeps the listener open, and the program that is to
+// listen there would find the address in use.
 func freeAddress(t *testing.T) string {
 	t.Helper()
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	for {
 		address := fmt.Sprintf("%s:%d", loopback, firstPort+nextPort.Add(1))
 		listener, err := net.Listen("tcp", address)
