--- a/test/process/departure_fleet_test.go
+++ b/test/process/departure_fleet_test.go
@@ -52,7 +52,10 @@
 	fleet *sidecarFleet
 	name  string
 	ip    string
-	node  *process
+	// storeAddress is the address at which the node reads the store, and reads counts its calls.
+	storeAddress string
+	reads        atomic.Int64
+	node         *process
 }
 
 // sidecarTarget is one process of a target.
@@ -81,15 +84,14 @@
 	t.Helper()
 	f := &sidecarFleet{t: t, store: userstore.New()}
 	subnet := fmt.Sprintf("127.%d.%d.", 20+os.Getpid()%40, os.Getpid()/40%20*10+int(fleetCount.Add(1)))
-	storeAddress := fmt.Sprintf("%s250:%d", subnet, portStore)
-	f.serve(storeAddress, f.store.Handler())
 	f.publish(1)
 	var targets []*sidecarTarget
 	for i := range vms {
-		vm := &sidecarVM{fleet: f, name: fmt.Sprint("vm", i), ip: fmt.Sprint(subnet, i+1)}
+		vm := &sidecarVM{fleet: f, name: fmt.Sprint("vm", i), ip: fmt.Sprint(subnet, i+1), storeAddress: fmt.Sprintf("%s%d:%d", subnet, 101+i, portStore)}
 		f.vms = append(f.vms, vm)
+		vm.serveStore()
 		targets = append(targets, vm.startTarget(fmt.Sprint("i-", i), time.Now()))
-		vm.startNode(storeAddress)
+		vm.startNode()
 	}
 	for _, vm := range f.vms {
 		vm.waitReady()
@@ -117,13 +119,40 @@
 	f.store.Put(userfiles.ConfigKey, config, 0)
 }
 
+// serveStore serves the store to the VM's node.
+func (v *sidecarVM) serveStore() {
+	v.fleet.t.Helper()
+	handler := v.fleet.store.Handler()
+	v.fleet.serve(v.storeAddress, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		v.reads.Add(1)
+		handler.ServeHTTP(w, r)
+	}))
+}
+
+// reader returns the index of the VM whose node reads the store for the others.
+func (f *sidecarFleet) reader() int {
+	var before []int64
+	for _, vm := range f.vms {
+		before = append(before, vm.reads.Load())
+	}
+	const observed = 3 * time.Second
+	time.Sleep(observed)
+	reader, most := 0, int64(0)
+	for i, vm := range f.vms {
+		if reads := vm.reads.Load() - before[i]; reads > most {
+			reader, most = i, reads
+		}
+	}
+	return reader
+}
+
 // startNode starts the VM's node.
-func (v *sidecarVM) startNode(storeAddress string) {
+func (v *sidecarVM) startNode() {
 	t := v.fleet.t
 	t.Helper()
 	settings := userfiles.Node{
 		Name: v.name, IP: v.ip, Zone: "a1", Region: "a", Service: sidecarService, Target: v.address(portTarget),
-		Callers: v.address(portCallers), Ready: v.address(portReady), PeerPort: portPeers, Store: storeAddress,
+		Callers: v.address(portCallers), Ready: v.address(portReady), PeerPort: portPeers, Store: v.storeAddress,
 		Zones: map[string]string{"a1": "a"}, Bounds: userfiles.Bounds{StopGrace: 6 * time.Second, RetryRatio: 0.2, RetrySlack: 56},
 	}
 	raw, err := settings.Settings()
--- a/test/process/departure_test.go
+++ b/test/process/departure_test.go
@@ -1,10 +1,12 @@
 package process
 
 import (
+	"syscall"
 	"testing"
 	"time"
 
 	"tamarackquay/standin/target"
+	"tamarackquay/standin/usertarget"
 )
 
 // Guards against requests to a target that says it drains, because its VM's clock lay behind when it
@@ -52,3 +54,29 @@
 		})
 	}
 }
+
+// Guards against a node that keeps using a target whose entry was removed while the node that it
+// follows restarted: the restarted node has no record of the removal.
+func TestRemovalDuringRestartReachesFollower(t *testing.T) {
+	t.Parallel()
+	const (
+		killAfter    = 30 * time.Millisecond
+		removeAfter  = 200 * time.Millisecond
+		restartAfter = 400 * time.Millisecond
+	)
+	f, targets := newSidecarFleet(t, 2)
+	f.startCallers(targets)
+	reader := f.reader()
+	follower := 1 - reader
+	f.publish(2)
+	time.Sleep(killAfter)
+	node := f.vms[reader].node
+	node.signal(syscall.SIGKILL)
+	<-node.done
+	time.Sleep(removeAfter)
+	f.store.Delete(usertarget.Key(targets[follower].id))
+	left := target.SinceBoot()
+	time.Sleep(restartAfter - removeAfter)
+	f.vms[reader].startNode()
+	targets[follower].assertLeft(left)
+}
