--- a/internal/soak/departure.go
+++ b/internal/soak/departure.go
@@ -81,9 +81,10 @@
 		node, _ := other.processes()
 		node.signal(syscall.SIGKILL)
 	}
-	pauses := 1 + random.IntN(maxChanges)
-	for change := range pauses {
-		wait.Sleep(ctx, restartDelay/time.Duration(pauses+1))
+	changes := 1 + random.IntN(maxChanges)
+	pause := restartDelay / time.Duration(changes+1)
+	for change := range changes {
+		wait.Sleep(ctx, pause)
 		if change > 0 {
 			if err := f.publish(); err != nil {
 				return err
@@ -96,7 +97,7 @@
 		}
 		f.recordDeparture(m, removed)
 	}
-	wait.Sleep(ctx, restartDelay/time.Duration(pauses+1))
+	wait.Sleep(ctx, pause)
 	for _, other := range others {
 		node, _ := other.processes()
 		node.end()
