--- a/internal/follow/large_test.go
+++ b/internal/follow/large_test.go
@@ -39,13 +39,7 @@
 	if withReaders {
 		drawn = w.firstRanked(readers)
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	var ids []string
-	for id := range w.nodes {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
+	ids := w.sortedNodes()
 	random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
 	for _, id := range ids {
 		if len(drawn) < int(part*float64(len(ids))) && !slices.Contains(drawn, id) {
--- a/internal/soak/departure.go
+++ b/internal/soak/departure.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -154,25 +154,14 @@
 
 // entry returns a target's entry in the store, or nil if it has none.
 func (f *fleet) entry(instance string) ([]byte, error) {
-	response, err := f.client.Get("http://" + f.storeAddress() + "/kv-range?" + url.Values{"PathPrefix": {usertarget.Key(instance)}}.Encode())
+	response, err := f.client.Get("http://" + f.storeAddress() + userstore.PathGet + "?" + url.Values{"key": {usertarget.Key(instance)}}.Encode())
 	if err != nil {
 		return nil, errors.Wrap(err, "read entry")
 	}
 	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		// The store rejects readers at the moment.
+	if response.StatusCode == http.StatusNotFound {
 		return nil, nil
 	}
-	var found struct {
-		Items []userstore.Item `json:"items"`
-	}
-	if err := json.NewDecoder(response.Body).Decode(&found); err != nil {
-		return nil, errors.Wrap(err, "decode entry")
-	}
-	for _, item := range found.Items {
-		if item.Key == usertarget.Key(instance) {
-			return item.Value, nil
-		}
-	}
-	return nil, nil
+	value, err := io.ReadAll(response.Body)
+	return value, errors.Wrap(err, "read entry")
 }
--- a/standin/userstore/http.go
+++ b/standin/userstore/http.go
@@ -9,10 +9,11 @@
 	"github.com/labstack/echo/v4"
 )
 
-// Paths for the writes of targets, operators and tests. They are specific to this
+// Paths for targets, operators and tests. They are specific to this
 // stand-in; nodes never call them.
 const (
 	PathPut     = "/admin/put"
+	PathGet     = "/admin/get"
 	PathRenew   = "/admin/renew"
 	PathDelete  = "/admin/delete"
 	PathCompact = "/admin/forget"
@@ -45,6 +46,13 @@
 		}
 		return c.JSON(http.StatusOK, s.Put(c.QueryParam("key"), value, millis(c, "ttl_ms")))
 	})
+	e.GET(PathGet, func(c echo.Context) error {
+		value, ok := s.Get(c.QueryParam("key"))
+		if !ok {
+			return c.NoContent(http.StatusNotFound)
+		}
+		return c.Blob(http.StatusOK, echo.MIMEOctetStream, value)
+	})
 	e.POST(PathRenew, func(c echo.Context) error {
 		if !s.Renew(c.QueryParam("key"), millis(c, "ttl_ms")) {
 			return c.NoContent(http.StatusNotFound)
--- a/standin/userstore/store.go
+++ b/standin/userstore/store.go
@@ -78,6 +78,15 @@
 	return ok
 }
 
+// Get returns the value of a key, and whether the key exists.
+func (s *Store) Get(key string) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	existing, ok := s.records[key]
+	return existing.Value, ok
+}
+
 // Delete removes a key.
 func (s *Store) Delete(key string) {
 	s.mu.Lock()
--- a/test/process/departure_fleet_test.go
+++ b/test/process/departure_fleet_test.go
@@ -60,10 +60,9 @@
 
 // sidecarTarget is one process of a target.
 type sidecarTarget struct {
-	vm     *sidecarVM
-	id     string
-	born   time.Time
-	server *http.Server
+	vm   *sidecarVM
+	id   string
+	born time.Time
 
 	mu     sync.Mutex
 	ledger bytes.Buffer
@@ -101,14 +100,13 @@
 	return f, targets
 }
 
-func (f *sidecarFleet) serve(address string, handler http.Handler) *http.Server {
+func (f *sidecarFleet) serve(address string, handler http.Handler) {
 	f.t.Helper()
 	listener, err := net.Listen("tcp", address)
 	assert.NilError(f.t, err)
 	server := &http.Server{Handler: handler}
 	go func() { _ = server.Serve(listener) }()
 	f.t.Cleanup(func() { _ = server.Close() })
-	return server
 }
 
 func (f *sidecarFleet) publish(version uint64) {
@@ -187,7 +185,7 @@
 func (v *sidecarVM) startTarget(id string, born time.Time) *sidecarTarget {
 	s := &sidecarTarget{vm: v, id: id, born: born}
 	handler := usertarget.New(id, sidecarService, slots, 20*time.Millisecond, s, func() {})
-	s.server = v.fleet.serve(v.address(portTarget), handler)
+	v.fleet.serve(v.address(portTarget), handler)
 	s.register("ready", born)
 	return s
 }
