--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -17,6 +17,7 @@
 	"leave":   playLeave,
 	"late":    playLateWrite,
 	"foreign": playForeign,
+	"path":    playPath,
 }
 
 const (
