--- a/review/standins-2/foreign.go
+++ b/review/standins-2/foreign.go
@@ -74,7 +74,7 @@
 		if err != nil {
 			panic(err)
 		}
-		f.store.Put(fmt.Sprintf("servers/x-%04x", i), raw, leaseTime)
+		f.heartbeat(fmt.Sprintf("servers/x-%04x", i), raw)
 		time.Sleep(heartbeat)
 	}
 }
--- a/review/standins-2/upstream.go
+++ b/review/standins-2/upstream.go
@@ -83,7 +83,15 @@
 	}
 }
 
-func (u *upstream) put(value []byte) { u.fleet.store.Put(u.key(), value, leaseTime) }
+func (u *upstream) put(value []byte) { u.fleet.heartbeat(u.key(), value) }
+
+// heartbeat writes an entry. The entry changes only when more than Sequence changes: the stand-ins change
+// nothing else while they run, so that an existing entry only gets a longer lease.
+func (f *fleet) heartbeat(key string, value []byte) {
+	if !f.store.Renew(key, leaseTime) {
+		f.store.Put(key, value, leaseTime)
+	}
+}
 
 // interceptWrites passes all further writes of the entry to put.
 func (u *upstream) interceptWrites(put func(value []byte)) {
