--- a/review/standins-2/foreign.go
+++ b/review/standins-2/foreign.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -14,6 +17,7 @@
 	foreignEntries = 150
 	foreignSettle  = 8 * time.Second
 	foreignWork    = 290 * time.Millisecond
+	postDeadline   = 3 * time.Second
 	foreignEvery   = 100 * time.Millisecond
 	configBound    = 2500 * time.Millisecond
 	// watchedTime is how long the requests after each change are watched.
@@ -124,3 +128,25 @@
 	}
 	return ""
 }
+
+// post sends one request and returns the status of its answer.
+func (f *fleet) post(m *machine, id string) string {
+	conn, err := net.DialTimeout("tcp", m.outbound(), time.Second)
+	if err != nil {
+		return "no connection"
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(postDeadline))
+	f.record.add("send", "POST /xapu221/%s request %s to node %d", id, id, m.number)
+	if _, err := fmt.Fprintf(conn, "POST /xapu221/%s HTTP/1.1\r\nHost: %s\r\nTamarackquay-Request-Id: %s\r\nTamarackquay-Deadline-Ms: %d\r\nContent-Length: 4\r\n\r\nbody", id, host, id, postDeadline.Milliseconds()); err != nil {
+		return "not sent"
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		f.record.add("answer", "request %s: none", id)
+		return "none"
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	f.record.add("answer", "request %s: status %d", id, response.StatusCode)
+	return fmt.Sprint(response.StatusCode)
+}
