--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -17,6 +17,7 @@
 	"leave":   playLeave,
 	"foreign": playForeign,
 	"path":    playPath,
+	"blob":    playBlob,
 }
 
 const (
