logs: tell apart the places that may refuse a request that was sent

A 408 left no line at all; a target's own status stood only in a sample of five lines a second; and a refusal as unreachable didn't say whether a write had begun.

Now a 408 has a line with the caller's address, a response whose status promises that nothing has run is logged like a failure and says whether the target marked it, and the detail of a refusal tells if a write had begun. No logic changes.

--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -189,6 +189,9 @@
 		Announce:         c.proxy.Ping,
 	}, platform.NewStore(s.StoreAddress, logger), feedws.NewClient(feedTransport(), c.crashes, c.proxy.CountSent), wallClock{}, logger, c.meter, c.applyView)
 	c.callers = callerhttp.NewServer(c.proxy, callerhttp.Limits{HeaderBytes: maxHeaderBytes, BodyBytes: maxBodyBytes, SendBytes: callerSendBytes(s.MemoryBytes)})
+	c.callers.HeaderTimedOut = func(caller string) {
+		c.log.Warn().Str(logfield.Caller, caller).Msg("header of a request timed out")
+	}
 	c.peerServer = c.newPeerServer(peerAddress)
 	return c
 }
--- a/internal/adapter/callerhttp/idle.go
+++ b/internal/adapter/callerhttp/idle.go
@@ -28,6 +28,10 @@
 type Server struct {
 	*http.Server
 
+	// HeaderTimedOut is called with the caller's address when a connection is answered 408;
+	// it may be nil. It must be set before Run.
+	HeaderTimedOut func(caller string)
+
 	// sendBytes is the size of each connection's send buffer; 0 leaves it to the kernel.
 	sendBytes int
 
--- a/internal/adapter/callerhttp/timeout.go
+++ b/internal/adapter/callerhttp/timeout.go
@@ -27,6 +27,9 @@
 	for _, c := range s.connections() {
 		switch c.checkTimeout(now, timeouts) {
 		case headerTimeout:
+			if s.HeaderTimedOut != nil {
+				s.HeaderTimedOut(c.RemoteAddr().String())
+			}
 			go c.sendFinalResponse(final)
 		case idleTimeout:
 			// This fails if the caller has closed the connection meanwhile.
--- a/internal/adapter/exchange/exchange.go
+++ b/internal/adapter/exchange/exchange.go
@@ -65,8 +65,10 @@
 type Failure struct {
 	// Sent is true if any bytes were written, so that the receiver may have
 	// run the request. Otherwise it did not run.
-	Sent  bool
-	Cause error
+	Sent bool
+	// WriteBegun is true if a write had begun.
+	WriteBegun bool
+	Cause      error
 }
 
 // Error implements error.
@@ -74,6 +76,9 @@
 	if f.Sent {
 		return "sent without an answer: " + f.Cause.Error()
 	}
+	if f.WriteBegun {
+		return "not sent, although a write had begun: " + f.Cause.Error()
+	}
 	return "not sent: " + f.Cause.Error()
 }
 
@@ -133,6 +138,7 @@
 		return nil, &Failure{Cause: ctx.Err()}
 	}
 	c.wrote.Store(false)
+	c.writing.Store(false)
 	sent := newBodySending()
 	if isLongBody(r) {
 		// The receiver may respond before it has read a long body.
@@ -144,7 +150,7 @@
 	if err != nil {
 		stop()
 		c.close(true)
-		return nil, &Failure{Sent: c.wrote.Load(), Cause: firstError(ctx.Err(), err)}
+		return nil, &Failure{Sent: c.wrote.Load(), WriteBegun: c.writing.Load(), Cause: firstError(ctx.Err(), err)}
 	}
 	body := &body{ReadCloser: response.Body, conn: c, stop: stop, sending: sent, response: response}
 	return &Response{
@@ -346,6 +352,7 @@
 	if !w.conn.wrote.Load() && !w.conn.writeDeadline.IsZero() && !time.Now().Before(w.conn.writeDeadline) {
 		return 0, errDeadline
 	}
+	w.conn.writing.Store(true)
 	n, err := w.Conn.Write(p)
 	if n > 0 {
 		w.conn.wrote.Store(true)
--- a/internal/adapter/exchange/pool.go
+++ b/internal/adapter/exchange/pool.go
@@ -78,8 +78,9 @@
 	header  *headerReader
 	reader  *bufio.Reader
 	writer  *bufio.Writer
-	// wrote is true once the first byte of the current request is written.
-	wrote atomic.Bool
+	// wrote is true once the first byte of the current request is written, and writing once
+	// its first write has begun.
+	wrote, writing atomic.Bool
 	// writeDeadline is the latest time for writing that byte; zero means no limit.
 	writeDeadline time.Time
 	// idleUntil is the time at which an idle connection expires.
--- a/internal/logfield/logfield.go
+++ b/internal/logfield/logfield.go
@@ -25,6 +25,8 @@
 	Attempts Name = "offers"
 	Arrivals Name = "arrivals"
 	Status   Name = "status"
+	// NotExecuted is whether a target's response says that it did not run the request.
+	NotExecuted Name = "not_executed"
 	// Elapsed is the time since the request was read, in milliseconds.
 	Elapsed Name = "after_ms"
 	// RetryAfter is the delay until the caller may retry, in milliseconds.
@@ -49,6 +51,8 @@
 
 // Fields of log lines about the state of a process.
 const (
+	// Caller is the address of a caller, IP:port.
+	Caller    Name = "caller"
 	Neighbour Name = "neighbour"
 	Revision  Name = "revision"
 	Before    Name = "before"
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -203,7 +203,7 @@
 	}
 	var failure *exchange.Failure
 	if errors.As(err, &failure) && !failure.Sent {
-		return port.Refuse(port.ReasonUnreachable, retryUnreachable, "%v", failure.Cause)
+		return port.Refuse(port.ReasonUnreachable, retryUnreachable, "%v", failure)
 	}
 	return &port.UnknownOutcome{Stage: "target", Cause: err}
 }
--- a/internal/proxy/request_log.go
+++ b/internal/proxy/request_log.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
+	"tamarackquay/internal/adapter/callhttp"
 	"tamarackquay/internal/logfield"
 	"tamarackquay/internal/mesh"
 	"tamarackquay/internal/placement"
@@ -92,13 +93,21 @@
 		Uint64(logfield.Version, f.snapshot.Table.Config.Version).Int64(logfield.ViewAge, millis(l.viewAge()))
 }
 
-// served logs a request that got a response.
+// served logs a request that got a response. A response that callers take for a refusal counts
+// among the failures, whose lines are hardly ever left out.
 func (l *requestLog) served(now time.Time, f *forwarder, resp *bufferedResponse) {
-	entry := l.newLine(now, lineServed)
+	kind, status := lineServed, resp.response.Status
+	if callhttp.PromisesNotRun(status) {
+		kind = lineFailure
+	}
+	entry := l.newLine(now, kind)
 	if entry == nil {
 		return
 	}
-	l.withRequest(entry, f, now).Str(logfield.Outcome, logfield.Served).Int(logfield.Status, resp.response.Status).
+	if kind == lineFailure {
+		entry = entry.Bool(logfield.NotExecuted, resp.response.Header.Get(f.proxy.config.Headers.NotExecuted) != "")
+	}
+	l.withRequest(entry, f, now).Str(logfield.Outcome, logfield.Served).Int(logfield.Status, status).
 		Str(logfield.Target, f.lastTarget).Msg("request")
 }
 
