--- /dev/null
+++ b/internal/adapter/callerhttp/refused_test.go
@@ -0,0 +1,75 @@
+package callerhttp
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a request that is answered 408 and served: its header is complete when its time is
+// over, but http.Server doesn't handle the request yet.
+func TestRequestReadInTimeIsNotRefused(t *testing.T) {
+	for _, test := range []struct {
+		desc, head, body string
+	}{
+		{"no body", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", ""},
+		{"body that comes later", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n", "body"},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			bodies := make(chan string, 1)
+			server := NewServer(readingEntry(bodies), Limits{HeaderBytes: 1 << 10, BodyBytes: 1 << 10})
+			timeouts := Timeouts{Header: 3 * time.Second, Idle: time.Minute}
+			track := server.ConnState
+			server.ConnState = func(c net.Conn, state http.ConnState) {
+				if state == http.StateActive {
+					_, err := server.CloseTimedOut(time.Now().Add(timeouts.Header+time.Second), timeouts)
+					assert.Check(t, err)
+				}
+				track(c, state)
+			}
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			go func() { _ = server.Run(listener) }()
+			defer server.Close()
+
+			caller, err := net.Dial("tcp", listener.Addr().String())
+			assert.NilError(t, err)
+			defer caller.Close()
+			assert.NilError(t, caller.SetDeadline(time.Now().Add(time.Minute)))
+			_, err = io.WriteString(caller, test.head)
+			assert.NilError(t, err)
+			time.Sleep(50 * time.Millisecond)
+			_, err = io.WriteString(caller, test.body)
+			assert.NilError(t, err)
+			reader := bufio.NewReader(caller)
+			response, err := http.ReadResponse(reader, nil)
+			assert.NilError(t, err)
+			_, err = io.Copy(io.Discard, response.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, http.StatusOK)
+			assert.Equal(t, <-bodies, test.body)
+			assert.NilError(t, caller.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+			_, err = reader.ReadByte()
+			assert.ErrorIs(t, err, os.ErrDeadlineExceeded, "a second response")
+		})
+	}
+}
+
+// readingEntry reads the body of each request.
+type readingEntry chan<- string
+
+func (e readingEntry) ServeCaller(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		e <- err.Error()
+		return
+	}
+	e <- string(body)
+	_, _ = io.WriteString(w, "whole")
+}
--- a/internal/adapter/exchange/pool.go
+++ b/internal/adapter/exchange/pool.go
@@ -95,10 +95,14 @@
 	if err != nil {
 		return nil, err
 	}
+	return p.newConn(raw, address), nil
+}
+
+func (p *Pool) newConn(raw net.Conn, address string) *conn {
 	c := &conn{Conn: raw, pool: p, address: address, header: &headerReader{source: raw, limit: p.options.MaxHeaderBytes}}
 	c.reader = bufio.NewReaderSize(c.header, bufferBytes)
 	c.writer = bufio.NewWriter(writeTracker{raw, c})
-	return c, nil
+	return c
 }
 
 // ConnectionRefused reports whether an address refuses connections because nothing
--- a/standin/usertarget/target.go
+++ b/standin/usertarget/target.go
@@ -4,6 +4,7 @@
 package usertarget
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -40,11 +41,13 @@
 	Slowdown float64 `json:"slower"`
 	// LossRate is the fraction of runs whose response is lost, CutRate of runs
 	// whose response is cut off, ShedRate of arrivals that are shed despite free
-	// slots, and FailureRate of runs that end with status 500.
+	// slots, and FailureRate of runs that end with FailureStatus.
 	LossRate    float64 `json:"lose"`
 	CutRate     float64 `json:"cut"`
 	ShedRate    float64 `json:"shed"`
 	FailureRate float64 `json:"fail"`
+	// FailureStatus is the status of failed runs; 0 stands for 500.
+	FailureStatus int `json:"fail_status"`
 	// Limit is the number of requests per second that the target says it takes; 0 for
 	// none.
 	Limit float64 `json:"limit"`
@@ -142,8 +145,10 @@
 
 // outcome is how the target handles one request.
 type outcome struct {
-	runs, lost, cut, failed bool
-	serviceTime             time.Duration
+	runs, lost, cut bool
+	serviceTime     time.Duration
+	// failureStatus is the status of a run that fails, otherwise 0.
+	failureStatus int
 }
 
 // recordArrival decides the outcome of a request and writes it to the ledger before
@@ -157,7 +162,9 @@
 	o.runs = o.runs && !full
 	o.lost = t.random.Float64() < t.mode.LossRate
 	o.cut = t.random.Float64() < t.mode.CutRate
-	o.failed = t.random.Float64() < t.mode.FailureRate
+	if t.random.Float64() < t.mode.FailureRate {
+		o.failureStatus = cmp.Or(t.mode.FailureStatus, http.StatusInternalServerError)
+	}
 	o.serviceTime = time.Duration(float64(t.meanServiceTime) * (0.5 + t.random.Float64()) * max(t.mode.Slowdown, 1))
 	if o.runs {
 		t.running++
@@ -216,8 +223,8 @@
 
 func (t *Target) respond(w http.ResponseWriter, r *http.Request, id string, o outcome) {
 	w.Header().Set(HeaderSignature, Signature(t.instance, id))
-	if o.failed {
-		w.WriteHeader(http.StatusInternalServerError)
+	if o.failureStatus != 0 {
+		w.WriteHeader(o.failureStatus)
 		return
 	}
 	// Callers always give a size; without one the body is empty.
--- a/test/process/departure_fleet_test.go
+++ b/test/process/departure_fleet_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -64,6 +65,8 @@
 	id   string
 	born time.Time
 
+	server *usertarget.Target
+
 	mu     sync.Mutex
 	ledger bytes.Buffer
 }
@@ -111,8 +114,11 @@
 
 func (f *sidecarFleet) publish(version uint64) {
 	f.t.Helper()
-	route := userfiles.Route{Name: "r", Prefix: "/", Service: sidecarService, Idempotent: true, Timeout: 2 * time.Second, MaxAttempts: 2}
-	config, err := userfiles.Config(version, []userfiles.Route{route}, []string{sidecarService})
+	routes := []userfiles.Route{
+		{Name: "r", Prefix: "/", Service: sidecarService, Idempotent: true, Timeout: 2 * time.Second, MaxAttempts: 2},
+		{Name: "once", Prefix: "/once/", Service: sidecarService, Timeout: 2 * time.Second, MaxAttempts: 2},
+	}
+	config, err := userfiles.Config(version, routes, []string{sidecarService})
 	assert.NilError(f.t, err)
 	f.store.Put(userfiles.ConfigKey, config, 0)
 }
@@ -184,8 +190,8 @@
 // startTarget starts a target on the VM and registers it as ready.
 func (v *sidecarVM) startTarget(id string, born time.Time) *sidecarTarget {
 	s := &sidecarTarget{vm: v, id: id, born: born}
-	handler := usertarget.New(id, sidecarService, slots, 20*time.Millisecond, s, func() {})
-	v.fleet.serve(v.address(portTarget), handler)
+	s.server = usertarget.New(id, sidecarService, slots, 20*time.Millisecond, s, func() {})
+	v.fleet.serve(v.address(portTarget), s.server)
 	s.register("ready", born)
 	return s
 }
@@ -239,20 +245,25 @@
 		case <-ticker.C:
 		}
 		running.Go(func() {
-			request, err := http.NewRequest(http.MethodGet, "http://"+v.address(portCallers)+"/", nil)
-			if err != nil {
-				panic(err)
-			}
-			request.Host = userfiles.Host
-			request.Header.Set(usertarget.HeaderRequestID, fmt.Sprintf("%016x", v.fleet.calls.Add(1)))
 			// Errors are expected: nodes are paused meanwhile.
-			if response, err := client.Do(request); err == nil {
+			if response, err := client.Do(v.newRequest(http.MethodGet, "/", nil)); err == nil {
 				_ = response.Body.Close()
 			}
 		})
 	}
 }
 
+// newRequest returns a request to the VM's node with an id of its own.
+func (v *sidecarVM) newRequest(method, path string, body io.Reader) *http.Request {
+	request, err := http.NewRequest(method, "http://"+v.address(portCallers)+path, body)
+	if err != nil {
+		panic(err)
+	}
+	request.Host = userfiles.Host
+	request.Header.Set(usertarget.HeaderRequestID, fmt.Sprintf("%016x", v.fleet.calls.Add(1)))
+	return request
+}
+
 // ranSince returns how many requests the target has run that arrived after a time of
 // target.SinceBoot.
 func (s *sidecarTarget) ranSince(at time.Duration) int {
