exchange: a request counts as sent from the beginning of its first write

Callers got 503 "did not run" for a request that the target had got.

Cause: a body over 8 KiB is written by a goroutine of its own, and the note that bytes are written was made after the system call had returned. The goroutine that reads the response could find a failure in between and report that nothing was sent. It could also report that before the other goroutine had begun its write. Between nodes the same report lets the entry node send a request that may run only once to a second target.

The state of the first write now has a lock: a write is recorded before it begins, that is undone if nothing was written, and once the exchange has failed none begins. So "not sent" stays true. Where the two cross, the outcome counts as unknown.

--- a/internal/adapter/exchange/exchange.go
+++ b/internal/adapter/exchange/exchange.go
@@ -63,12 +63,10 @@
 
 // Failure is the error of a request that got no response.
 type Failure struct {
-	// Sent is true if any bytes were written, so that the receiver may have
-	// run the request. Otherwise it did not run.
-	Sent bool
-	// WriteBegun is true if a write had begun.
-	WriteBegun bool
-	Cause      error
+	// Sent is true if any bytes were or may have been written, so that the receiver
+	// may have run the request. Otherwise it did not run and never will.
+	Sent  bool
+	Cause error
 }
 
 // Error implements error.
@@ -76,9 +74,6 @@
 	if f.Sent {
 		return "sent without an answer: " + f.Cause.Error()
 	}
-	if f.WriteBegun {
-		return "not sent, although a write had begun: " + f.Cause.Error()
-	}
 	return "not sent: " + f.Cause.Error()
 }
 
@@ -137,8 +132,7 @@
 		c.close(true)
 		return nil, &Failure{Cause: ctx.Err()}
 	}
-	c.wrote.Store(false)
-	c.writing.Store(false)
+	c.sending.reset()
 	sent := newBodySending()
 	if isLongBody(r) {
 		// The receiver may respond before it has read a long body.
@@ -149,8 +143,9 @@
 	response, err := c.readResponse(r)
 	if err != nil {
 		stop()
+		wasSent := c.sending.end()
 		c.close(true)
-		return nil, &Failure{Sent: c.wrote.Load(), WriteBegun: c.writing.Load(), Cause: firstError(ctx.Err(), err)}
+		return nil, &Failure{Sent: wasSent, Cause: firstError(ctx.Err(), err)}
 	}
 	body := &body{ReadCloser: response.Body, conn: c, stop: stop, sending: sent, response: response}
 	return &Response{
@@ -340,26 +335,6 @@
 	b.conn.close(!reusable)
 }
 
-// writeTracker records that the first byte of a request is written.
-type writeTracker struct {
-	net.Conn
-	conn *conn
-}
-
-// Write implements io.Writer. It checks the deadline again before the first byte, because
-// the deadline may have passed while the process was paused.
-func (w writeTracker) Write(p []byte) (int, error) {
-	if !w.conn.wrote.Load() && !w.conn.writeDeadline.IsZero() && !time.Now().Before(w.conn.writeDeadline) {
-		return 0, errDeadline
-	}
-	w.conn.writing.Store(true)
-	n, err := w.Conn.Write(p)
-	if n > 0 {
-		w.conn.wrote.Store(true)
-	}
-	return n, err
-}
-
 // idleMargin is how long before the receiver's announced idle timeout a connection is no
 // longer used: a request sent while the receiver closes the connection has an unknown
 // outcome.
--- a/internal/adapter/exchange/exchange_test.go
+++ b/internal/adapter/exchange/exchange_test.go
@@ -262,7 +262,7 @@
 			err := c.write(&Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}})
 			assert.Equal(t, errors.Is(err, errDeadline), test.expired)
 			assert.Equal(t, out.Len() == 0, test.expired)
-			assert.Equal(t, c.wrote.Load(), !test.expired)
+			assert.Equal(t, c.sending.end(), !test.expired)
 		})
 	}
 }
--- a/internal/adapter/exchange/pool.go
+++ b/internal/adapter/exchange/pool.go
@@ -5,7 +5,6 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -78,10 +77,9 @@
 	header  *headerReader
 	reader  *bufio.Reader
 	writer  *bufio.Writer
-	// wrote is true once the first byte of the current request is written, and writing once
-	// its first write has begun.
-	wrote, writing atomic.Bool
-	// writeDeadline is the latest time for writing that byte; zero means no limit.
+	// sending is the state of the current request.
+	sending sendState
+	// writeDeadline is the latest time for its first write; zero means no limit.
 	writeDeadline time.Time
 	// idleUntil is the time at which an idle connection expires.
 	idleUntil time.Time
