callerhttp: final responses are written by the goroutine that reads requests

Callers could get 408 for a request that was served, or two responses: CloseTimedOut looked at a connection from outside. http.Server makes it active only after it has parsed the header, so between the read of the last byte and that moment a request that is read completely looked like one whose header is late. A process that is frozen there for the header's timeout, or a header that comes at the end of it, answered 408 and ran the request. CloseIdle had the same gap for a request that is read together with the one before.

Now a connection that is to be closed is only marked, and its pending read is ended. Read, which http.Server calls only if what it has is no complete request, writes the final response in place of reading on. A request that becomes active first takes the mark away and is served.

Not shown with real processes: the gap is some microseconds.

A read that ends with the close is an error of the network to http.Server now. By its source, it answers other errors with a 400 of its own; not shown by a run.

--- a/internal/adapter/callerhttp/idle.go
+++ b/internal/adapter/callerhttp/idle.go
@@ -24,7 +24,8 @@
 // CloseIdle therefore sends a response before it closes a connection. A caller that has
 // sent nothing drops the connection. A caller that has just sent a request takes it for
 // the response to that request. The response says that the request did not run, which
-// is true, because nothing more is read from the connection.
+// is true, because the goroutine that reads the connection's requests writes it in place of
+// reading on: what that goroutine has read until then is no complete request.
 type Server struct {
 	*http.Server
 
@@ -206,13 +207,17 @@
 	return slices.Collect(maps.Keys(s.conns))
 }
 
+// errClosing is the cause of the error of a read from a connection that is being closed.
+var errClosing = errors.New("the node closes the connection")
+
+// errClosed is the error of such a read. To http.Server it is an error of the network, after
+// which it sends no response of its own.
+var errClosed = &net.OpError{Op: "read", Err: errClosing}
+
 // finalResponseTimeout is the time for writing the final response and for the caller to
 // read it. After that, a late request of the caller would cause a reset.
 const finalResponseTimeout = 100 * time.Millisecond
 
-// errClosing is the error of a read from a connection that is being closed.
-var errClosing = errors.New("the node is stopping")
-
 // conn is a caller's connection that can be closed gracefully while it is idle.
 type conn struct {
 	net.Conn
@@ -228,8 +233,15 @@
 	// be true before active, since the server sets active only after it has read
 	// some bytes of a request.
 	requestPending bool
-	// closing is true once the server reads nothing more from the connection.
+	// closing is true if the connection is to be closed at the next read. A request that
+	// has been read completely by then is served, and ends the state.
 	closing bool
+	// onClose writes the final response, if there is one.
+	onClose func()
+	// ended is true once the server reads nothing more from the connection.
+	ended bool
+	// settled is closed when closing ends: by the close, or by a request.
+	settled chan struct{}
 	// since is the time at which the current wait began: when the connection was
 	// opened, when the last response ended or when the first byte of a request
 	// arrived, whichever is the latest.
@@ -244,19 +256,61 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.active = state == http.StateActive
-	if state == http.StateIdle {
+	switch state {
+	case http.StateActive:
+		c.cancelClose()
+	case http.StateIdle:
 		c.since = time.Now()
+	case http.StateClosed, http.StateHijacked:
+		c.cancelClose()
+		c.ended = true
+	}
+}
+
+// close makes the next read close the connection, after onClose. It must be called with the mutex
+// held, and only if no request is handled.
+func (c *conn) close(onClose func()) {
+	c.closing, c.onClose, c.settled = true, onClose, make(chan struct{})
+	// This ends a pending read. It fails only on a closed connection.
+	_ = c.Conn.SetReadDeadline(time.Now())
+}
+
+// cancelClose ends the state closing, unless the close has begun. It must be called with the mutex
+// held.
+func (c *conn) cancelClose() {
+	if !c.closing || c.ended {
+		return
 	}
+	c.closing = false
+	_ = c.Conn.SetReadDeadline(time.Time{})
+	close(c.settled)
+}
+
+// endIfClosing closes the connection if it is to be closed, and reports whether it is closed. Only
+// Read may call it: the bytes that http.Server has read are then no complete request.
+func (c *conn) endIfClosing() bool {
+	c.mu.Lock()
+	closing, ended := c.closing, c.ended
+	c.ended = closing || ended
+	c.mu.Unlock()
+	if closing && !ended {
+		c.onClose()
+		close(c.settled)
+	}
+	return closing || ended
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.endIfClosing() {
+		return 0, errClosed
+	}
 	count, err := c.Conn.Read(p)
+	if c.endIfClosing() {
+		return 0, errClosed
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing {
-		return 0, errClosing
-	}
 	if count > 0 {
 		if !c.requestPending {
 			c.since = time.Now()
@@ -275,17 +329,18 @@
 	return c.Conn.Write(p)
 }
 
-// closeIfIdle sends the final response unless the connection is new or a request has
-// arrived. Once closing is set, the server reads nothing more from the connection.
+// closeIfIdle closes the connection with the final response, unless it is new or a request has
+// arrived.
 func (c *conn) closeIfIdle(final []byte) {
 	c.mu.Lock()
-	if c.fresh || c.active || c.requestPending {
+	if c.fresh || c.active || c.requestPending || c.closing || c.ended {
 		c.mu.Unlock()
 		return
 	}
-	c.closing = true
+	c.close(func() { c.sendFinalResponse(final) })
+	settled := c.settled
 	c.mu.Unlock()
-	c.sendFinalResponse(final)
+	<-settled
 }
 
 // sendFinalResponse writes the final response of a connection from which the server reads
--- a/internal/adapter/callerhttp/refused_test.go
+++ b/internal/adapter/callerhttp/refused_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"testing"
 	"time"
 
@@ -73,3 +74,44 @@
 	e <- string(body)
 	_, _ = io.WriteString(w, "whole")
 }
+
+// Guards against a request that is answered 503 and served: http.Server has read it together with the
+// one before, and the node closes its idle connections between the two.
+func TestPipelinedRequestIsNotRefused(t *testing.T) {
+	bodies := make(chan string, 2)
+	server := NewServer(readingEntry(bodies), Limits{HeaderBytes: 1 << 10, BodyBytes: 1 << 10})
+	track := server.ConnState
+	var closeOnce sync.Once
+	closeDone := make(chan error, 1)
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		track(c, state)
+		if state == http.StateIdle {
+			closeOnce.Do(func() {
+				go func() { closeDone <- server.CloseIdle() }()
+				awaitConns(t, server, func(c *conn) bool { return c.closing }, 1)
+			})
+		}
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = server.Run(listener) }()
+	defer server.Close()
+
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer caller.Close()
+	assert.NilError(t, caller.SetDeadline(time.Now().Add(time.Minute)))
+	const request = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n"
+	_, err = io.WriteString(caller, request+"1"+request+"2")
+	assert.NilError(t, err)
+	reader := bufio.NewReader(caller)
+	for _, body := range []string{"1", "2"} {
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+		assert.Equal(t, <-bodies, body)
+	}
+	assert.NilError(t, <-closeDone)
+}
--- a/internal/adapter/callerhttp/timeout.go
+++ b/internal/adapter/callerhttp/timeout.go
@@ -25,47 +25,36 @@
 	}
 	closed := 0
 	for _, c := range s.connections() {
-		switch c.checkTimeout(now, timeouts) {
-		case headerTimeout:
-			if s.HeaderTimedOut != nil {
-				s.HeaderTimedOut(c.RemoteAddr().String())
-			}
-			go c.sendFinalResponse(final)
-		case idleTimeout:
-			// This fails if the caller has closed the connection meanwhile.
-			_ = c.Conn.Close()
-		default:
-			continue
+		if c.closeIfTimedOut(now, timeouts, func() { s.refuseHeader(c, final) }) {
+			closed++
 		}
-		closed++
 	}
 	return closed, nil
 }
 
-// timeoutKind is the timeout that a connection has exceeded.
-type timeoutKind uint8
-
-const (
-	noTimeout timeoutKind = iota
-	headerTimeout
-	idleTimeout
-)
+// refuseHeader answers a request whose header is late.
+func (s *Server) refuseHeader(c *conn, final []byte) {
+	if s.HeaderTimedOut != nil {
+		s.HeaderTimedOut(c.RemoteAddr().String())
+	}
+	c.sendFinalResponse(final)
+}
 
-// checkTimeout returns the timeout that the connection has exceeded, or noTimeout. If it
-// has exceeded one, the server reads nothing more from it.
-func (c *conn) checkTimeout(now time.Time, timeouts Timeouts) timeoutKind {
+// closeIfTimedOut closes the connection if it has exceeded a timeout, and reports whether it has.
+// A request whose header is late is refused.
+func (c *conn) closeIfTimedOut(now time.Time, timeouts Timeouts, refuse func()) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	waited := now.Sub(c.since)
 	switch {
-	case c.active || c.closing:
-		return noTimeout
+	case c.active || c.closing || c.ended:
+		return false
 	case c.requestPending && timeouts.Header > 0 && waited > timeouts.Header:
-		c.closing = true
-		return headerTimeout
+		c.close(refuse)
+		return true
 	case !c.requestPending && timeouts.Idle > 0 && waited > timeouts.Idle:
-		c.closing = true
-		return idleTimeout
+		c.close(func() {})
+		return true
 	}
-	return noTimeout
+	return false
 }
