port: an unknown outcome never counts as a refusal

A caller would have got 503 "did not run" for an unknown outcome whose cause contains a refusal: errors.As, by which all packages tell refusals, looks into causes as well. No cause of this kind was found by reading, so no caller is known to have seen it.

Unwrap of an unknown outcome returns no cause that contains a refusal. That holds for all places that look for refusals, without a rule for each.

--- a/internal/port/refusal.go
+++ b/internal/port/refusal.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Reason is the machine-readable reason for which a request was refused.
@@ -106,5 +108,12 @@
 	return fmt.Sprintf("outcome unknown at %s: %v", u.Stage, u.Cause)
 }
 
-// Unwrap returns the cause.
-func (u *UnknownOutcome) Unwrap() error { return u.Cause }
+// Unwrap returns the cause, or nil if that contains a refusal: errors.As must not find a refusal in
+// an unknown outcome.
+func (u *UnknownOutcome) Unwrap() error {
+	var refusal *Refusal
+	if errors.As(u.Cause, &refusal) {
+		return nil
+	}
+	return u.Cause
+}
