known red: an odd entry takes the place of the target at its address

But an entry with the most slots or the latest start of 64 bits, at the address of a target, is taken for the target's successor: the target gets no more requests.

--- a/test/process/departure_fleet_test.go
+++ b/test/process/departure_fleet_test.go
@@ -198,6 +198,10 @@
 
 // register writes the target's entry as a process that started at the given time by its clock.
 func (s *sidecarTarget) register(state string, born time.Time) {
+	s.vm.fleet.store.Put(usertarget.Key(s.id), s.entry(state, born), 0)
+}
+
+func (s *sidecarTarget) entry(state string, born time.Time) []byte {
 	value, err := json.Marshal(map[string]any{
 		"Address": s.vm.address(portTarget),
 		"Info":    map[string]any{"Service": sidecarService, "Version": "v1", "Zone": "a1", "Slots": slots},
@@ -205,7 +209,7 @@
 		"born":    born.UnixMilli(),
 	})
 	assert.NilError(s.vm.fleet.t, err)
-	s.vm.fleet.store.Put(usertarget.Key(s.id), value, 0)
+	return value
 }
 
 // startCallers sends requests to all nodes until the test ends, and waits until each target has run
