--- a/test/process/departure_fleet_test.go
+++ b/test/process/departure_fleet_test.go
@@ -44,8 +44,10 @@
 type sidecarFleet struct {
 	t     *testing.T
 	store *userstore.Store
-	vms   []*sidecarVM
-	calls atomic.Int64
+	// subnet is the beginning of the addresses of the VMs.
+	subnet string
+	vms    []*sidecarVM
+	calls  atomic.Int64
 }
 
 // sidecarVM is a VM of a sidecarFleet.
@@ -80,18 +82,33 @@
 
 var fleetCount atomic.Int32
 
+// newEmptySidecarFleet starts a store with a configuration.
+func newEmptySidecarFleet(t *testing.T) *sidecarFleet {
+	t.Helper()
+	subnet := fmt.Sprintf("127.%d.%d.", 20+os.Getpid()%40, os.Getpid()/40%20*10+int(fleetCount.Add(1)))
+	f := &sidecarFleet{t: t, store: userstore.New(), subnet: subnet}
+	f.publish(1)
+	return f
+}
+
+// addVM adds a VM that reads the store, without a target or a node.
+func (f *sidecarFleet) addVM() *sidecarVM {
+	f.t.Helper()
+	number := len(f.vms)
+	vm := &sidecarVM{fleet: f, name: fmt.Sprint("vm", number), ip: fmt.Sprint(f.subnet, number+1), storeAddress: fmt.Sprintf("%s%d:%d", f.subnet, 101+number, portStore)}
+	f.vms = append(f.vms, vm)
+	vm.serveStore()
+	return vm
+}
+
 // newSidecarFleet starts a store, and nodes with a ready target each. It waits until all nodes are
 // ready, and until they have agreed on which of them reads the store.
 func newSidecarFleet(t *testing.T, vms int) (*sidecarFleet, []*sidecarTarget) {
 	t.Helper()
-	f := &sidecarFleet{t: t, store: userstore.New()}
-	subnet := fmt.Sprintf("127.%d.%d.", 20+os.Getpid()%40, os.Getpid()/40%20*10+int(fleetCount.Add(1)))
-	f.publish(1)
+	f := newEmptySidecarFleet(t)
 	var targets []*sidecarTarget
 	for i := range vms {
-		vm := &sidecarVM{fleet: f, name: fmt.Sprint("vm", i), ip: fmt.Sprint(subnet, i+1), storeAddress: fmt.Sprintf("%s%d:%d", subnet, 101+i, portStore)}
-		f.vms = append(f.vms, vm)
-		vm.serveStore()
+		vm := f.addVM()
 		targets = append(targets, vm.startTarget(fmt.Sprint("i-", i), time.Now()))
 		vm.startNode()
 	}
