soak: targets fail with other statuses and close connections early

Unhealthy targets now end failed runs with 500, 503, 429 or 408, by the fault's time, and close one in ten connections when they have the header; each fourth filing has a body that nodes write while they read the response. Plans are unchanged.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -64,9 +64,12 @@
 	callerTimeout = 3 * time.Second
 	// reconnectFraction is the fraction of requests sent on a new connection.
 	reconnectFraction = 0.05
-	smallResponse     = 300
-	largeResponse     = 200_000
-	largeFraction     = 0.1
+	// Each longBodyInterval-th request with a body has one of longBody bytes, which nodes write
+	// while they read the response.
+	longBodyInterval, longBody = 4, 20_000
+	smallResponse              = 300
+	largeResponse              = 200_000
+	largeFraction              = 0.1
 	// Fractions of requests to the non-idempotent route, to the moving route, and to
 	// routes that exist only in some versions. All other requests are idempotent
 	// reads.
@@ -152,7 +155,11 @@
 	}
 	method, body := http.MethodGet, io.Reader(nil)
 	if !r.Idempotent {
-		method, body = http.MethodPost, strings.NewReader("signed "+r.ID)
+		text := "signed " + r.ID
+		if c.sent%longBodyInterval == 0 {
+			text += strings.Repeat(" ", longBody)
+		}
+		method, body = http.MethodPost, strings.NewReader(text)
 	}
 	address := fmt.Sprintf("http://%s%sx%s?bytes=%d", c.connection.address, r.Path, r.CrashID, size)
 	request, err := http.NewRequest(method, address, body)
@@ -164,12 +171,12 @@
 	request.Header.Set(usertarget.HeaderRequestID, r.ID)
 	request.Header.Set(usertarget.HeaderDeadline, fmt.Sprint(callerTimeout.Milliseconds()))
 	r.Begin = target.SinceBoot()
-	r.Outcome, r.Status, r.Detail = c.send(request, r.ID, size)
+	r.Outcome, r.Status, r.Detail = c.send(request, &r, size)
 	r.End = target.SinceBoot()
 	return r
 }
 
-func (c *caller) send(request *http.Request, id string, size int) (Outcome, int, string) {
+func (c *caller) send(request *http.Request, r *Record, size int) (Outcome, int, string) {
 	if err := c.connection.open(); err != nil {
 		return Unreachable, 0, err.Error()
 	}
@@ -177,15 +184,21 @@
 	if err != nil {
 		return Broken, 0, err.Error()
 	}
-	return classify(response, id, content, size)
+	return classify(response, r, content, size)
 }
 
-// classify returns the outcome of a response. The expected body and signature are
+// classify returns the outcome of a response to a request. The expected body and signature are
 // derived from the request ID, so a response to another request does not match.
-func classify(response *http.Response, id string, content []byte, size int) (Outcome, int, string) {
+func classify(response *http.Response, r *Record, content []byte, size int) (Outcome, int, string) {
 	detail := fmt.Sprintf("status %d, %d bytes", response.StatusCode, len(content))
+	proof := response.Header.Get(usertarget.HeaderSignature)
 	switch response.StatusCode {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		if r.Idempotent && proof == usertarget.Signature(instanceOf(proof), r.ID) {
+			// The users' platform asks for a target's own status unchanged, and for a true promise
+			// only if the request may run just once.
+			return Failed, response.StatusCode, detail
+		}
 		return Refused, response.StatusCode, string(content)
 	case http.StatusNotFound:
 		return Unrouted, response.StatusCode, detail
@@ -193,11 +206,15 @@
 	default:
 		return Failed, response.StatusCode, string(content)
 	}
-	proof := response.Header.Get(usertarget.HeaderSignature)
-	instance, _, _ := strings.Cut(proof, ".")
-	complete := bytes.Equal(content, usertarget.Body(id, size))
-	if !complete || proof != usertarget.Signature(instance, id) {
+	complete := bytes.Equal(content, usertarget.Body(r.ID, size))
+	if !complete || proof != usertarget.Signature(instanceOf(proof), r.ID) {
 		return Wrong, response.StatusCode, detail
 	}
 	return Answered, response.StatusCode, ""
 }
+
+// instanceOf returns the instance that a signature names.
+func instanceOf(proof string) string {
+	instance, _, _ := strings.Cut(proof, ".")
+	return instance
+}
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -35,7 +35,15 @@
 
 // failingMode is the behaviour of a failing target, which still serves most of its
 // requests.
-var failingMode = usertarget.Mode{LossRate: 0.1, CutRate: 0.1, ShedRate: 0.2, FailureRate: 0.1}
+var failingMode = usertarget.Mode{LossRate: 0.1, CutRate: 0.1, ShedRate: 0.2, DropRate: 0.1, FailureRate: 0.1}
+
+// failureStatuses are the statuses of failed runs; a failing target uses one of them.
+var failureStatuses = []int{http.StatusInternalServerError, http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}
+
+// failureStatus returns the status of the failed runs under a fault.
+func failureStatus(fault Fault) int {
+	return failureStatuses[int(fault.At.Microseconds())%len(failureStatuses)]
+}
 
 // overloadedMode is the behaviour of every target of a service under
 // OverloadedService.
@@ -216,6 +224,7 @@
 
 func (f *fleet) degradeTarget(ctx context.Context, m *machine, fault Fault, event *Event) error {
 	mode := failingMode
+	mode.FailureStatus = failureStatus(fault)
 	switch fault.Kind {
 	case SlowTarget:
 		mode = usertarget.Mode{Slowdown: slowFactor}
