sidecar: callers' requests are told from calls between nodes by a header

Nodes forward a request with the caller's own path, on the listener on which these paths are their own calls; /peer/ping also made the entry node a hint.

A forwarded request always has the header with the terms of its attempt, which nodes remove from what callers send. The peers' listener looks at it before it looks at the path. A prefix would change the path or break nodes of the earlier version, a further listener needs a port on every VM; the header needs neither.

--- a/cmd/tamarackd/sidecar_listen.go
+++ b/cmd/tamarackd/sidecar_listen.go
@@ -15,21 +15,31 @@
 )
 
 // newPeerServer returns the server for other nodes: feeds, and requests for the
-// local target.
+// local target. Those have any path that a caller chose, so they are told apart by a header that
+// callers can't set.
 func (c *sidecar) newPeerServer(peerAddress func(host string) string) *http.Server {
 	e := echo.New()
 	e.HideBanner = true
-	e.GET(feedws.Path, echo.WrapHandler(feedws.NewHandler(c.follower, c.crashes, c.proxy.CountSent)))
 	hint := func(r *http.Request) { c.follower.AddHint(peerAddress(follow.HostOf(r.RemoteAddr))) }
-	e.GET(proxy.PingPath, func(context echo.Context) error {
-		hint(context.Request())
-		return context.NoContent(http.StatusNoContent)
-	})
-	e.Any("/*", func(context echo.Context) error {
+	servePeer := func(context echo.Context) error {
 		hint(context.Request())
 		c.proxy.ServePeer(context.Response(), context.Request())
 		return nil
+	}
+	e.Pre(func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(context echo.Context) error {
+			if proxy.IsForwarded(context.Request()) {
+				return servePeer(context)
+			}
+			return next(context)
+		}
+	})
+	e.GET(feedws.Path, echo.WrapHandler(feedws.NewHandler(c.follower, c.crashes, c.proxy.CountSent)))
+	e.GET(proxy.PingPath, func(context echo.Context) error {
+		hint(context.Request())
+		return context.NoContent(http.StatusNoContent)
 	})
+	e.Any("/*", servePeer)
 	return &http.Server{Handler: e, MaxHeaderBytes: maxPeerHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, ConnContext: callhttp.ConnContext}
 }
 
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -246,6 +246,10 @@
 	_ = body.Close()
 }
 
+// IsForwarded reports whether a request of another node is a caller's request for the local target.
+// Nodes remove the header from callers' requests.
+func IsForwarded(r *http.Request) bool { return r.Header.Get(headerMeta) != "" }
+
 // ServePeer runs a request sent by another node on the local target.
 func (p *Proxy) ServePeer(w http.ResponseWriter, r *http.Request) {
 	received := p.ports.Clock.Now()
