sidecar: a handler ends in a response or breaks its connection off

Proxy.refuse returned without a response if the caller's connection had ended, and net/http answers 200 for a handler that writes nothing.

A node can't tell a caller that closes its sending side from one that is gone: both are one FIN. It goes on to take both as gone, since the work of callers that leave has to end, and answers both what it knows: 502, or the refusal. Whoever is gone doesn't get it. That such a caller gets its target's response isn't done.

So that no other handler can do the same, all listeners, of callers, nodes, operators and metrics, on both paths, get their router from callhttp.NewRouter, which breaks off what ends without a response.

TestCallerThatClosesItsSendingSideGetsNoSuccess, real processes: 200 in 4 of 4 before, 502 after.

--- a/cmd/tamarackd/run.go
+++ b/cmd/tamarackd/run.go
@@ -166,8 +166,7 @@
 }
 
 func newPeerServer(n *node.Node, now func() time.Time) *http.Server {
-	e := echo.New()
-	e.HideBanner = true
+	e := callhttp.NewRouter()
 	e.GET(peerws.Path, echo.WrapHandler(peerws.NewServer(n)))
 	e.Any(peerforward.Prefix+"/*", echo.WrapHandler(peerforward.NewHandler(n, now)))
 	return &http.Server{Handler: e, MaxHeaderBytes: maxPeerHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, ConnContext: callhttp.ConnContext}
--- a/cmd/tamarackd/sidecar_listen.go
+++ b/cmd/tamarackd/sidecar_listen.go
@@ -18,8 +18,7 @@
 // local target. Those have any path that a caller chose, so they are told apart by a header that
 // callers can't set.
 func (c *sidecar) newPeerServer(peerAddress func(host string) string) *http.Server {
-	e := echo.New()
-	e.HideBanner = true
+	e := callhttp.NewRouter()
 	hint := func(r *http.Request) { c.follower.AddHint(peerAddress(follow.HostOf(r.RemoteAddr))) }
 	servePeer := func(context echo.Context) error {
 		hint(context.Request())
@@ -45,8 +44,7 @@
 
 func (c *sidecar) listen(options sidecarOptions, failed chan<- error) error {
 	s := c.settings
-	readiness := echo.New()
-	readiness.HideBanner = true
+	readiness := callhttp.NewRouter()
 	readiness.GET("/ready", c.ready)
 	servers := []struct {
 		name, address string
@@ -70,8 +68,7 @@
 }
 
 func (c *sidecar) listenMetrics(port int, failed chan<- error) error {
-	e := echo.New()
-	e.HideBanner = true
+	e := callhttp.NewRouter()
 	e.GET("/metrics", func(context echo.Context) error {
 		c.meter.Write(context.Response())
 		return nil
--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -37,8 +37,7 @@
 
 // NewServer returns the server for callers. The caller of NewServer provides the listener.
 func NewServer(entry Entry, limits Limits) *Server {
-	e := echo.New()
-	e.HideBanner = true
+	e := callhttp.NewRouter()
 	e.Any("/*", func(c echo.Context) error {
 		serve(entry, limits, c.Response(), c.Request())
 		return nil
--- a/internal/adapter/callerhttp/callerhttp_test.go
+++ b/internal/adapter/callerhttp/callerhttp_test.go
@@ -25,7 +25,9 @@
 	f(r, body, err)
 	if err != nil {
 		callhttp.WriteError(w, &port.UnknownOutcome{Stage: "body", Cause: err})
+		return
 	}
+	w.WriteHeader(http.StatusOK)
 }
 
 // send starts a server, sends the raw text to it and returns the response and its outcome.
--- a/internal/adapter/operatorhttp/operatorhttp.go
+++ b/internal/adapter/operatorhttp/operatorhttp.go
@@ -11,6 +11,7 @@
 	"github.com/labstack/echo/v4"
 
 	"tamarackquay/internal/adapter/auditlog"
+	"tamarackquay/internal/adapter/callhttp"
 	"tamarackquay/internal/node"
 	"tamarackquay/internal/port"
 )
@@ -60,8 +61,7 @@
 // NewServer returns the server for operators. The caller of NewServer provides the
 // listener.
 func NewServer(n Node, trail Trail, meter Meter) *http.Server {
-	e := echo.New()
-	e.HideBanner = true
+	e := callhttp.NewRouter()
 	e.GET(PathAlive, func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	e.GET(PathReady, func(c echo.Context) error { return writeReady(c, n.Status().Health) })
 	e.GET(PathStatus, func(c echo.Context) error { return writeStatus(c, n.Status()) })
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -199,9 +199,6 @@
 		p.recordCallerFailure(f)
 	}
 	p.requestLog.failed(p.ports.Clock.Now(), r.Header.Get(p.config.Headers.RequestID), f, callerDisconnected(r), err)
-	if callerDisconnected(r) {
-		return
-	}
 	if known {
 		callhttp.WriteExactRefusal(w, refusal)
 		return
--- a/test/process/refused_test.go
+++ b/test/process/refused_test.go
@@ -1,11 +1,14 @@
 package process
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -54,3 +57,28 @@
 	assert.NilError(t, err)
 	return response
 }
+
+// Guards against a success that no target gave, for a caller that closes its sending side and reads on:
+// the node takes that for the end of the caller, as TCP shows no difference.
+func TestCallerThatClosesItsSendingSideGetsNoSuccess(t *testing.T) {
+	fleet, targets := newSidecarFleet(t, 2)
+	for _, target := range targets {
+		target.server.SetMode(usertarget.Mode{Slowdown: 40})
+	}
+	for _, vm := range fleet.vms {
+		for _, method := range []string{http.MethodPost, http.MethodGet} {
+			conn, err := net.Dial("tcp", vm.address(portCallers))
+			assert.NilError(t, err)
+			defer conn.Close()
+			assert.NilError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+			request := vm.newRequest(method, "/once/x", strings.NewReader("certificate"))
+			assert.NilError(t, request.Write(conn))
+			time.Sleep(100 * time.Millisecond)
+			assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+			response, err := http.ReadResponse(bufio.NewReader(conn), request)
+			assert.NilError(t, err)
+			assert.NilError(t, response.Body.Close())
+			assert.Check(t, response.StatusCode == http.StatusBadGateway, "%s at %s: answered %d", method, vm.name, response.StatusCode)
+		}
+	}
+}
