mesh: an entry of a service that the configuration doesn't name is no node

Readers and parents were chosen among all ready entries, so most of them were addresses at which nothing listens, and the real nodes got high ranks. Such an entry at the address of a real target hid that target as well.

Entries count as nodes, and hold their address, only if the active configuration names their service. The named services are part of what a topology is computed from. Without a configuration all entries count, as before. The share of the retry budget still counts all listed VMs, which errs on the safe side.

The configurations of the simulated world name their service now.

--- a/internal/follow/topology.go
+++ b/internal/follow/topology.go
@@ -57,13 +57,14 @@
 	return t
 }
 
-// readyVMs returns the VMs that run ready targets, one for each address.
+// readyVMs returns the VMs that run ready targets of services that the configuration names, one for
+// each address. Entries of other services may be of another writer, and nothing runs at their addresses.
 func (f *Follower) readyVMs() []membership.VM {
 	seen := make(map[string]bool, len(f.view.Members()))
 	vms := make([]membership.VM, 0, len(f.view.Members()))
 	for _, member := range f.view.Members() {
 		address := f.peerAddress(member.Address)
-		if member.State != mesh.Ready || seen[address] {
+		if member.State != mesh.Ready || seen[address] || !f.view.Names(member.Service) {
 			continue
 		}
 		seen[address] = true
--- a/internal/follow/world_test.go
+++ b/internal/follow/world_test.go
@@ -151,7 +151,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.revision++
-	w.config = &mesh.Config{Version: version, Routes: routes}
+	w.config = &mesh.Config{Version: version, Routes: routes, Services: []mesh.Service{{Name: "s"}}}
 	w.record(mesh.Update{Config: mesh.Diff(nil, w.config), Age: time.Duration(w.revision)})
 }
 
--- a/internal/mesh/member.go
+++ b/internal/mesh/member.go
@@ -113,14 +113,17 @@
 // MemberAt returns the target that started last at an address, or nil.
 func (v *View) MemberAt(address string) *Member { return v.latestByAddress()[address] }
 
-// latestByAddress returns the target that started last at each address. The result is
-// recomputed only after a change of members.
+// latestByAddress returns the target of a named service that started last at each address. The
+// result is recomputed only after a change of members or named services.
 func (v *View) latestByAddress() map[string]*Member {
 	if v.latest != nil && v.latestGeneration == v.membersGeneration {
 		return v.latest
 	}
 	latest := make(map[string]*Member, len(v.members))
 	for _, member := range v.members {
+		if !v.Names(member.Service) {
+			continue
+		}
 		if other := latest[member.Address]; other == nil || startedBefore(other, member) {
 			latest[member.Address] = member
 		}
--- a/internal/mesh/table.go
+++ b/internal/mesh/table.go
@@ -57,6 +57,19 @@
 // Service returns the settings of a service, or nil if it isn't configured.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// namesSameServices reports whether two tables name the same services.
+func (t *Table) namesSameServices(other *Table) bool {
+	if len(t.services) != len(other.services) {
+		return false
+	}
+	for name := range t.services {
+		if other.services[name] == nil {
+			return false
+		}
+	}
+	return true
+}
+
 // HasRoute reports whether a route has the name. A nil table has none.
 func (t *Table) HasRoute(name string) bool {
 	if t == nil {
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -45,7 +45,7 @@
 	evacuations map[string]evacuationState
 	// generation counts the changes of the view. Neighbours' positions refer to it.
 	generation uint64
-	// membersGeneration counts the changes of members and evacuations alone.
+	// membersGeneration counts the changes of members, evacuations and named services alone.
 	membersGeneration uint64
 	// latest maps each address to the target that started last there, as of
 	// latestGeneration.
@@ -136,8 +136,8 @@
 // Generation returns a number that grows with each change of the view.
 func (v *View) Generation() uint64 { return v.generation }
 
-// MembersGeneration returns a number that grows with each change of the known targets and of
-// evacuated failure domains.
+// MembersGeneration returns a number that grows with each change of the known targets, of
+// evacuated failure domains and of the services that the configuration names.
 func (v *View) MembersGeneration() uint64 { return v.membersGeneration }
 
 // Version returns the version of the active configuration, or 0 if there is none.
@@ -289,10 +289,19 @@
 		return nil
 	}
 	v.generation++
-	v.table = NewTable(config)
+	table := NewTable(config)
+	if v.table == nil || !table.namesSameServices(v.table) {
+		v.membersGeneration++
+	}
+	v.table = table
 	return nil
 }
 
+// Names reports whether the active configuration names a service. An entry of any other service is of
+// another writer, or of a target that nothing is sent to. Before the first configuration, all services
+// count as named.
+func (v *View) Names(service string) bool { return v.table == nil || v.table.Service(service) != nil }
+
 // buildConfig returns the configuration that results from a delta, or nil while parts are
 // missing.
 func (v *View) buildConfig(delta *ConfigDelta, last bool) (*Config, error) {
