platform: an oversized answer of the store is replaced by a listing

A watch returns all changes since a revision. Over 16 MiB it was cut off, counted as a failed read and was asked for again from the same revision, with the same or a longer answer.

The stand-in store listed everything in one page, which the users' pages don't have; it pages by 500 items and 1 MB now.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -23,6 +23,10 @@
 // revision.
 var ErrCompacted = errors.New("requested revision has been compacted")
 
+// ErrTooLarge is returned if the platform's response is longer than what a node reads, or takes too
+// long to arrive. The same request would get the same response again.
+var ErrTooLarge = errors.New("the platform's response is too large")
+
 // Listing is the complete contents of the platform, as of Revision or later.
 type Listing struct {
 	Config      *mesh.Config
@@ -148,10 +152,9 @@
 	broken map[string]bool
 
 	// revision is the position of this node's watch of the platform; zero before the first
-	// listing. If the platform has compacted the changes after it, it is reset to zero and
-	// compacted is set.
-	revision  uint64
-	compacted bool
+	// listing. If the changes after it can't be read, it is reset to zero and relist is set.
+	revision uint64
+	relist   bool
 	// bootstrappedAt is when this node learned the fleet's members from a stale listing;
 	// zero if it never did.
 	bootstrappedAt time.Time
--- a/internal/follow/foreign_test.go
+++ b/internal/follow/foreign_test.go
@@ -46,3 +46,22 @@
 		})
 	}
 }
+
+// Guards against nodes that ask for the same oversized response again and again, after a burst of another
+// writer's entries.
+func TestOversizedResponseIsReplacedByListing(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		w.takeReads()
+		w.mu.Lock()
+		w.oversizedBefore = w.revision + 1
+		w.mu.Unlock()
+		w.publish(2)
+		w.remove("a1-1")
+		time.Sleep(activeWithin)
+		assert.Equal(t, len(w.lagging(2)), 0, "%v", w.lagging(2))
+		used := w.nodesUsing("a1-1")
+		assert.Equal(t, len(used), 0, "%v", used)
+		reads := w.takeReads()
+		assert.Assert(t, reads <= 12, "%d reads", reads)
+	})
+}
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -28,10 +28,10 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if errors.Is(err, ErrCompacted) {
-			f.log.Warn().Uint64(logfield.Revision, f.revision).Msg("platform compacted the watched revision; making a full listing")
+		if f.revision > 0 && (errors.Is(err, ErrCompacted) || errors.Is(err, ErrTooLarge)) {
+			f.log.Warn().Uint64(logfield.Revision, f.revision).Err(err).Msg("making a full listing of the platform")
 			f.revision = 0
-			f.compacted = true
+			f.relist = true
 			continue
 		}
 		f.recordReadResult(err)
@@ -158,7 +158,7 @@
 // node that has received a neighbour's view watches from that revision instead, because a
 // listing contains all targets and the complete configuration.
 func (f *Follower) readOnce(ctx context.Context) (changed bool, err error) {
-	if !f.compacted {
+	if !f.relist {
 		f.mu.Lock()
 		f.revision = max(f.revision, f.view.Revision())
 		f.mu.Unlock()
@@ -204,7 +204,7 @@
 	update := completeUpdate(listing)
 	update.RTT = f.platform.RTT()
 	f.revision = listing.Revision
-	f.compacted = false
+	f.relist = false
 	return f.apply(update, listing.RespondedAt)
 }
 
--- a/internal/follow/world_link_test.go
+++ b/internal/follow/world_link_test.go
@@ -123,6 +123,10 @@
 			w.mu.Unlock()
 			return nil, ErrCompacted
 		}
+		if after < w.oversizedBefore {
+			w.mu.Unlock()
+			return nil, ErrTooLarge
+		}
 		changes := w.since(after)
 		changed := w.changed
 		w.mu.Unlock()
--- a/internal/follow/world_test.go
+++ b/internal/follow/world_test.go
@@ -33,6 +33,8 @@
 	// history holds all changes; revisions up to compacted are no longer available.
 	history   []mesh.Update
 	compacted uint64
+	// oversizedBefore is the revision before which a watch returns more than a node reads.
+	oversizedBefore uint64
 	// recorded holds the time of each change in history.
 	recorded []time.Time
 	config   *mesh.Config
--- a/standin/userstore/http.go
+++ b/standin/userstore/http.go
@@ -26,6 +26,12 @@
 // leaseCheckInterval is how often a waiting watch checks for expired leases.
 const leaseCheckInterval = 100 * time.Millisecond
 
+// pageItems and pageBytes limit a page of a listing: its items, and the bytes of their values.
+const (
+	pageItems = 500
+	pageBytes = 1 << 20
+)
+
 type response struct {
 	Items         []Item `json:"items"`
 	Events        []Item `json:"events"`
@@ -86,7 +92,20 @@
 		return c.NoContent(http.StatusServiceUnavailable)
 	}
 	items, revision := s.List(c.QueryParam("PathPrefix"))
-	return c.JSON(http.StatusOK, response{Items: items, StoreRevision: revision})
+	page := response{StoreRevision: revision}
+	bytes := 0
+	for _, item := range items {
+		if item.Key <= c.QueryParam("after") {
+			continue
+		}
+		if len(page.Items) == pageItems || bytes > 0 && bytes+len(item.Value) > pageBytes {
+			page.HasMore = true
+			break
+		}
+		page.Items = append(page.Items, item)
+		bytes += len(item.Value)
+	}
+	return c.JSON(http.StatusOK, page)
 }
 
 func (s *Store) serveWatch(c echo.Context) error {
