exchange: the end of a body is not read twice

Cause: after a body of known length, net/http reads on to see that it has ended, before the last bytes are flushed. At its end, net/http's server begins to watch the connection; the entry node has sent everything and closes it, the owner node's handler takes that for the end of its client and returns, and the body is closed. The further read then fails, and the failed write resets the connection.

The end of a body, or its error, is now remembered and returned again.

--- a/internal/adapter/exchange/exchange.go
+++ b/internal/adapter/exchange/exchange.go
@@ -198,7 +198,7 @@
 		ProtoMajor: 1, ProtoMinor: 1, ContentLength: r.ContentLength,
 	}
 	if r.Body != nil {
-		request.Body = io.NopCloser(r.Body)
+		request.Body = io.NopCloser(&endedReader{Reader: r.Body})
 	}
 	if _, ok := r.Header["User-Agent"]; !ok {
 		r.Header["User-Agent"] = []string{""}
@@ -209,6 +209,24 @@
 	return c.writer.Flush()
 }
 
+// endedReader returns the end of a body, or its error, again without reading it once more. After a body
+// of known length, net/http reads on to find its end, and the body may be closed by then: it is that of
+// a request whose handler has returned.
+type endedReader struct {
+	io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (r *endedReader) Read(p []byte) (int, error) {
+	if r.err != nil {
+		return 0, r.err
+	}
+	n, err := r.Reader.Read(p)
+	r.err = err
+	return n, err
+}
+
 // rawURL returns a URL that preserves the bytes of the path as sent by the caller. An opaque
 // URL does, unless it begins with two slashes, which net/url takes for a host.
 func rawURL(uri string) *url.URL {
