requestbody: a response doesn't wait for a body that nobody reads

On the path by contracts, a caller whose target answered before any byte of a large body had been sent on got no answer: its connection ended (TestEarlyResponseLeavesUploadIntact of internal/node, in KNOWN-RED.txt; 2 to 9 of 24 runs here, six processes at once with the race detector).

Traced with a log of the connection's writes: the handler had returned 0.5 ms after the target's answer, and the write came 463 ms later, after the write deadline of 100 ms. Body.Release had found nothing read of the body and said that nobody reads it; so the connection was not kept from net/http, which then reads and discards up to 256 KB of the body before it writes the response, as fast as the caller sends.

Release now reports whether a part of the body is unread.

--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -21,7 +21,8 @@
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
 
 // keepBody is to be called before a response is written. If a request's body is still being
-// sent on, nothing else may read it.
+// sent on, nothing else may read it. If none of it has been sent, the response doesn't wait until
+// the caller has sent it all.
 func keepBody(w http.ResponseWriter, body *requestbody.Body) {
 	if body.Release() {
 		callhttp.KeepBody(w)
--- a/internal/requestbody/requestbody.go
+++ b/internal/requestbody/requestbody.go
@@ -122,9 +122,9 @@
 }
 
 // Release ends the passing of a large body to attempts that have read none of it. It reports
-// whether an attempt goes on reading: then nothing else may read the stream, until that attempt
-// has reached its end.
-func (b *Body) Release() (reading bool) {
+// whether a part of the body is unread. An attempt may go on reading that: nothing else may read
+// the stream then, until that attempt has reached its end.
+func (b *Body) Release() (unread bool) {
 	if b.stream == nil {
 		return false
 	}
@@ -133,7 +133,7 @@
 	if !b.consumed {
 		b.current = nil
 	}
-	return b.consumed && !b.ended
+	return !b.ended
 }
 
 // bodyReader reads a large body for one attempt.
