requestbody: an attempt that has been answered early may still begin its body

Traced with a log line at the abort: "use of closed network connection". Body.Release revoked the body of an attempt that hadn't read any of it; when net/http began to send it, it got ErrRevoked and closed the connection, in the middle of the response.

Nothing is revoked any more when a response is written: IsUnread, in place of Release, only tells that a part is unread. The caller's connection closes after such a response in any case, so nobody else reads the body.

The test of the same name in internal/proxy prints its nodes' logs when it fails.

--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -24,7 +24,7 @@
 // sent on, nothing else may read it. If none of it has been sent, the response doesn't wait until
 // the caller has sent it all.
 func keepBody(w http.ResponseWriter, body *requestbody.Body) {
-	if body.Release() {
+	if body.IsUnread() {
 		callhttp.KeepBody(w)
 	}
 }
--- a/internal/proxy/upload_test.go
+++ b/internal/proxy/upload_test.go
@@ -149,6 +149,11 @@
 		for _, target := range []int{0, 1} {
 			t.Run(fmt.Sprintf("%s, target of node %d", test.desc, target), func(t *testing.T) {
 				f := newFleet(t, 2)
+				t.Cleanup(func() {
+					if t.Failed() {
+						t.Log(f.logs.String())
+					}
+				})
 				if test.memory > 0 {
 					f.limitMemory(0, test.memory)
 					f.limitMemory(1, test.memory)
@@ -158,7 +163,7 @@
 				if test.chunkedResponse {
 					reads = f.respondEarlyInChunks(t, target, test.status, response)
 				}
-				f.proxies[0].stats[fmt.Sprint("t", 1-target)].BackOff(time.Now())
+				f.proxies[0].stats[fmt.Sprint("t", 1-target)].BackOff(time.Now().Add(time.Minute))
 				reader, sent := startUpload(t, f.callerAddress(t, 0), upload, test.chunkedRequest)
 				answer, err := http.ReadResponse(reader, nil)
 				assert.NilError(t, err)
--- a/internal/requestbody/requestbody.go
+++ b/internal/requestbody/requestbody.go
@@ -121,18 +121,14 @@
 	return !b.consumed
 }
 
-// Release ends the passing of a large body to attempts that have read none of it. It reports
-// whether a part of the body is unread. An attempt may go on reading that: nothing else may read
-// the stream then, until that attempt has reached its end.
-func (b *Body) Release() (unread bool) {
+// IsUnread reports whether a part of the body is unread. The last attempt may go on reading it, and
+// nothing else may read the stream then, until that attempt has reached its end.
+func (b *Body) IsUnread() bool {
 	if b.stream == nil {
 		return false
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.consumed {
-		b.current = nil
-	}
 	return !b.ended
 }
 
