test: early responses to uploads don't depend on wall time

TestEarlyResponseLeavesUploadIntact of internal/proxy still failed under load after its fault was fixed. Its nodes' logs show one case: 503, "not sent: dial tcp: i/o timeout", a true refusal after 150 ms on a starved machine. The other (502 in place of 500) wasn't seen again. The test guards bytes, not times: its routes and connections wait for a minute now. Checks are the same.

--- a/internal/proxy/upload_test.go
+++ b/internal/proxy/upload_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"tamarackquay/internal/adapter/exchange"
 )
 
 // pattern returns bytes of which no two aligned blocks of eight are equal.
@@ -119,6 +121,17 @@
 	return reads
 }
 
+// setTimeouts makes requests and connections wait for long, so that a starved machine refuses none.
+func (f *fleet) setTimeouts(timeout time.Duration) {
+	for i := range f.table.Config.Routes {
+		f.table.Config.Routes[i].Timeout = timeout
+	}
+	options := exchange.Options{DialTimeout: timeout, IdleTimeout: timeout, AckTimeout: timeout, MaxIdle: 8}
+	for _, p := range f.proxies {
+		p.ports.Peers, p.ports.Target = exchange.NewPool(options), exchange.NewPool(options)
+	}
+}
+
 // A target responds before it has read a long body, and reads on. Guards against other bytes
 // in the place of the rest of the body, and against an upload that is cut off although its
 // caller is told that it succeeded.
@@ -149,6 +162,7 @@
 		for _, target := range []int{0, 1} {
 			t.Run(fmt.Sprintf("%s, target of node %d", test.desc, target), func(t *testing.T) {
 				f := newFleet(t, 2)
+				f.setTimeouts(time.Minute)
 				t.Cleanup(func() {
 					if t.Failed() {
 						t.Log(f.logs.String())
