--- a/internal/adapter/callerhttp/refused_test.go
+++ b/internal/adapter/callerhttp/refused_test.go
@@ -34,26 +34,14 @@
 				}
 				track(c, state)
 			}
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			assert.NilError(t, err)
-			go func() { _ = server.Run(listener) }()
-			defer server.Close()
-
-			caller, err := net.Dial("tcp", listener.Addr().String())
-			assert.NilError(t, err)
-			defer caller.Close()
-			assert.NilError(t, caller.SetDeadline(time.Now().Add(time.Minute)))
-			_, err = io.WriteString(caller, test.head)
+			caller := runAndDial(t, server)
+			_, err := io.WriteString(caller, test.head)
 			assert.NilError(t, err)
 			time.Sleep(50 * time.Millisecond)
 			_, err = io.WriteString(caller, test.body)
 			assert.NilError(t, err)
 			reader := bufio.NewReader(caller)
-			response, err := http.ReadResponse(reader, nil)
-			assert.NilError(t, err)
-			_, err = io.Copy(io.Discard, response.Body)
-			assert.NilError(t, err)
-			assert.Equal(t, response.StatusCode, http.StatusOK)
+			assert.Equal(t, readStatus(t, reader), http.StatusOK)
 			assert.Equal(t, <-bodies, test.body)
 			assert.NilError(t, caller.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
 			_, err = reader.ReadByte()
@@ -62,6 +50,30 @@
 	}
 }
 
+// runAndDial runs a server until the test ends, and returns a caller's connection to it.
+func runAndDial(t *testing.T, server *Server) net.Conn {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = server.Run(listener) }()
+	t.Cleanup(func() { server.Close() })
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { caller.Close() })
+	assert.NilError(t, caller.SetDeadline(time.Now().Add(time.Minute)))
+	return caller
+}
+
+// readStatus reads a complete response.
+func readStatus(t *testing.T, reader *bufio.Reader) int {
+	t.Helper()
+	response, err := http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	assert.NilError(t, err)
+	return response.StatusCode
+}
+
 // readingEntry reads the body of each request.
 type readingEntry chan<- string
 
@@ -92,25 +104,13 @@
 			})
 		}
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	go func() { _ = server.Run(listener) }()
-	defer server.Close()
-
-	caller, err := net.Dial("tcp", listener.Addr().String())
-	assert.NilError(t, err)
-	defer caller.Close()
-	assert.NilError(t, caller.SetDeadline(time.Now().Add(time.Minute)))
+	caller := runAndDial(t, server)
 	const request = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n"
-	_, err = io.WriteString(caller, request+"1"+request+"2")
+	_, err := io.WriteString(caller, request+"1"+request+"2")
 	assert.NilError(t, err)
 	reader := bufio.NewReader(caller)
 	for _, body := range []string{"1", "2"} {
-		response, err := http.ReadResponse(reader, nil)
-		assert.NilError(t, err)
-		_, err = io.Copy(io.Discard, response.Body)
-		assert.NilError(t, err)
-		assert.Equal(t, response.StatusCode, http.StatusOK)
+		assert.Equal(t, readStatus(t, reader), http.StatusOK)
 		assert.Equal(t, <-bodies, body)
 	}
 	assert.NilError(t, <-closeDone)
--- a/internal/follow/foreign_test.go
+++ b/internal/follow/foreign_test.go
@@ -24,6 +24,15 @@
 	}
 }
 
+// assertTakenUp checks that all nodes have a version of the configuration, and that none uses a removed
+// target.
+func (w *world) assertTakenUp(t *testing.T, version uint64, removed string) {
+	t.Helper()
+	assert.Equal(t, len(w.lagging(version)), 0, "%v", w.lagging(version))
+	used := w.nodesUsing(removed)
+	assert.Equal(t, len(used), 0, "%v", used)
+}
+
 // Guards against changes that nodes take up late, and against more reads of the platform, because entries
 // of another writer count as nodes.
 func TestEntriesOfUnnamedServicesAreNoNodes(t *testing.T) {
@@ -36,9 +45,7 @@
 				w.publish(2)
 				w.remove("a1-1")
 				time.Sleep(activeWithin)
-				assert.Equal(t, len(w.lagging(2)), 0, "%v", w.lagging(2))
-				used := w.nodesUsing("a1-1")
-				assert.Equal(t, len(used), 0, "%v", used)
+				w.assertTakenUp(t, 2, "a1-1")
 				time.Sleep(10 * time.Second)
 				reads := w.takeReads()
 				assert.Assert(t, reads <= 16, "%d reads", reads)
@@ -58,9 +65,7 @@
 		w.publish(2)
 		w.remove("a1-1")
 		time.Sleep(activeWithin)
-		assert.Equal(t, len(w.lagging(2)), 0, "%v", w.lagging(2))
-		used := w.nodesUsing("a1-1")
-		assert.Equal(t, len(used), 0, "%v", used)
+		w.assertTakenUp(t, 2, "a1-1")
 		reads := w.takeReads()
 		assert.Assert(t, reads <= 12, "%d reads", reads)
 	})
