test: stalls of the path by contracts are 1 s, not 100 ms

The time after which a body that stops arriving is given up is also the deadline of each write to the caller, and the tests' contract had 100 ms: a process that gets no processor for that long loses its answer. What the tests check is the same.

--- a/internal/node/request_test.go
+++ b/internal/node/request_test.go
@@ -64,7 +64,7 @@
 func requestSet() *contract.Set {
 	route := func(name string, idempotent bool, methods ...string) contract.Route {
 		return contract.Route{Name: name, Prefix: "/" + name, Service: "tally", Class: "crew", Idempotent: idempotent,
-			Methods: methods, Deadline: tomlfile.Duration(4 * time.Second), StallTimeout: tomlfile.Duration(100 * time.Millisecond)}
+			Methods: methods, Deadline: tomlfile.Duration(4 * time.Second), StallTimeout: tomlfile.Duration(time.Second)}
 	}
 	return &contract.Set{
 		Services: []contract.Service{{Name: "tally", Slots: 4, MaxConnections: 10, Committed: map[string]int{"domain-0": 1}}},
