known red: crowds of clients, and responses that are no responses

Tests of real processes on the untouched code, listed as red.

Crowds (crowd_test.go): one node of 80 MB and 500 connections to its callers', peers', readiness and metrics listener, one of contracts (128 MB, 1,000 connections to each listener). Seen: peak 80.8 to 276 MB in 11 of 52 cases (names without end 266 and 276, heads over the limit 140 and 145, many names within the limit 84 to 94, also before a body 84 to 98), 166 to 1,615 MB in 7 of 13 of contracts. Crowd and bounds are fixed from here on.

Responses (spoilt_response_test.go): a 200 without a length, reset during an upload, looks complete 8 to 12 times of 12 in each of 8 cases. Found beside them: chunks of HTTP/1.0 passed on as content, invalid interim responses, and a broken response that ends cleanly for a caller of HTTP/1.0.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -10,7 +10,10 @@
 
 # -count=1: the process tests run programs that the go command does not track as
 # inputs, so a cached result could miss a change in them.
-"$GO" test -race -count=1 -timeout 5m ${skip:+-skip "^($skip)\$"} ./...
+"$GO" test -race -count=1 -timeout 5m -skip "^(TestCrowd.*${skip:+|$skip})\$" ./...
+
+# Crowds of clients load the machine, so they come one at a time, apart from all other tests.
+"$GO" test -count=1 -timeout 5m -run '^TestCrowd' ${skip:+-skip "^($skip)\$"} ./test/process
 
 # The race detector aborts with fleets of some hundred nodes in one process (its internal
 # check of epochs fails), so the tests of such fleets run without it.
--- a/standin/userfiles/userfiles.go
+++ b/standin/userfiles/userfiles.go
@@ -22,6 +22,13 @@
 	Store                  string
 	Zones                  map[string]string
 	Bounds                 Bounds
+	Limits                 Limits
+}
+
+// Limits are what the platform grants the process; 0 where it sets no limit.
+type Limits struct {
+	// MemoryMb is in megabytes, MaxFds in descriptors.
+	MemoryMb, MaxFds int
 }
 
 // Bounds are the limits in a node's settings.
@@ -38,7 +45,7 @@
 	return json.Marshal(object{
 		"Self": object{
 			"Node": n.Name, "Role": "tamarackd", "Ip": n.IP, "Zone": n.Zone, "Region": n.Region,
-			"Limits": object{"LinkMbps": 0}, "AppAddr": n.Target, "Service": n.Service,
+			"Limits": object{"LinkMbps": 0, "MemoryMb": n.Limits.MemoryMb, "MaxFds": n.Limits.MaxFds}, "AppAddr": n.Target, "Service": n.Service,
 		},
 		"Network": object{
 			"Listen": object{"Outbound": n.Callers, "Ready": n.Ready}, "InternalPorts": []int{n.PeerPort, n.PeerPort + 1},
--- a/test/process/departure_fleet_test.go
+++ b/test/process/departure_fleet_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -33,6 +34,7 @@
 	portCallers = 8629
 	portReady   = 8625
 	portPeers   = 7600
+	portMetrics = 9464
 	portStore   = 8627
 )
 
@@ -58,7 +60,9 @@
 	// storeAddress is the address at which the node reads the store, and reads counts its calls.
 	storeAddress string
 	reads        atomic.Int64
-	node         *process
+	// limits are what the platform grants the node.
+	limits userfiles.Limits
+	node   *process
 }
 
 // sidecarTarget is one process of a target.
@@ -175,12 +179,13 @@
 		Name: v.name, IP: v.ip, Zone: "a1", Region: "a", Service: sidecarService, Target: v.address(portTarget),
 		Callers: v.address(portCallers), Ready: v.address(portReady), PeerPort: portPeers, Store: v.storeAddress,
 		Zones: map[string]string{"a1": "a"}, Bounds: userfiles.Bounds{StopGrace: 6 * time.Second, RetryRatio: 0.2, RetrySlack: 56},
+		Limits: v.limits,
 	}
 	raw, err := settings.Settings()
 	assert.NilError(t, err)
 	path := filepath.Join(t.TempDir(), v.name+".json")
 	assert.NilError(t, os.WriteFile(path, raw, 0o600))
-	command := exec.Command(filepath.Join(binaries, "tamarackd"), "sidecar")
+	command := exec.Command(filepath.Join(binaries, "tamarackd"), "sidecar", "--metrics-port", strconv.Itoa(portMetrics))
 	command.Env = append(os.Environ(), "TAMARACKQUAY_CONFIG="+path)
 	v.node = startCommand(t, "node "+v.name, command)
 }
