exchange: a reset that a write was told of ends the response broken

Callers got a part of a body as a complete answer (MIXED): a target answers a long upload at once with 200 and no length, sends a part and resets the connection while the upload is being written.

Cause: Linux reports a reset once, to the first read or write after it. If the write of the upload got it, the read of the response got a clean end, and the end of the connection is the end of a response without a length.

Change: a read that ends asks the kernel for the connection's state. If it is closed, and a write failed by anything but a broken pipe, the response is broken. A broken pipe shows that the receiver's end came before its reset (tcp_reset of Linux), so such a response stays complete.

Other readers: the path by contracts takes no response without length or chunks; TLS between nodes has an end of its own; reads of the store have no body, so no write follows their request.

--- a/internal/adapter/exchange/exchange_test.go
+++ b/internal/adapter/exchange/exchange_test.go
@@ -258,7 +258,7 @@
 		t.Run(test.desc, func(t *testing.T) {
 			var out bytes.Buffer
 			c := &conn{writeDeadline: test.deadline}
-			c.writer = bufio.NewWriter(writeTracker{recordingConn{out: &out}, c})
+			c.writer = bufio.NewWriter(&writeTracker{Conn: recordingConn{out: &out}, conn: c})
 			err := c.write(&Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}})
 			assert.Equal(t, errors.Is(err, errDeadline), test.expired)
 			assert.Equal(t, out.Len() == 0, test.expired)
--- a/internal/adapter/exchange/pool.go
+++ b/internal/adapter/exchange/pool.go
@@ -97,9 +97,11 @@
 }
 
 func (p *Pool) newConn(raw net.Conn, address string) *conn {
-	c := &conn{Conn: raw, pool: p, address: address, header: &headerReader{source: raw, limit: p.options.MaxHeaderBytes}}
+	c := &conn{Conn: raw, pool: p, address: address}
+	writes := &writeTracker{Conn: raw, conn: c}
+	c.header = &headerReader{source: connReader{raw, writes}, limit: p.options.MaxHeaderBytes}
 	c.reader = bufio.NewReaderSize(c.header, bufferBytes)
-	c.writer = bufio.NewWriter(writeTracker{raw, c})
+	c.writer = bufio.NewWriter(writes)
 	return c
 }
 
--- a/internal/adapter/exchange/sending.go
+++ b/internal/adapter/exchange/sending.go
@@ -66,15 +66,25 @@
 type writeTracker struct {
 	net.Conn
 	conn *conn
+
+	// mu is held while a write runs.
+	mu sync.Mutex
+	// err is the error of the first write that failed.
+	err error
 }
 
 // Write implements io.Writer.
-func (w writeTracker) Write(p []byte) (int, error) {
+func (w *writeTracker) Write(p []byte) (int, error) {
 	first, err := w.conn.sending.begin(w.conn.writeDeadline)
 	if err != nil {
 		return 0, err
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	n, err := w.Conn.Write(p)
+	if w.err == nil {
+		w.err = err
+	}
 	if first && n == 0 && err != nil {
 		w.conn.sending.undo()
 	}
