exchange: invalid headers of responses are counted as rejected

tamarack_response_headers_rejected_total also counts bytes that are no response (docs/METRICS.md). Since their first invalid byte ends the exchange, before the limit is reached, they were not counted any more: TestEndlessHeaderFailsOneRequest was red. One function now tells all causes.

--- a/internal/adapter/exchange/header.go
+++ b/internal/adapter/exchange/header.go
@@ -17,6 +17,16 @@
 	ErrNoMemory = errors.New("no memory for the header of the response")
 )
 
+// IsHeaderRejected reports whether a request failed because the header of its response was refused.
+func IsHeaderRejected(err error) bool {
+	for _, cause := range []error{ErrHeaderTooLarge, ErrNoMemory, responsehead.ErrStatusLine, responsehead.ErrField, responsehead.ErrCoding} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 // headerReader limits and checks what is read from a connection while a header is expected. net/http
 // reads the header of a response without a limit, and a receiver that sends other bytes in its place
 // would fill the memory.
--- a/internal/proxy/header_test.go
+++ b/internal/proxy/header_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -32,6 +33,7 @@
 			return
 		}
 		defer conn.Close()
+		_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX: ")
 		for err == nil {
 			_, err = conn.Write(bytes.Repeat([]byte("x"), 16<<10))
 		}
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -198,7 +198,7 @@
 // classifyError returns a refusal if no part of the request was sent, and a
 // *port.UnknownOutcome otherwise.
 func (p *Proxy) classifyError(err error) error {
-	if errors.Is(err, exchange.ErrHeaderTooLarge) || errors.Is(err, exchange.ErrNoMemory) {
+	if exchange.IsHeaderRejected(err) {
 		p.ports.Meter.Count(port.MetricHeadersRejected, "", 1)
 	}
 	var failure *exchange.Failure
