callerhttp, membudget: clients are held to a part of the memory and descriptors

Clients ended a process: out of memory by heads over the limit or without end. Peaks before, real processes, 500 connections on a node of 80 MB: names without end 266 MB (callers) and 276 (nodes), heads over the limit 140 and 145, many names within the limit 84 to 98; of contracts, with 1,000 connections at each listener, up to 1,615 MB of 128 (the operators' listener read headers of 1 MiB). 500 idle connections took all 400 descriptors, and an ordinary request waited until they timed out.

Cause: nothing bounded what net/http holds of a header before its request exists, nor its parsed fields, which take many times their bytes, nor the number of connections.

Change: every listener counts its connections and the headers that they send in the account of the node's memory (new purposes "connection" and "request-header"), at most a third of it, of which headers half. Beyond it, the waiting connection with the highest product of bytes and time ends with 503, not run: its own reading goroutine writes that in place of reading on. A connection whose request is handled never ends for another. The peers', readiness, metrics and operators' listeners use the same server. Settings: requests.client_memory_mb for contracts. The collector of a contracts node is told of 100 MiB, as 112 left too little of 128 MB for what it doesn't manage (peaks of 122.2 MB with 112).

Why it holds: connections and headers are bounded for any number of clients, and a new client is the last to be displaced, so that a request which comes with its connection is served under a crowd.

--- a/cmd/tamarackd/memory.go
+++ b/cmd/tamarackd/memory.go
@@ -9,12 +9,13 @@
 // memory granted to its slot, and each forwarded call leaves about 10 KB of
 // garbage: at the default GOGC of 100 the collector takes about a third of the
 // CPU time of the request path. The memory limit makes the collector run more
-// often before the memory of the slot is used up.
+// often before the memory of the slot is used up. It leaves room for memory that
+// the runtime doesn't manage, such as the program itself.
 const (
 	// gcPercent is in percent of the live heap, as GOGC.
 	gcPercent = 400
 	// memoryLimit is in bytes, as GOMEMLIMIT.
-	memoryLimit = 112 << 20
+	memoryLimit = 100 << 20
 )
 
 // tuneGC applies the settings above unless the operator set GOGC or GOMEMLIMIT in
--- a/cmd/tamarackd/run.go
+++ b/cmd/tamarackd/run.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 	"time"
 
@@ -27,7 +27,9 @@
 	"tamarackquay/internal/adapter/targethttp"
 	"tamarackquay/internal/distribution"
 	"tamarackquay/internal/membership"
+	"tamarackquay/internal/membudget"
 	"tamarackquay/internal/node"
+	"tamarackquay/internal/port"
 )
 
 // Timeouts and intervals of the node process.
@@ -40,7 +42,6 @@
 	// callers' listener is closed.
 	idleGrace         = 3 * time.Second
 	closeTimeout      = 5 * time.Second
-	readHeaderTimeout = 10 * time.Second
 	idleSweepInterval = 15 * time.Second
 )
 
@@ -56,8 +57,8 @@
 	peers      *peerws.Client
 	forward    *peerforward.Client
 	callers    *callerhttp.Server
-	peerServer *http.Server
-	operators  *http.Server
+	peerServer *callerhttp.Server
+	operators  *callerhttp.Server
 }
 
 func run(s settings.Settings) error {
@@ -74,7 +75,7 @@
 	}
 	d := newDaemon(s, logger, identity)
 	failed := make(chan error, 3)
-	if err := d.listen(s, identity, failed); err != nil {
+	if err := d.listen(s, failed); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -126,11 +127,33 @@
 	d.callers = callerhttp.NewServer(d.node, callerhttp.Limits{
 		HeaderBytes: s.Requests.MaxHeaderBytes, BodyBytes: s.Requests.MaxBodyBytes,
 	})
-	d.peerServer = newPeerServer(d.node, clock.Now)
-	d.operators = operatorhttp.NewServer(d.node, audit, meter)
+	d.peerServer = newPeerServer(d.node, clock.Now, identity)
+	d.operators = callerhttp.New(operatorhttp.NewHandler(d.node, audit, meter), maxQueryHeaderBytes)
+	d.limitClients(int64(s.Requests.ClientMemoryMB)<<20, meter)
 	return d
 }
 
+// limitClients limits what the clients of each listener may use of the memory for clients in bytes, and of the
+// descriptors.
+func (d *daemon) limitClients(memory int64, meter port.Meter) {
+	account, lock := membudget.New(memory), &sync.Mutex{}
+	newClients := func(limits membudget.ClientLimits) *membudget.Clients {
+		return membudget.NewClients(account, lock, limits)
+	}
+	descriptors := descriptorLimit(0)
+	for _, listener := range []struct {
+		name   string
+		server *callerhttp.Server
+		limits callerhttp.ClientLimits
+	}{
+		{"callers", d.callers, clientLimits(memory, descriptors)},
+		{"peers", d.peerServer, clientLimits(memory, descriptors)},
+		{"operators", d.operators, queryLimits(memory, descriptors)},
+	} {
+		listener.server.LimitClients(newClients, listener.limits, func() { meter.Count(port.MetricClientsEnded, listener.name, 1) })
+	}
+}
+
 func nodeConfig(s settings.Settings) node.Config {
 	return node.Config{
 		Self: membership.VM{
@@ -165,14 +188,14 @@
 	return config
 }
 
-func newPeerServer(n *node.Node, now func() time.Time) *http.Server {
+func newPeerServer(n *node.Node, now func() time.Time, identity *peertls.Config) *callerhttp.Server {
 	e := callhttp.NewRouter()
 	e.GET(peerws.Path, echo.WrapHandler(peerws.NewServer(n)))
 	e.Any(peerforward.Prefix+"/*", echo.WrapHandler(peerforward.NewHandler(n, now)))
-	return &http.Server{Handler: e, MaxHeaderBytes: maxPeerHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, ConnContext: callhttp.ConnContext}
+	return callerhttp.NewTLS(e, maxPeerHeaderBytes, identity.Server)
 }
 
-func (d *daemon) listen(s settings.Settings, identity *peertls.Config, failed chan<- error) error {
+func (d *daemon) listen(s settings.Settings, failed chan<- error) error {
 	callers, err := net.Listen("tcp", s.Listen.Callers)
 	if err != nil {
 		return errors.Wrap(err, "callers listener")
@@ -186,8 +209,8 @@
 		return errors.Wrap(err, "operators listener")
 	}
 	go serve(d.callers.Run, callers, failed)
-	go serve(d.peerServer.Serve, tls.NewListener(peers, identity.Server), failed)
-	go serve(d.operators.Serve, operators, failed)
+	go serve(d.peerServer.Run, peers, failed)
+	go serve(d.operators.Run, operators, failed)
 	return nil
 }
 
@@ -224,7 +247,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	for _, server := range []*http.Server{d.callers.Server, d.peerServer, d.operators} {
+	for _, server := range []*callerhttp.Server{d.callers, d.peerServer, d.operators} {
 		if err := server.Shutdown(ctx); err != nil {
 			d.log.Warn().Err(err).Msg("server did not shut down in time")
 		}
--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -9,6 +9,7 @@
 	"runtime/debug"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,6 +26,7 @@
 	"tamarackquay/internal/follow"
 	"tamarackquay/internal/logfield"
 	"tamarackquay/internal/placement"
+	"tamarackquay/internal/port"
 	"tamarackquay/internal/proxy"
 	"tamarackquay/internal/quarantine"
 	"tamarackquay/platform"
@@ -125,7 +127,8 @@
 	// crashes holds what this node knows of requests that crash targets, by itself
 	// and from other nodes.
 	crashes    *quarantine.SharedLedger
-	peerServer *http.Server
+	peerServer *callerhttp.Server
+	listeners  []*listenerClients
 	meter      *metrics.Meter
 	// snapshot is the last one passed to the proxy; the follower's lock guards it.
 	snapshot proxy.Snapshot
@@ -190,6 +193,7 @@
 		Announce:         c.proxy.Ping,
 	}, platform.NewStore(s.StoreAddress, logger), feedws.NewClient(feedTransport(), c.crashes, c.proxy.CountSent), wallClock{}, logger, c.meter, c.applyView)
 	c.callers = callerhttp.NewServer(c.proxy, callerhttp.Limits{HeaderBytes: maxHeaderBytes, BodyBytes: maxBodyBytes, SendBytes: callerSendBytes(s.MemoryBytes)})
+	c.limitClients(c.callers, "callers", clientLimits)
 	c.callers.HeaderTimedOut = func(caller string) {
 		c.log.Warn().Str(logfield.Caller, caller).Msg("header of a request timed out")
 	}
@@ -197,6 +201,31 @@
 	return c
 }
 
+// listenerClients counts the clients of a listener that were ended since the last line about them.
+type listenerClients struct {
+	listener string
+	ended    atomic.Int64
+}
+
+// limitClients limits what the clients of a listener may use. The function limits divides the memory for
+// clients and the descriptors.
+func (c *sidecar) limitClients(server *callerhttp.Server, listener string, limits func(memory int64, descriptors int) callerhttp.ClientLimits) {
+	share := limits(accountLimit(c.settings.MemoryBytes), descriptorLimit(c.settings.MaxDescriptors))
+	clients := &listenerClients{listener: listener}
+	c.listeners = append(c.listeners, clients)
+	server.LimitClients(c.proxy.NewClients, share, func() { clients.ended.Add(1) })
+}
+
+// reportEndedClients counts and logs the clients that were ended.
+func (c *sidecar) reportEndedClients() {
+	for _, clients := range c.listeners {
+		if ended := clients.ended.Swap(0); ended > 0 {
+			c.meter.Count(port.MetricClientsEnded, clients.listener, int(ended))
+			c.log.Warn().Str(logfield.Listener, clients.listener).Int64(logfield.Ended, ended).Msg("client connections ended")
+		}
+	}
+}
+
 func proxyConfig(s platform.Settings, options sidecarOptions) proxy.Config {
 	return proxy.Config{
 		Headers: platform.Headers(), DecodeLoad: platform.DecodeLoad, FailureDomain: s.FailureDomain, Region: s.Region, Regions: s.Regions,
--- a/cmd/tamarackd/sidecar_listen.go
+++ b/cmd/tamarackd/sidecar_listen.go
@@ -8,6 +8,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
+	"tamarackquay/internal/adapter/callerhttp"
 	"tamarackquay/internal/adapter/callhttp"
 	"tamarackquay/internal/adapter/feedws"
 	"tamarackquay/internal/follow"
@@ -17,7 +18,7 @@
 // newPeerServer returns the server for other nodes: feeds, and requests for the
 // local target. Those have any path that a caller chose, so they are told apart by a header that
 // callers can't set.
-func (c *sidecar) newPeerServer(peerAddress func(host string) string) *http.Server {
+func (c *sidecar) newPeerServer(peerAddress func(host string) string) *callerhttp.Server {
 	e := callhttp.NewRouter()
 	hint := func(r *http.Request) { c.follower.AddHint(peerAddress(follow.HostOf(r.RemoteAddr))) }
 	servePeer := func(context echo.Context) error {
@@ -39,7 +40,16 @@
 		return context.NoContent(http.StatusNoContent)
 	})
 	e.Any("/*", servePeer)
-	return &http.Server{Handler: e, MaxHeaderBytes: maxPeerHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, ConnContext: callhttp.ConnContext}
+	server := callerhttp.New(e, maxPeerHeaderBytes)
+	c.limitClients(server, "peers", clientLimits)
+	return server
+}
+
+// newQueryServer returns a server for readiness or metrics.
+func (c *sidecar) newQueryServer(handler http.Handler, listener string) *callerhttp.Server {
+	server := callerhttp.New(handler, maxQueryHeaderBytes)
+	c.limitClients(server, listener, queryLimits)
+	return server
 }
 
 func (c *sidecar) listen(options sidecarOptions, failed chan<- error) error {
@@ -51,8 +61,8 @@
 		run           func(net.Listener) error
 	}{
 		{"callers listener", s.CallerAddress, c.callers.Run},
-		{"peers listener", net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), c.peerServer.Serve},
-		{"readiness listener", s.ReadinessAddress, (&http.Server{Handler: readiness, MaxHeaderBytes: maxQueryHeaderBytes, ReadHeaderTimeout: readHeaderTimeout}).Serve},
+		{"peers listener", net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), c.peerServer.Run},
+		{"readiness listener", s.ReadinessAddress, c.newQueryServer(readiness, "readiness").Run},
 	}
 	for _, server := range servers {
 		listener, err := net.Listen("tcp", server.address)
@@ -77,7 +87,7 @@
 	if err != nil {
 		return errors.Wrap(err, "metrics listener")
 	}
-	go serve((&http.Server{Handler: e, MaxHeaderBytes: maxQueryHeaderBytes, ReadHeaderTimeout: readHeaderTimeout}).Serve, listener, failed)
+	go serve(c.newQueryServer(e, "metrics").Run, listener, failed)
 	return nil
 }
 
--- a/cmd/tamarackd/sidecar_loop.go
+++ b/cmd/tamarackd/sidecar_loop.go
@@ -72,6 +72,7 @@
 	c.peers.CloseIdle(now)
 	c.target.CloseIdle(now)
 	c.closeSlowConnections(now)
+	c.reportEndedClients()
 	c.proxy.LogDroppedLines()
 	if lines := c.output.TakeDropped(); lines > 0 {
 		c.meter.Count(port.MetricLinesDropped, "output", int(lines))
--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -2,6 +2,7 @@
 package callerhttp
 
 import (
+	"crypto/tls"
 	"net/http"
 	"time"
 
@@ -42,10 +43,17 @@
 		serve(entry, limits, c.Response(), c.Request())
 		return nil
 	})
-	s := &Server{sendBytes: limits.SendBytes, acceptDone: make(chan struct{}), conns: map[*conn]struct{}{}}
+	s := New(e, hardHeaderFactor*limits.HeaderBytes)
+	s.sendBytes = limits.SendBytes
+	return s
+}
+
+// New returns a server for a handler that reads headers up to a size in bytes.
+func New(handler http.Handler, headerBytes int) *Server {
+	s := &Server{acceptDone: make(chan struct{}), conns: map[*conn]struct{}{}}
 	s.Server = &http.Server{
-		Handler:           e,
-		MaxHeaderBytes:    hardHeaderFactor * limits.HeaderBytes,
+		Handler:           handler,
+		MaxHeaderBytes:    headerBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 		ConnContext:       callhttp.ConnContext,
 		ConnState:         s.track,
@@ -53,6 +61,13 @@
 	return s
 }
 
+// NewTLS returns a server like New for clients that TLS authenticates.
+func NewTLS(handler http.Handler, headerBytes int, config *tls.Config) *Server {
+	s := New(handler, headerBytes)
+	s.tls = config
+	return s
+}
+
 func serve(entry Entry, limits Limits, w http.ResponseWriter, r *http.Request) {
 	if callhttp.HeaderBytes(r) > limits.HeaderBytes {
 		callhttp.WriteError(w, port.Refuse(port.ReasonHeaderTooLarge, 0, "the headers are over %d bytes", limits.HeaderBytes))
--- a/internal/adapter/callerhttp/idle.go
+++ b/internal/adapter/callerhttp/idle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"maps"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"tamarackquay/internal/adapter/callhttp"
+	"tamarackquay/internal/membudget"
 	"tamarackquay/internal/port"
 )
 
@@ -36,6 +38,13 @@
 	// sendBytes is the size of each connection's send buffer; 0 leaves it to the kernel.
 	sendBytes int
 
+	// tls is nil without TLS.
+	tls *tls.Config
+
+	// clients limits the connections; it may be nil. ended is called for each that it ended.
+	clients *membudget.Clients
+	ended   func()
+
 	// acceptDone is closed when Run accepts no more connections.
 	acceptDone chan struct{}
 
@@ -54,7 +63,11 @@
 	s.mu.Lock()
 	s.listener = listener
 	s.mu.Unlock()
-	return s.Serve(&trackingListener{Listener: listener, server: s})
+	listener = &trackingListener{Listener: listener, server: s}
+	if s.tls != nil {
+		listener = tls.NewListener(listener, s.tls)
+	}
+	return s.Serve(listener)
 }
 
 // StopAccepting accepts the connections that are already established, closes the
@@ -109,6 +122,20 @@
 // listener resets them, although their callers may have sent requests. Therefore the
 // listener is closed only after no connection has arrived for acceptGrace.
 func (l *trackingListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.server.admit(c) {
+			l.server.add(c)
+			return c, nil
+		}
+	}
+}
+
+// accept returns the next connection, before it is admitted.
+func (l *trackingListener) accept() (*conn, error) {
 	accepted, err := l.Listener.Accept()
 	for l.server.stopping.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
 		if err := l.waitOrClose(); err != nil {
@@ -125,11 +152,14 @@
 		// then reports that.
 		_ = tcp.SetWriteBuffer(l.server.sendBytes)
 	}
-	c := &conn{Conn: accepted, fresh: true, since: time.Now()}
-	l.server.mu.Lock()
-	defer l.server.mu.Unlock()
-	l.server.conns[c] = struct{}{}
-	return c, nil
+	return &conn{Conn: accepted, server: l.server, fresh: true, since: time.Now()}, nil
+}
+
+// add registers an accepted connection.
+func (s *Server) add(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
 }
 
 // waitOrClose starts a further wait for connections, or closes the listener.
@@ -147,6 +177,9 @@
 
 // track implements http.Server.ConnState.
 func (s *Server) track(netConn net.Conn, state http.ConnState) {
+	if secured, ok := netConn.(*tls.Conn); ok {
+		netConn = secured.NetConn()
+	}
 	c, ok := netConn.(*conn)
 	if !ok {
 		return
@@ -221,13 +254,20 @@
 // conn is a caller's connection that can be closed gracefully while it is idle.
 type conn struct {
 	net.Conn
+	server *Server
+	client membudget.Client
+
+	// headerBytes and headerLines are the bytes and lines read of the header of the next request, and
+	// headerCost is the memory granted for it. They are used only by the goroutine that reads headers.
+	headerBytes, headerLines int
+	headerCost               int64
 
 	mu sync.Mutex
 	// fresh is true until the first byte is received. A caller that has just connected is
 	// about to send its request, and would treat a response that arrives first as a
 	// connection error. Its request is answered instead.
 	fresh bool
-	// active is true while the server handles a request.
+	// active is true while the server handles a request, and after the connection was hijacked.
 	active bool
 	// requestPending is true if bytes were received since the last response. It may
 	// be true before active, since the server sets active only after it has read
@@ -255,18 +295,29 @@
 func (c *conn) setState(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.active = state == http.StateActive
+	c.active = state == http.StateActive || state == http.StateHijacked
 	switch state {
-	case http.StateActive:
+	case http.StateActive, http.StateHijacked:
 		c.cancelClose()
+		c.serve(state)
 	case http.StateIdle:
 		c.since = time.Now()
-	case http.StateClosed, http.StateHijacked:
+		c.client.Wait(c.since)
+		c.returnHeader()
+	case http.StateClosed:
 		c.cancelClose()
 		c.ended = true
 	}
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	if c.server.clients != nil {
+		c.server.clients.Remove(&c.client)
+	}
+	return c.Conn.Close()
+}
+
 // close makes the next read close the connection, after onClose. It must be called with the mutex
 // held, and only if no request is handled.
 func (c *conn) close(onClose func()) {
@@ -309,16 +360,37 @@
 	if c.endIfClosing() {
 		return 0, errClosed
 	}
+	if count > 0 && c.isHeader() && !c.growHeader(p[:count]) {
+		c.refuse()
+		return 0, errClosed
+	}
+	return count, err
+}
+
+// isHeader records that bytes were read, and reports whether they belong to the header of a request.
+func (c *conn) isHeader() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if count > 0 {
-		if !c.requestPending {
-			c.since = time.Now()
+	if !c.requestPending {
+		c.since = time.Now()
+		if !c.active {
+			c.client.Wait(c.since)
 		}
-		c.requestPending = true
-		c.fresh = false
 	}
-	return count, err
+	c.requestPending = true
+	c.fresh = false
+	return !c.active
+}
+
+// refuse ends the connection with a refusal. Only Read may call it: the bytes that http.Server has read
+// are then no complete request.
+func (c *conn) refuse() {
+	c.mu.Lock()
+	c.cancelClose()
+	c.ended = true
+	c.mu.Unlock()
+	c.server.ended()
+	c.writeFinal(overloadRefusal())
 }
 
 // Write implements net.Conn.
@@ -347,8 +419,7 @@
 // nothing more, and closes the write side.
 func (c *conn) sendFinalResponse(final []byte) {
 	deadline := time.Now().Add(finalResponseTimeout)
-	_ = c.Conn.SetWriteDeadline(deadline)
-	if _, err := c.Conn.Write(final); err != nil {
+	if !c.writeFinal(final) {
 		return
 	}
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
@@ -364,3 +435,15 @@
 		}
 	}
 }
+
+// writeFinal writes the final response, and reports whether the connection is still open. With TLS, it
+// writes nothing.
+func (c *conn) writeFinal(final []byte) bool {
+	if c.server.tls != nil {
+		return true
+	}
+	// This fails only on a closed connection; writing to it then reports that.
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(finalResponseTimeout))
+	_, err := c.Conn.Write(final)
+	return err == nil
+}
--- a/internal/adapter/operatorhttp/operatorhttp.go
+++ b/internal/adapter/operatorhttp/operatorhttp.go
@@ -1,4 +1,4 @@
-// Package operatorhttp is the HTTP server for operators. It provides the health checks,
+// Package operatorhttp serves operators over HTTP. It provides the health checks,
 // the status, the audit trail and the metrics of a node.
 package operatorhttp
 
@@ -56,11 +56,8 @@
 	Events() []port.AuditEvent
 }
 
-const readHeaderTimeout = 10 * time.Second
-
-// NewServer returns the server for operators. The caller of NewServer provides the
-// listener.
-func NewServer(n Node, trail Trail, meter Meter) *http.Server {
+// NewHandler returns the handler of operators' requests.
+func NewHandler(n Node, trail Trail, meter Meter) http.Handler {
 	e := callhttp.NewRouter()
 	e.GET(PathAlive, func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	e.GET(PathReady, func(c echo.Context) error { return writeReady(c, n.Status().Health) })
@@ -70,7 +67,7 @@
 		meter.Write(c.Response())
 		return nil
 	})
-	return &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout}
+	return e
 }
 
 func writeStatus(c echo.Context, s node.Status) error {
--- a/internal/adapter/operatorhttp/operatorhttp_test.go
+++ b/internal/adapter/operatorhttp/operatorhttp_test.go
@@ -40,7 +40,7 @@
 		t.Run(string(test.state), func(t *testing.T) {
 			n := fixedNode{node.Health{State: test.state, Since: since, Reasons: []string{"a reason"}}}
 			recorder := httptest.NewRecorder()
-			NewServer(n, emptyTrail{}, metrics.New()).Handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, PathReady, nil))
+			NewHandler(n, emptyTrail{}, metrics.New()).ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, PathReady, nil))
 			assert.Equal(t, recorder.Code, test.code)
 			assert.Equal(t, recorder.Body.String(), string(test.state)+" since 2026-12-03T01:02:03Z\na reason\n")
 		})
@@ -50,7 +50,7 @@
 func TestOperatorEndpoints(t *testing.T) {
 	meter := metrics.New()
 	meter.Count(port.MetricRefused, "limit", 2)
-	handler := NewServer(fixedNode{}, emptyTrail{}, meter).Handler
+	handler := NewHandler(fixedNode{}, emptyTrail{}, meter)
 	for path, want := range map[string]string{
 		PathAlive: "ok", PathStatus: `"health":{`, PathAudit: "null", PathAudit + "?since=yesterday": "since", PathMetrics: `tamarack_requests_refused_total{by="limit"} 2`,
 	} {
@@ -67,7 +67,7 @@
 func TestBriefStatusOfALargeFleetIsSmall(t *testing.T) {
 	const members, limit = 1600, 4 << 10
 	s := node.Status{Members: make([]membership.Record, members), MemberCount: members}
-	handler := NewServer(fixedStatus(s), emptyTrail{}, metrics.New()).Handler
+	handler := NewHandler(fixedStatus(s), emptyTrail{}, metrics.New())
 	size := func(path string) int {
 		recorder := httptest.NewRecorder()
 		handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, path, nil))
--- a/internal/adapter/settings/check.go
+++ b/internal/adapter/settings/check.go
@@ -79,6 +79,7 @@
 	c.positive("requests.max_attempts", int64(s.Requests.MaxAttempts))
 	c.positive("requests.max_header_bytes", int64(s.Requests.MaxHeaderBytes))
 	c.positive("requests.max_body_bytes", s.Requests.MaxBodyBytes)
+	c.positive("requests.client_memory_mb", int64(s.Requests.ClientMemoryMB))
 	c.positive("platform.read_timeout", int64(s.Platform.ReadTimeout))
 	c.positive("platform.watch_timeout", int64(s.Platform.WatchTimeout))
 	c.positive("platform.list_interval", int64(s.Platform.ListInterval))
--- a/internal/adapter/settings/settings.go
+++ b/internal/adapter/settings/settings.go
@@ -93,6 +93,9 @@
 	MaxAttempts    int   `toml:"max_attempts"`
 	MaxHeaderBytes int   `toml:"max_header_bytes"`
 	MaxBodyBytes   int64 `toml:"max_body_bytes"`
+	// ClientMemoryMB limits the memory for clients' connections and the headers of their
+	// requests, in megabytes.
+	ClientMemoryMB int `toml:"client_memory_mb"`
 	// DrainTimeout bounds how long a planned stop waits for running requests.
 	DrainTimeout tomlfile.Duration `toml:"drain"`
 }
@@ -125,6 +128,7 @@
 			MaxAttempts:    3,
 			MaxHeaderBytes: 32 << 10,
 			MaxBodyBytes:   64 << 20,
+			ClientMemoryMB: 48,
 			DrainTimeout:   tomlfile.Duration(5 * time.Minute),
 		},
 		Log: Log{Level: "info"},
--- a/internal/logfield/logfield.go
+++ b/internal/logfield/logfield.go
@@ -60,6 +60,9 @@
 	State     Name = "state"
 	Lines     Name = "lines"
 	Kind      Name = "kind"
+	// Listener is the name of a listener, and Ended how many of its connections were ended.
+	Listener Name = "listener"
+	Ended    Name = "ended"
 	// HadAnswered is true if a target had answered requests since its start. Running
 	// is the number of different requests that it ran.
 	HadAnswered Name = "had_answered"
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -1,9 +1,10 @@
-// Package membudget decides how many bytes of bodies a node may hold, for whom, and whose
+// Package membudget decides how many bytes a node may hold for its clients, for whom, and whose
 // connection ends first when there is no room.
 //
-// It addresses a load of many callers that read large responses slowly, or not at all, on
-// VMs with little memory. The package has no clock and does no I/O; callers provide the time.
-// Its types are not safe for concurrent use.
+// It addresses a load of many callers that read large responses slowly, or not at all, and
+// of clients that send requests without end, on VMs with little memory. The package has no clock
+// and does no I/O; callers provide the time. Its types are not safe for concurrent use, except
+// Clients.
 package membudget
 
 import "time"
@@ -19,12 +20,16 @@
 	BufferedResponse
 	// WrittenResponse: the parts of a response that are read ahead of its receiver.
 	WrittenResponse
+	// Connection: the connection of a client, with its buffers.
+	Connection
+	// RequestHeader: the header of a client's request, as sent and as parsed.
+	RequestHeader
 	NumPurposes
 )
 
 // String returns the name of the purpose in logs and metrics.
 func (p Purpose) String() string {
-	return [NumPurposes]string{"request-body", "buffered-response", "written-response"}[p]
+	return [NumPurposes]string{"request-body", "buffered-response", "written-response", "connection", "request-header"}[p]
 }
 
 const (
--- a/internal/port/metric.go
+++ b/internal/port/metric.go
@@ -65,7 +65,7 @@
 	// there; 0 without a limit.
 	MetricTargetLimit Metric = "tamarack_target_limit"
 	MetricStartRate   Metric = "tamarack_target_start_rate"
-	// MetricMemoryHeld is the number of bytes of bodies that the node holds, by purpose,
+	// MetricMemoryHeld is the number of bytes that the node holds for its clients, by purpose,
 	// and MetricMemoryLimit the most that it may hold.
 	MetricMemoryHeld  Metric = "tamarack_memory_held_bytes"
 	MetricMemoryLimit Metric = "tamarack_memory_limit_bytes"
@@ -87,7 +87,7 @@
 	// MetricEarlyResponses counts responses that are passed on while the request's body is
 	// still being sent on, by where: at the entry or the owner node.
 	MetricEarlyResponses Metric = "tamarack_early_responses_total"
-	// MetricHeadersRejected counts responses whose header was too large, or for whose header
+	// MetricHeadersRejected counts responses whose header was invalid or too large, or for whose header
 	// there was no memory.
 	MetricHeadersRejected Metric = "tamarack_response_headers_rejected_total"
 	// MetricReportsIgnored counts reports of targets that were ignored, in part or as a
@@ -99,6 +99,9 @@
 	// MetricCrashesDropped counts crash notices dropped because they arrived faster
 	// than the node accepts them.
 	MetricCrashesDropped Metric = "tamarack_crash_notices_dropped_total"
+	// MetricClientsEnded counts connections of clients that were ended because their listener
+	// had too many, or their headers took too much memory, by listener.
+	MetricClientsEnded Metric = "tamarack_client_connections_ended_total"
 	// MetricTimedOutConnections counts callers' connections closed because they exceeded
 	// the header or idle timeout.
 	MetricTimedOutConnections Metric = "tamarack_connections_overdue_total"
--- a/internal/proxy/memory.go
+++ b/internal/proxy/memory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -70,6 +71,14 @@
 	return &memory{clock: ports.Clock, meter: ports.Meter, log: log, account: membudget.New(limit), writing: map[*membudget.Holder]*memoryHold{}}
 }
 
+// NewClients returns the clients of a listener, in the account of the node's memory.
+func (p *Proxy) NewClients(limits membudget.ClientLimits) *membudget.Clients {
+	if p.memory == nil {
+		return membudget.NewClients(membudget.New(math.MaxInt64), &sync.Mutex{}, limits)
+	}
+	return membudget.NewClients(p.memory.account, &p.memory.mu, limits)
+}
+
 // open returns a hold without bytes; close must be called.
 func (m *memory) open(request string) *memoryHold {
 	if m == nil {
