known red: clients that don't send the bodies of their requests

500 uploads of 20,000 bytes of which one byte comes keep a node of 80 MB from serving anybody: ordinary requests get 503 (memory) for as long as those connections are open, 20 s and longer; a single one was still open after 40 s (a trial). On the path by contracts the refusal at the deadline is made, but net/http waits for the rest of the body before it sends it. Real processes, both listed as red.

--- a/test/process/crowd_test.go
+++ b/test/process/crowd_test.go
@@ -236,8 +236,62 @@
 	}
 }
 
-// Guards against the same of nodes that serve contracts. Their peers' listener reads requests of
-// authenticated nodes only.
+// slowUpload begins a body that doesn't come.
+const slowUpload = crowdUpload + "Content-Length: 20000\r\n\r\nb"
+
+// Guards against clients that don't send the bodies of their requests, and keep memory and connections for
+// ever.
+func TestCrowdOfSlowBodiesEnds(t *testing.T) {
+	vm := startLimitedSidecar(t, userfiles.Limits{MemoryMb: crowdMemoryMb})
+	before := vm.node.openDescriptors()
+	sendCrowd(t, vm.address(portCallers), crowdConns, []byte(slowUpload))
+	vm.awaitServed(t)
+	vm.node.awaitDescriptors(t, before+crowdConns/10)
+	vm.assertOrdinaryRequests(t)
+	vm.node.assertWithin(t, crowdMemoryMb)
+}
+
+// Guards against the same of nodes that serve contracts.
+func TestCrowdOfSlowBodiesEndsOfContracts(t *testing.T) {
+	f := newFleet(t, spec{"a-tally", "a-1", "a", "tally"})
+	f.publish(strings.ReplaceAll(overloadContracts(), ", b-1 = 1", ""))
+	f.waitVersion()
+	node := f.nodes["a-tally"]
+	before := node.process.openDescriptors()
+	sendCrowd(t, node.callers, crowdConns, []byte(slowUpload))
+	node.process.awaitDescriptors(t, before+crowdConns/10)
+	f.assertOrdinaryRequest(t, "a-tally")
+	node.process.assertWithin(t, contractsMemoryMb)
+}
+
+// awaitDescriptors waits until the process has fewer descriptors open.
+func (p *process) awaitDescriptors(t *testing.T, bound int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if open := p.openDescriptors(); open >= bound {
+			return poll.Continue("%d descriptors are open, not under %d", open, bound)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+// assertOrdinaryRequest checks that an ordinary request gets an answer of a target, and that operators get
+// the status.
+func (f *fleet) assertOrdinaryRequest(t *testing.T, id string) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodGet, "http://"+f.nodes[id].callers+"/tallies/1", nil)
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer modest")
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Check(t, response.StatusCode == http.StatusOK, response.Status)
+	_, err = f.status(id)
+	assert.Check(t, err)
+}
+
+// Guards against clients that use up the memory of a node that serves contracts. Its peers' listener reads
+// requests of authenticated nodes only.
 func TestCrowdOfHeadsStaysWithinMemoryOfContracts(t *testing.T) {
 	for _, form := range crowdForms() {
 		t.Run(form.desc, func(t *testing.T) {
@@ -248,15 +302,7 @@
 			for _, address := range []string{node.callers, node.peers, node.operators} {
 				sendCrowd(t, address, contractsCrowdConns, form.content())
 			}
-			request, err := http.NewRequest(http.MethodGet, "http://"+node.callers+"/tallies/1", nil)
-			assert.NilError(t, err)
-			request.Header.Set("Authorization", "Bearer modest")
-			response, err := http.DefaultClient.Do(request)
-			assert.NilError(t, err)
-			assert.NilError(t, response.Body.Close())
-			assert.Check(t, response.StatusCode == http.StatusOK, response.Status)
-			_, err = f.status("a-tally")
-			assert.Check(t, err)
+			f.assertOrdinaryRequest(t, "a-tally")
 			node.process.assertWithin(t, contractsMemoryMb)
 		})
 	}
