proxy, callerhttp: a body that doesn't come keeps nothing for ever

Clients that send no body after a header that announces one kept a node of 80 MB from serving anybody: 500 of them, 503 for all others as long as they stayed (TestCrowdOfSlowBodiesEnds: 20 s and longer). A refusal before the body was read was never sent at all, on both paths, and its connection stayed for ever (TestCrowdOfSlowBodiesEndsOfContracts: 517 descriptors after 20 s).

Causes: the sidecar read a body without a limit of time; and net/http reads up to 256 KB of a body that no handler has read before it sends a short response, also without one (seen in a dump of the stacks).

Change: a body is awaited until the request's deadline, then refused as not run, which is true: no attempt has begun. Of slow senders, as of slow readers, those that hold most for longest end when memory is short. After its handler, a connection whose body is being read waits for its client: for 5 s at most, and not at all if the listener is over its part. Readiness, metrics and operators' requests have 10 s. The end of a late body leaves its read deadline, so that net/http doesn't wait on.

--- a/cmd/tamarackd/run.go
+++ b/cmd/tamarackd/run.go
@@ -128,7 +128,7 @@
 		HeaderBytes: s.Requests.MaxHeaderBytes, BodyBytes: s.Requests.MaxBodyBytes,
 	})
 	d.peerServer = newPeerServer(d.node, clock.Now, identity)
-	d.operators = callerhttp.New(operatorhttp.NewHandler(d.node, audit, meter), maxQueryHeaderBytes)
+	d.operators = callerhttp.NewQuery(operatorhttp.NewHandler(d.node, audit, meter), maxQueryHeaderBytes)
 	d.limitClients(int64(s.Requests.ClientMemoryMB)<<20, meter)
 	return d
 }
--- a/cmd/tamarackd/sidecar_listen.go
+++ b/cmd/tamarackd/sidecar_listen.go
@@ -47,7 +47,7 @@
 
 // newQueryServer returns a server for readiness or metrics.
 func (c *sidecar) newQueryServer(handler http.Handler, listener string) *callerhttp.Server {
-	server := callerhttp.New(handler, maxQueryHeaderBytes)
+	server := callerhttp.NewQuery(handler, maxQueryHeaderBytes)
 	c.limitClients(server, listener, queryLimits)
 	return server
 }
--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -33,8 +33,12 @@
 // the request did not run.
 const hardHeaderFactor = 2
 
-// readHeaderTimeout closes connections whose callers send headers too slowly.
-const readHeaderTimeout = 10 * time.Second
+const (
+	// readHeaderTimeout closes connections whose callers send headers too slowly.
+	readHeaderTimeout = 10 * time.Second
+	// queryIdleTimeout is longer than the usual time between two queries of metrics.
+	queryIdleTimeout = 2 * time.Minute
+)
 
 // NewServer returns the server for callers. The caller of NewServer provides the listener.
 func NewServer(entry Entry, limits Limits) *Server {
@@ -52,15 +56,23 @@
 func New(handler http.Handler, headerBytes int) *Server {
 	s := &Server{acceptDone: make(chan struct{}), conns: map[*conn]struct{}{}}
 	s.Server = &http.Server{
-		Handler:           handler,
+		Handler:           drainBodies(handler),
 		MaxHeaderBytes:    headerBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
-		ConnContext:       callhttp.ConnContext,
+		ConnContext:       connContext,
 		ConnState:         s.track,
 	}
 	return s
 }
 
+// NewQuery returns a server like New for requests without bodies, such as those for readiness and metrics.
+func NewQuery(handler http.Handler, headerBytes int) *Server {
+	s := New(handler, headerBytes)
+	s.ReadTimeout = readHeaderTimeout
+	s.IdleTimeout = queryIdleTimeout
+	return s
+}
+
 // NewTLS returns a server like New for clients that TLS authenticates.
 func NewTLS(handler http.Handler, headerBytes int, config *tls.Config) *Server {
 	s := New(handler, headerBytes)
--- a/internal/adapter/callerhttp/clients.go
+++ b/internal/adapter/callerhttp/clients.go
@@ -120,7 +120,12 @@
 func (c *conn) endWaiting() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.active {
+	switch {
+	case c.draining:
+		// The response is sent, and then the connection is closed.
+		_ = c.Conn.SetReadDeadline(time.Now())
+		return true
+	case c.active:
 		return false
 	}
 	if !c.closing && !c.ended {
--- a/internal/adapter/callerhttp/clients_test.go
+++ b/internal/adapter/callerhttp/clients_test.go
@@ -155,3 +155,20 @@
 	assert.NilError(t, err)
 	assert.Equal(t, statusOf(t, reader), http.StatusOK)
 }
+
+// Guards against a client that keeps its connection, and never gets its response, because it doesn't send
+// the body of a request that is refused.
+func TestResponseDoesNotAwaitBodyForEver(t *testing.T) {
+	const conns = 4
+	s := startLimited(t, ClientLimits{Conns: conns})
+	const upload = "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 20000\r\n\r\nb"
+	slow, slowReader := s.open(t, upload)
+	assert.Equal(t, statusOf(t, slowReader), http.StatusOK)
+	_, err := slow.Read(make([]byte, 1))
+	assert.Equal(t, err, io.EOF)
+	for range 3 * conns {
+		s.open(t, upload)
+	}
+	_, reader := s.open(t, get("/x"))
+	assert.Equal(t, statusOf(t, reader), http.StatusOK)
+}
--- a/internal/adapter/callerhttp/idle.go
+++ b/internal/adapter/callerhttp/idle.go
@@ -177,11 +177,8 @@
 
 // track implements http.Server.ConnState.
 func (s *Server) track(netConn net.Conn, state http.ConnState) {
-	if secured, ok := netConn.(*tls.Conn); ok {
-		netConn = secured.NetConn()
-	}
-	c, ok := netConn.(*conn)
-	if !ok {
+	c := trackedConn(netConn)
+	if c == nil {
 		return
 	}
 	c.setState(state)
@@ -192,6 +189,15 @@
 	}
 }
 
+// trackedConn returns the connection below TLS, or nil if the server doesn't track it.
+func trackedConn(netConn net.Conn) *conn {
+	if secured, ok := netConn.(*tls.Conn); ok {
+		netConn = secured.NetConn()
+	}
+	c, _ := netConn.(*conn)
+	return c
+}
+
 // closedPollInterval is how often AwaitClosed checks for open connections.
 const closedPollInterval = 10 * time.Millisecond
 
@@ -269,6 +275,8 @@
 	fresh bool
 	// active is true while the server handles a request, and after the connection was hijacked.
 	active bool
+	// draining is true while http.Server reads the rest of the body of a request that has been handled.
+	draining bool
 	// requestPending is true if bytes were received since the last response. It may
 	// be true before active, since the server sets active only after it has read
 	// some bytes of a request.
@@ -296,6 +304,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.active = state == http.StateActive || state == http.StateHijacked
+	c.draining = false
 	switch state {
 	case http.StateActive, http.StateHijacked:
 		c.cancelClose()
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -75,7 +75,12 @@
 	// response recorders of tests don't.
 	_ = control.SetReadDeadline(call.Deadline)
 	body, length, err := requestbody.Read(r.Body, r.ContentLength)
-	_ = control.SetReadDeadline(time.Time{})
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// The deadline stays, so that net/http doesn't wait for the rest of the body.
+		callhttp.KeepBody(w)
+	} else {
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -38,7 +38,7 @@
 	defer p.inFlight.Add(-1)
 	hold := p.memory.open(r.Header.Get(p.config.Headers.RequestID))
 	defer hold.close()
-	f, err := p.newForwarder(r, hold)
+	f, err := p.newForwarder(w, r, hold)
 	if err == nil {
 		var resp *bufferedResponse
 		resp, err = f.forward(r.Context())
@@ -58,7 +58,7 @@
 }
 
 // newForwarder finds the route of a request and reads its body.
-func (p *Proxy) newForwarder(r *http.Request, hold *memoryHold) (*forwarder, error) {
+func (p *Proxy) newForwarder(w http.ResponseWriter, r *http.Request, hold *memoryHold) (*forwarder, error) {
 	now := p.ports.Clock.Now()
 	snapshot := p.snapshot.Load()
 	if snapshot == nil || snapshot.Table == nil {
@@ -75,16 +75,18 @@
 	if limits.BodyBytes > 0 && r.ContentLength > limits.BodyBytes {
 		return nil, port.Refuse(port.ReasonBodyTooLarge, 0, "the body is over %d bytes", limits.BodyBytes)
 	}
-	if refusal := p.checkEntryStop(now, route, p.timeLeft(r, route)); refusal != nil {
+	left := p.timeLeft(r, route)
+	if refusal := p.checkEntryStop(now, route, left); refusal != nil {
 		return nil, refusal
 	}
 	reserved := heldForBody(r.ContentLength)
 	if refusal := hold.admit(r.Context(), "entry", reserved); refusal != nil {
 		return nil, refusal
 	}
-	body, length, err := requestbody.Read(r.Body, r.ContentLength)
+	deadline := now.Add(left - responseMargin)
+	body, length, err := readBody(w, r, hold, deadline)
 	if err != nil {
-		return nil, &port.UnknownOutcome{Stage: "body", Cause: err}
+		return nil, err
 	}
 	if body.IsBuffered() {
 		hold.giveBack(membudget.RequestBody, reserved-body.Held())
@@ -95,7 +97,7 @@
 		body: body, length: length, id: r.Header.Get(p.config.Headers.RequestID),
 		tried: map[string]bool{}, hold: hold,
 	}
-	f.deadline = now.Add(p.timeLeft(r, route) - responseMargin)
+	f.deadline = deadline
 	if p.stopping.Load() {
 		// Owner nodes order and admit responses by the deadline, so that they send this one
 		// before the node ends.
--- a/internal/proxy/memory.go
+++ b/internal/proxy/memory.go
@@ -45,7 +45,7 @@
 
 	mu      sync.Mutex
 	account *membudget.Account
-	// writing holds the connections to which a response is written.
+	// writing holds the connections to which a response is written, or whose request's body is awaited.
 	writing map[*membudget.Holder]*memoryHold
 	// freed is closed when bytes are returned while a request waits for them; nil if none
 	// waits.
@@ -61,6 +61,8 @@
 	// writer receives the response once writing begins, request is the request's id.
 	writer  http.ResponseWriter
 	request string
+	// receiving is true while the body of the request is awaited.
+	receiving bool
 }
 
 // newMemory returns the account of a node; nil if limit is 0.
@@ -181,10 +183,15 @@
 	now := m.clock.Now()
 	for _, holder := range holders {
 		h := m.writing[holder]
-		// Without support for deadlines, the response ends with its next write.
-		err := http.NewResponseController(h.writer).SetWriteDeadline(longAgo)
+		control := http.NewResponseController(h.writer)
 		m.meter.Count(port.MetricMemoryEnded, "", 1)
-		m.log.slowReaderEnded(now, h.request, holder.Held(), m.account.Stalled(holder, now), m.account.Total(), err)
+		// Without support for deadlines, a response ends with its next write, and a body with its next read.
+		end, message := control.SetWriteDeadline, "slow reader ended"
+		if h.receiving {
+			end, message = control.SetReadDeadline, "slow sender ended"
+		}
+		err := end(longAgo)
+		m.log.slowClientEnded(now, message, h.request, holder.Held(), m.account.Stalled(holder, now), m.account.Total(), err)
 	}
 }
 
@@ -281,6 +288,48 @@
 	m.account.Progress(&h.Holder, m.clock.Now())
 }
 
+// startReceiving marks the beginning of the wait for the body of the request that w answers.
+func (h *memoryHold) startReceiving(w http.ResponseWriter) {
+	h.startWriting(w)
+	h.setReceiving(true)
+}
+
+// received records that bytes of the body came, if it is awaited.
+func (h *memoryHold) received() {
+	if h == nil {
+		return
+	}
+	m := h.memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if h.receiving {
+		m.account.Progress(&h.Holder, m.clock.Now())
+	}
+}
+
+// endReceiving marks the end of the wait. It reports whether the connection was ended.
+func (h *memoryHold) endReceiving() bool {
+	if h == nil {
+		return false
+	}
+	h.setReceiving(false)
+	h.wait()
+	m := h.memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.writing, &h.Holder)
+	return h.Ended()
+}
+
+func (h *memoryHold) setReceiving(receiving bool) {
+	if h == nil {
+		return
+	}
+	h.memory.mu.Lock()
+	defer h.memory.mu.Unlock()
+	h.receiving = receiving
+}
+
 // write writes b to w in pieces and records the progress of the receiver.
 func (h *memoryHold) write(w io.Writer, b []byte) error {
 	if h == nil {
--- a/internal/proxy/request_log.go
+++ b/internal/proxy/request_log.go
@@ -226,15 +226,15 @@
 		Int(logfield.VMs, vms).Int64(logfield.Uptime, millis(uptime)).Msg("retry budget used up")
 }
 
-// slowReaderEnded logs that a response was ended to free the memory that it held. err is set
-// if the pending write could not be ended.
-func (l *requestLog) slowReaderEnded(now time.Time, id string, held int64, stalled time.Duration, total int64, err error) {
+// slowClientEnded logs that a response, or the wait for the body of a request, was ended to free the memory that
+// it held. err is set if the pending write or read could not be ended.
+func (l *requestLog) slowClientEnded(now time.Time, message, id string, held int64, stalled time.Duration, total int64, err error) {
 	if entry := l.newLine(now, lineFailure); entry != nil {
 		if err != nil {
 			entry = entry.Str(logfield.Error, err.Error())
 		}
 		entry.Str(logfield.Request, id).Int64(logfield.HeldBytes, held).Int64(logfield.TotalBytes, total).
-			Int64(logfield.Stalled, millis(stalled)).Msg("slow reader ended")
+			Int64(logfield.Stalled, millis(stalled)).Msg(message)
 	}
 }
 
