callhttp: a change of protocol is no response

On the path by contracts a target's 101 reached the caller as its response (TestSpoiltHeadIsNoResponseOfContracts, both ways), though no request asks for another protocol: a node removes Upgrade. Such an answer is now an unknown outcome, as it was on the sidecar's path.

--- a/internal/adapter/callhttp/roundtrip.go
+++ b/internal/adapter/callhttp/roundtrip.go
@@ -21,7 +21,10 @@
 // retryUnreachable is the Retry-After of a request that could not be sent.
 const retryUnreachable = time.Second
 
-var errNoResponse = errors.New("no answer before the deadline")
+var (
+	errNoResponse     = errors.New("no answer before the deadline")
+	errProtocolChange = errors.New("the answer changes the protocol, which no request asks for")
+)
 
 // RoundTrip sends the call to the base URL with extra headers and returns the response,
 // whose body must be closed. The transport must wrap its connections with Guard and use
@@ -43,6 +46,10 @@
 	}
 	response, err := transport.RoundTrip(request)
 	timer.Stop()
+	if err == nil && response.StatusCode == http.StatusSwitchingProtocols {
+		_ = response.Body.Close()
+		err = errProtocolChange
+	}
 	if err == nil {
 		a.recordResponse()
 		response.Body = &responseBody{ReadCloser: response.Body, cancel: cancel}
