httpserver: the server of all listeners has a package of its own

callerhttp held the tracking of connections, which the listeners for nodes, readiness, metrics and operators use since they limit their clients too. Moved as it was, with its tests; callerhttp keeps what is special to callers, the sizes of their requests. The send buffer's size is a field that callerhttp sets.

--- a/cmd/tamarackd/clients.go
+++ b/cmd/tamarackd/clients.go
@@ -3,7 +3,7 @@
 import (
 	"syscall"
 
-	"tamarackquay/internal/adapter/callerhttp"
+	"tamarackquay/internal/adapter/httpserver"
 )
 
 // Parts of a process's memory for clients and of its descriptors that the clients of a listener may use.
@@ -38,13 +38,13 @@
 
 // clientLimits returns the limits of the callers' or the peers' listener, given the memory for clients in
 // bytes and the number of descriptors; 0 means no limit.
-func clientLimits(memory int64, descriptors int) callerhttp.ClientLimits {
-	return callerhttp.ClientLimits{Bytes: memory / clientDivisor, Conns: descriptors / connDivisor}
+func clientLimits(memory int64, descriptors int) httpserver.ClientLimits {
+	return httpserver.ClientLimits{Bytes: memory / clientDivisor, Conns: descriptors / connDivisor}
 }
 
 // queryLimits returns the limits of each other listener.
-func queryLimits(memory int64, descriptors int) callerhttp.ClientLimits {
-	limits := callerhttp.ClientLimits{Conns: descriptors / queryConnDivisor}
+func queryLimits(memory int64, descriptors int) httpserver.ClientLimits {
+	limits := httpserver.ClientLimits{Conns: descriptors / queryConnDivisor}
 	if memory > 0 {
 		limits.Bytes = max(memory/queryDivisor, minQueryBytes)
 	}
--- a/cmd/tamarackd/run.go
+++ b/cmd/tamarackd/run.go
@@ -17,6 +17,7 @@
 	"tamarackquay/internal/adapter/auditlog"
 	"tamarackquay/internal/adapter/callerhttp"
 	"tamarackquay/internal/adapter/callhttp"
+	"tamarackquay/internal/adapter/httpserver"
 	"tamarackquay/internal/adapter/metrics"
 	"tamarackquay/internal/adapter/operatorhttp"
 	"tamarackquay/internal/adapter/peerforward"
@@ -56,9 +57,9 @@
 	node       *node.Node
 	peers      *peerws.Client
 	forward    *peerforward.Client
-	callers    *callerhttp.Server
-	peerServer *callerhttp.Server
-	operators  *callerhttp.Server
+	callers    *httpserver.Server
+	peerServer *httpserver.Server
+	operators  *httpserver.Server
 }
 
 func run(s settings.Settings) error {
@@ -128,7 +129,7 @@
 		HeaderBytes: s.Requests.MaxHeaderBytes, BodyBytes: s.Requests.MaxBodyBytes,
 	})
 	d.peerServer = newPeerServer(d.node, clock.Now, identity)
-	d.operators = callerhttp.NewQuery(operatorhttp.NewHandler(d.node, audit, meter), maxQueryHeaderBytes)
+	d.operators = httpserver.NewQuery(operatorhttp.NewHandler(d.node, audit, meter), maxQueryHeaderBytes)
 	d.limitClients(int64(s.Requests.ClientMemoryMB)<<20, meter)
 	return d
 }
@@ -143,8 +144,8 @@
 	descriptors := descriptorLimit(0)
 	for _, listener := range []struct {
 		name   string
-		server *callerhttp.Server
-		limits callerhttp.ClientLimits
+		server *httpserver.Server
+		limits httpserver.ClientLimits
 	}{
 		{"callers", d.callers, clientLimits(memory, descriptors)},
 		{"peers", d.peerServer, clientLimits(memory, descriptors)},
@@ -188,11 +189,11 @@
 	return config
 }
 
-func newPeerServer(n *node.Node, now func() time.Time, identity *peertls.Config) *callerhttp.Server {
+func newPeerServer(n *node.Node, now func() time.Time, identity *peertls.Config) *httpserver.Server {
 	e := callhttp.NewRouter()
 	e.GET(peerws.Path, echo.WrapHandler(peerws.NewServer(n)))
 	e.Any(peerforward.Prefix+"/*", echo.WrapHandler(peerforward.NewHandler(n, now)))
-	return callerhttp.NewTLS(e, maxPeerHeaderBytes, identity.Server)
+	return httpserver.NewTLS(e, maxPeerHeaderBytes, identity.Server)
 }
 
 func (d *daemon) listen(s settings.Settings, failed chan<- error) error {
@@ -247,7 +248,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	for _, server := range []*callerhttp.Server{d.callers, d.peerServer, d.operators} {
+	for _, server := range []*httpserver.Server{d.callers, d.peerServer, d.operators} {
 		if err := server.Shutdown(ctx); err != nil {
 			d.log.Warn().Err(err).Msg("server did not shut down in time")
 		}
--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -20,6 +20,7 @@
 	"tamarackquay/internal/adapter/callerhttp"
 	"tamarackquay/internal/adapter/exchange"
 	"tamarackquay/internal/adapter/feedws"
+	"tamarackquay/internal/adapter/httpserver"
 	"tamarackquay/internal/adapter/logout"
 	"tamarackquay/internal/adapter/metrics"
 	"tamarackquay/internal/adapter/responsehead"
@@ -123,11 +124,11 @@
 	follower *follow.Follower
 	peers    *exchange.Pool
 	target   *exchange.Pool
-	callers  *callerhttp.Server
+	callers  *httpserver.Server
 	// crashes holds what this node knows of requests that crash targets, by itself
 	// and from other nodes.
 	crashes    *quarantine.SharedLedger
-	peerServer *callerhttp.Server
+	peerServer *httpserver.Server
 	listeners  []*listenerClients
 	meter      *metrics.Meter
 	// snapshot is the last one passed to the proxy; the follower's lock guards it.
@@ -209,7 +210,7 @@
 
 // limitClients limits what the clients of a listener may use. The function limits divides the memory for
 // clients and the descriptors.
-func (c *sidecar) limitClients(server *callerhttp.Server, listener string, limits func(memory int64, descriptors int) callerhttp.ClientLimits) {
+func (c *sidecar) limitClients(server *httpserver.Server, listener string, limits func(memory int64, descriptors int) httpserver.ClientLimits) {
 	share := limits(accountLimit(c.settings.MemoryBytes), descriptorLimit(c.settings.MaxDescriptors))
 	clients := &listenerClients{listener: listener}
 	c.listeners = append(c.listeners, clients)
--- a/cmd/tamarackd/sidecar_listen.go
+++ b/cmd/tamarackd/sidecar_listen.go
@@ -8,9 +8,9 @@
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
-	"tamarackquay/internal/adapter/callerhttp"
 	"tamarackquay/internal/adapter/callhttp"
 	"tamarackquay/internal/adapter/feedws"
+	"tamarackquay/internal/adapter/httpserver"
 	"tamarackquay/internal/follow"
 	"tamarackquay/internal/proxy"
 )
@@ -18,7 +18,7 @@
 // newPeerServer returns the server for other nodes: feeds, and requests for the
 // local target. Those have any path that a caller chose, so they are told apart by a header that
 // callers can't set.
-func (c *sidecar) newPeerServer(peerAddress func(host string) string) *callerhttp.Server {
+func (c *sidecar) newPeerServer(peerAddress func(host string) string) *httpserver.Server {
 	e := callhttp.NewRouter()
 	hint := func(r *http.Request) { c.follower.AddHint(peerAddress(follow.HostOf(r.RemoteAddr))) }
 	servePeer := func(context echo.Context) error {
@@ -40,14 +40,14 @@
 		return context.NoContent(http.StatusNoContent)
 	})
 	e.Any("/*", servePeer)
-	server := callerhttp.New(e, maxPeerHeaderBytes)
+	server := httpserver.New(e, maxPeerHeaderBytes)
 	c.limitClients(server, "peers", clientLimits)
 	return server
 }
 
 // newQueryServer returns a server for readiness or metrics.
-func (c *sidecar) newQueryServer(handler http.Handler, listener string) *callerhttp.Server {
-	server := callerhttp.NewQuery(handler, maxQueryHeaderBytes)
+func (c *sidecar) newQueryServer(handler http.Handler, listener string) *httpserver.Server {
+	server := httpserver.NewQuery(handler, maxQueryHeaderBytes)
 	c.limitClients(server, listener, queryLimits)
 	return server
 }
--- a/cmd/tamarackd/sidecar_loop.go
+++ b/cmd/tamarackd/sidecar_loop.go
@@ -5,7 +5,7 @@
 	"os"
 	"time"
 
-	"tamarackquay/internal/adapter/callerhttp"
+	"tamarackquay/internal/adapter/httpserver"
 	"tamarackquay/internal/follow"
 	"tamarackquay/internal/link"
 	"tamarackquay/internal/logfield"
@@ -103,7 +103,7 @@
 // waiting for longer than the configuration allows.
 func (c *sidecar) closeSlowConnections(now time.Time) {
 	limits := c.proxy.Limits()
-	closed, err := c.callers.CloseTimedOut(now, callerhttp.Timeouts{Header: limits.HeaderTimeout, Idle: limits.IdleTimeout})
+	closed, err := c.callers.CloseTimedOut(now, httpserver.Timeouts{Header: limits.HeaderTimeout, Idle: limits.IdleTimeout})
 	if err != nil {
 		c.log.Warn().Err(err).Msg("slow caller connections stay open")
 	}
--- a/cmd/tamarackd/sidecar_stop.go
+++ b/cmd/tamarackd/sidecar_stop.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"tamarackquay/internal/adapter/callerhttp"
+	"tamarackquay/internal/adapter/httpserver"
 	"tamarackquay/internal/wait"
 )
 
@@ -39,7 +39,7 @@
 	if err := c.callers.CloseIdle(); err != nil {
 		c.log.Warn().Err(err).Msg("idle caller connections closed without a response")
 	}
-	for _, server := range []*callerhttp.Server{c.callers, c.peerServer} {
+	for _, server := range []*httpserver.Server{c.callers, c.peerServer} {
 		if err := server.Shutdown(ctx); err != nil {
 			c.log.Warn().Err(err).Msg("server did not shut down in time")
 		}
--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -2,13 +2,12 @@
 package callerhttp
 
 import (
-	"crypto/tls"
 	"net/http"
-	"time"
 
 	"github.com/labstack/echo/v4"
 
 	"tamarackquay/internal/adapter/callhttp"
+	"tamarackquay/internal/adapter/httpserver"
 	"tamarackquay/internal/port"
 )
 
@@ -33,50 +32,15 @@
 // the request did not run.
 const hardHeaderFactor = 2
 
-const (
-	// readHeaderTimeout closes connections whose callers send headers too slowly.
-	readHeaderTimeout = 10 * time.Second
-	// queryIdleTimeout is longer than the usual time between two queries of metrics.
-	queryIdleTimeout = 2 * time.Minute
-)
-
 // NewServer returns the server for callers. The caller of NewServer provides the listener.
-func NewServer(entry Entry, limits Limits) *Server {
+func NewServer(entry Entry, limits Limits) *httpserver.Server {
 	e := callhttp.NewRouter()
 	e.Any("/*", func(c echo.Context) error {
 		serve(entry, limits, c.Response(), c.Request())
 		return nil
 	})
-	s := New(e, hardHeaderFactor*limits.HeaderBytes)
-	s.sendBytes = limits.SendBytes
-	return s
-}
-
-// New returns a server for a handler that reads headers up to a size in bytes.
-func New(handler http.Handler, headerBytes int) *Server {
-	s := &Server{acceptDone: make(chan struct{}), conns: map[*conn]struct{}{}}
-	s.Server = &http.Server{
-		Handler:           drainBodies(handler),
-		MaxHeaderBytes:    headerBytes,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ConnContext:       connContext,
-		ConnState:         s.track,
-	}
-	return s
-}
-
-// NewQuery returns a server like New for requests without bodies, such as those for readiness and metrics.
-func NewQuery(handler http.Handler, headerBytes int) *Server {
-	s := New(handler, headerBytes)
-	s.ReadTimeout = readHeaderTimeout
-	s.IdleTimeout = queryIdleTimeout
-	return s
-}
-
-// NewTLS returns a server like New for clients that TLS authenticates.
-func NewTLS(handler http.Handler, headerBytes int, config *tls.Config) *Server {
-	s := New(handler, headerBytes)
-	s.tls = config
+	s := httpserver.New(e, hardHeaderFactor*limits.HeaderBytes)
+	s.SendBytes = limits.SendBytes
 	return s
 }
 
--- a/internal/adapter/callerhttp/idle_test.go
+++ b/internal/adapter/httpserver/idle_test.go
@@ -1,4 +1,4 @@
-package callerhttp
+package httpserver
 
 import (
 	"bufio"
@@ -35,7 +35,7 @@
 // was opened before the close.
 func TestIdleCloseLosesNoRequests(t *testing.T) {
 	entry := &countingEntry{release: make(chan struct{})}
-	server := NewServer(entry, Limits{HeaderBytes: 1 << 10, BodyBytes: 1 << 10})
+	server := New(http.HandlerFunc(entry.ServeCaller), 2<<10)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	go func() { _ = server.Run(listener) }()
@@ -141,7 +141,7 @@
 // know whether the requests ran. Each must get a response.
 func TestStopServesUnacceptedConnections(t *testing.T) {
 	entry := &countingEntry{}
-	server := NewServer(entry, Limits{HeaderBytes: 1 << 10, BodyBytes: 1 << 10})
+	server := New(http.HandlerFunc(entry.ServeCaller), 2<<10)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	blocked := blockedListener{listener.(*net.TCPListener), make(chan struct{})}
--- a/internal/adapter/callerhttp/refused_test.go
+++ b/internal/adapter/httpserver/refused_test.go
@@ -1,4 +1,4 @@
-package callerhttp
+package httpserver
 
 import (
 	"bufio"
@@ -24,7 +24,7 @@
 	} {
 		t.Run(test.desc, func(t *testing.T) {
 			bodies := make(chan string, 1)
-			server := NewServer(readingEntry(bodies), Limits{HeaderBytes: 1 << 10, BodyBytes: 1 << 10})
+			server := New(http.HandlerFunc(readingEntry(bodies).ServeCaller), 2<<10)
 			timeouts := Timeouts{Header: 3 * time.Second, Idle: time.Minute}
 			track := server.ConnState
 			server.ConnState = func(c net.Conn, state http.ConnState) {
@@ -91,7 +91,7 @@
 // one before, and the node closes its idle connections between the two.
 func TestPipelinedRequestIsNotRefused(t *testing.T) {
 	bodies := make(chan string, 2)
-	server := NewServer(readingEntry(bodies), Limits{HeaderBytes: 1 << 10, BodyBytes: 1 << 10})
+	server := New(http.HandlerFunc(readingEntry(bodies).ServeCaller), 2<<10)
 	track := server.ConnState
 	var closeOnce sync.Once
 	closeDone := make(chan error, 1)
--- a/internal/adapter/callerhttp/idle.go
+++ b/internal/adapter/httpserver/server.go
@@ -1,4 +1,6 @@
-package callerhttp
+// Package httpserver is the HTTP server of all listeners of a node. It closes connections without losing
+// requests, and limits what clients make the node hold.
+package httpserver
 
 import (
 	"context"
@@ -19,7 +21,42 @@
 	"tamarackquay/internal/port"
 )
 
-// Server is the HTTP server for callers. It closes idle connections gracefully.
+const (
+	// readHeaderTimeout closes connections whose callers send headers too slowly.
+	readHeaderTimeout = 10 * time.Second
+	// queryIdleTimeout is longer than the usual time between two queries of metrics.
+	queryIdleTimeout = 2 * time.Minute
+)
+
+// New returns a server for a handler that reads headers up to a size in bytes.
+func New(handler http.Handler, headerBytes int) *Server {
+	s := &Server{acceptDone: make(chan struct{}), conns: map[*conn]struct{}{}}
+	s.Server = &http.Server{
+		Handler:           drainBodies(handler),
+		MaxHeaderBytes:    headerBytes,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ConnContext:       connContext,
+		ConnState:         s.track,
+	}
+	return s
+}
+
+// NewQuery returns a server like New for requests without bodies, such as those for readiness and metrics.
+func NewQuery(handler http.Handler, headerBytes int) *Server {
+	s := New(handler, headerBytes)
+	s.ReadTimeout = readHeaderTimeout
+	s.IdleTimeout = queryIdleTimeout
+	return s
+}
+
+// NewTLS returns a server like New for clients that TLS authenticates.
+func NewTLS(handler http.Handler, headerBytes int, config *tls.Config) *Server {
+	s := New(handler, headerBytes)
+	s.tls = config
+	return s
+}
+
+// Server is an HTTP server. It closes idle connections gracefully.
 //
 // A server may close an idle connection at the moment at which a caller sends a request
 // on it. The caller then gets a connection error and can't know whether its request ran.
@@ -35,8 +72,9 @@
 	// it may be nil. It must be set before Run.
 	HeaderTimedOut func(caller string)
 
-	// sendBytes is the size of each connection's send buffer; 0 leaves it to the kernel.
-	sendBytes int
+	// SendBytes is the size of each connection's send buffer; 0 leaves it to the kernel. It must be set
+	// before Run.
+	SendBytes int
 
 	// tls is nil without TLS.
 	tls *tls.Config
@@ -147,10 +185,10 @@
 		return nil, err
 	}
 	l.waited = false
-	if tcp, ok := accepted.(*net.TCPConn); ok && l.server.sendBytes > 0 {
+	if tcp, ok := accepted.(*net.TCPConn); ok && l.server.SendBytes > 0 {
 		// This fails if the caller has closed the connection meanwhile; reading from it
 		// then reports that.
-		_ = tcp.SetWriteBuffer(l.server.sendBytes)
+		_ = tcp.SetWriteBuffer(l.server.SendBytes)
 	}
 	return &conn{Conn: accepted, server: l.server, fresh: true, since: time.Now()}, nil
 }
@@ -245,214 +283,3 @@
 	defer s.mu.Unlock()
 	return slices.Collect(maps.Keys(s.conns))
 }
-
-// errClosing is the cause of the error of a read from a connection that is being closed.
-var errClosing = errors.New("the node closes the connection")
-
-// errClosed is the error of such a read. To http.Server it is an error of the network, after
-// which it sends no response of its own.
-var errClosed = &net.OpError{Op: "read", Err: errClosing}
-
-// finalResponseTimeout is the time for writing the final response and for the caller to
-// read it. After that, a late request of the caller would cause a reset.
-const finalResponseTimeout = 100 * time.Millisecond
-
-// conn is a caller's connection that can be closed gracefully while it is idle.
-type conn struct {
-	net.Conn
-	server *Server
-	client membudget.Client
-
-	// headerBytes and headerLines are the bytes and lines read of the header of the next request, and
-	// headerCost is the memory granted for it. They are used only by the goroutine that reads headers.
-	headerBytes, headerLines int
-	headerCost               int64
-
-	mu sync.Mutex
-	// fresh is true until the first byte is received. A caller that has just connected is
-	// about to send its request, and would treat a response that arrives first as a
-	// connection error. Its request is answered instead.
-	fresh bool
-	// active is true while the server handles a request, and after the connection was hijacked.
-	active bool
-	// draining is true while http.Server reads the rest of the body of a request that has been handled.
-	draining bool
-	// requestPending is true if bytes were received since the last response. It may
-	// be true before active, since the server sets active only after it has read
-	// some bytes of a request.
-	requestPending bool
-	// closing is true if the connection is to be closed at the next read. A request that
-	// has been read completely by then is served, and ends the state.
-	closing bool
-	// onClose writes the final response, if there is one.
-	onClose func()
-	// ended is true once the server reads nothing more from the connection.
-	ended bool
-	// settled is closed when closing ends: by the close, or by a request.
-	settled chan struct{}
-	// since is the time at which the current wait began: when the connection was
-	// opened, when the last response ended or when the first byte of a request
-	// arrived, whichever is the latest.
-	since time.Time
-}
-
-// NetConn returns the underlying connection.
-func (c *conn) NetConn() net.Conn { return c.Conn }
-
-// setState records a state change reported by http.Server.
-func (c *conn) setState(state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.active = state == http.StateActive || state == http.StateHijacked
-	c.draining = false
-	switch state {
-	case http.StateActive, http.StateHijacked:
-		c.cancelClose()
-		c.serve(state)
-	case http.StateIdle:
-		c.since = time.Now()
-		c.client.Wait(c.since)
-		c.returnHeader()
-	case http.StateClosed:
-		c.cancelClose()
-		c.ended = true
-	}
-}
-
-// Close implements net.Conn.
-func (c *conn) Close() error {
-	if c.server.clients != nil {
-		c.server.clients.Remove(&c.client)
-	}
-	return c.Conn.Close()
-}
-
-// close makes the next read close the connection, after onClose. It must be called with the mutex
-// held, and only if no request is handled.
-func (c *conn) close(onClose func()) {
-	c.closing, c.onClose, c.settled = true, onClose, make(chan struct{})
-	// This ends a pending read. It fails only on a closed connection.
-	_ = c.Conn.SetReadDeadline(time.Now())
-}
-
-// cancelClose ends the state closing, unless the close has begun. It must be called with the mutex
-// held.
-func (c *conn) cancelClose() {
-	if !c.closing || c.ended {
-		return
-	}
-	c.closing = false
-	_ = c.Conn.SetReadDeadline(time.Time{})
-	close(c.settled)
-}
-
-// endIfClosing closes the connection if it is to be closed, and reports whether it is closed. Only
-// Read may call it: the bytes that http.Server has read are then no complete request.
-func (c *conn) endIfClosing() bool {
-	c.mu.Lock()
-	closing, ended := c.closing, c.ended
-	c.ended = closing || ended
-	c.mu.Unlock()
-	if closing && !ended {
-		c.onClose()
-		close(c.settled)
-	}
-	return closing || ended
-}
-
-// Read implements net.Conn.
-func (c *conn) Read(p []byte) (int, error) {
-	if c.endIfClosing() {
-		return 0, errClosed
-	}
-	count, err := c.Conn.Read(p)
-	if c.endIfClosing() {
-		return 0, errClosed
-	}
-	if count > 0 && c.isHeader() && !c.growHeader(p[:count]) {
-		c.refuse()
-		return 0, errClosed
-	}
-	return count, err
-}
-
-// isHeader records that bytes were read, and reports whether they belong to the header of a request.
-func (c *conn) isHeader() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.requestPending {
-		c.since = time.Now()
-		if !c.active {
-			c.client.Wait(c.since)
-		}
-	}
-	c.requestPending = true
-	c.fresh = false
-	return !c.active
-}
-
-// refuse ends the connection with a refusal. Only Read may call it: the bytes that http.Server has read
-// are then no complete request.
-func (c *conn) refuse() {
-	c.mu.Lock()
-	c.cancelClose()
-	c.ended = true
-	c.mu.Unlock()
-	c.server.ended()
-	c.writeFinal(overloadRefusal())
-}
-
-// Write implements net.Conn.
-func (c *conn) Write(p []byte) (int, error) {
-	c.mu.Lock()
-	c.requestPending = false
-	c.mu.Unlock()
-	return c.Conn.Write(p)
-}
-
-// closeIfIdle closes the connection with the final response, unless it is new or a request has
-// arrived.
-func (c *conn) closeIfIdle(final []byte) {
-	c.mu.Lock()
-	if c.fresh || c.active || c.requestPending || c.closing || c.ended {
-		c.mu.Unlock()
-		return
-	}
-	c.close(func() { c.sendFinalResponse(final) })
-	settled := c.settled
-	c.mu.Unlock()
-	<-settled
-}
-
-// sendFinalResponse writes the final response of a connection from which the server reads
-// nothing more, and closes the write side.
-func (c *conn) sendFinalResponse(final []byte) {
-	deadline := time.Now().Add(finalResponseTimeout)
-	if !c.writeFinal(final) {
-		return
-	}
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
-	}
-	// Received data is read and discarded. Closing the connection with unread data
-	// would reset it, and the caller could lose the final response.
-	_ = c.Conn.SetReadDeadline(deadline)
-	buf := make([]byte, 4096)
-	for {
-		if _, err := c.Conn.Read(buf); err != nil {
-			return
-		}
-	}
-}
-
-// writeFinal writes the final response, and reports whether the connection is still open. With TLS, it
-// writes nothing.
-func (c *conn) writeFinal(final []byte) bool {
-	if c.server.tls != nil {
-		return true
-	}
-	// This fails only on a closed connection; writing to it then reports that.
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(finalResponseTimeout))
-	_, err := c.Conn.Write(final)
-	return err == nil
-}
--- a/internal/adapter/callerhttp/timeout.go
+++ b/internal/adapter/httpserver/timeout.go
@@ -1,4 +1,4 @@
-package callerhttp
+package httpserver
 
 import (
 	"time"
--- a/internal/adapter/callerhttp/timeout_test.go
+++ b/internal/adapter/httpserver/timeout_test.go
@@ -1,4 +1,4 @@
-package callerhttp
+package httpserver
 
 import (
 	"bufio"
@@ -20,7 +20,7 @@
 // gets a refusal and the second is closed; the third gets its response.
 func TestSlowAndIdleConnectionsAreClosed(t *testing.T) {
 	entry := &holdingEntry{release: make(chan struct{})}
-	server := NewServer(entry, Limits{HeaderBytes: 1 << 10, BodyBytes: 1 << 10})
+	server := New(http.HandlerFunc(entry.ServeCaller), 2<<10)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	go func() { _ = server.Run(listener) }()
