soak: crowds of clients that don't end their requests, and invalid heads

Each plan has a crowd: 250 raw connections at a time to one node for 3 s, opened again when the node closes them, with eight forms of requests that don't end; nodes have 134 MB and 800 descriptors, so that 200 connections are the most. Failing targets answer one run in ten with "Content-Length :" and a byte more.

The random sources of a seed's other faults are as before, but for the draws of a failing target.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -136,6 +136,7 @@
 		Target: hostPort(m.public, portTarget), Callers: hostPort(m.private, portCallers), Ready: hostPort(m.private, portReady),
 		PeerPort: portPeers, Store: hostPort(storeHost, portStore), Zones: zones,
 		Bounds: userfiles.Bounds{StopGrace: grace, RetryRatio: retryRatio, RetrySlack: retrySlack},
+		Limits: userfiles.Limits{MemoryMb: nodeMemoryMb, MaxFds: nodeFds},
 	}
 	settings, err := node.Settings()
 	if err != nil {
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -35,7 +35,7 @@
 
 // failingMode is the behaviour of a failing target, which still serves most of its
 // requests.
-var failingMode = usertarget.Mode{LossRate: 0.1, CutRate: 0.1, ShedRate: 0.2, DropRate: 0.1, FailureRate: 0.1}
+var failingMode = usertarget.Mode{LossRate: 0.1, CutRate: 0.1, SpoilRate: 0.1, ShedRate: 0.2, DropRate: 0.1, FailureRate: 0.1}
 
 // failureStatuses are the statuses of failed runs; a failing target uses one of them.
 var failureStatuses = []int{http.StatusInternalServerError, http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}
@@ -101,6 +101,9 @@
 	case DelayLink, ResetLink, OneWayLink, BlackholeLink:
 		m.disturbLink(ctx, fault)
 		return nil
+	case Crowd:
+		m.crowd(ctx, fault)
+		return nil
 	case ReloadNode:
 		m.reload()
 		return nil
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -61,6 +61,8 @@
 	LateWrite Kind = "late-write"
 	// ClockBehind restarts a target under its name with its clock behind, and drains it.
 	ClockBehind Kind = "clock-behind"
+	// Crowd connects many clients to a node that don't end their requests.
+	Crowd Kind = "crowd"
 	// TargetCrashed is an event only: a target crashed under such a request.
 	TargetCrashed Kind = "target-crashed"
 	// NodeExited is an event only: a node's process exited by itself.
@@ -176,6 +178,7 @@
 	plan = append(plan, drawCrashRequest(seed, duration)...)
 	plan = append(plan, drawLimit(seed, duration, vms)...)
 	plan = append(plan, drawDeparture(seed, duration, vms)...)
+	plan = append(plan, drawCrowd(seed, duration, vms)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
 	return plan
 }
--- a/standin/usertarget/target.go
+++ b/standin/usertarget/target.go
@@ -42,8 +42,10 @@
 	// LossRate is the fraction of runs whose response is lost, CutRate of runs
 	// whose response is cut off, ShedRate of arrivals that are shed despite free
 	// slots, and FailureRate of runs that end with FailureStatus.
-	LossRate    float64 `json:"lose"`
-	CutRate     float64 `json:"cut"`
+	LossRate float64 `json:"lose"`
+	CutRate  float64 `json:"cut"`
+	// SpoilRate is the fraction of runs whose response has an invalid head.
+	SpoilRate   float64 `json:"spoil"`
 	ShedRate    float64 `json:"shed"`
 	FailureRate float64 `json:"fail"`
 	// FailureStatus is the status of failed runs; 0 stands for 500.
@@ -148,8 +150,8 @@
 
 // outcome is how the target handles one request.
 type outcome struct {
-	runs, lost, cut bool
-	serviceTime     time.Duration
+	runs, lost, cut, spoilt bool
+	serviceTime             time.Duration
 	// failureStatus is the status of a run that fails, otherwise 0.
 	failureStatus int
 }
@@ -165,6 +167,7 @@
 	o.runs = o.runs && !full
 	o.lost = t.random.Float64() < t.mode.LossRate
 	o.cut = t.random.Float64() < t.mode.CutRate
+	o.spoilt = t.random.Float64() < t.mode.SpoilRate
 	if t.random.Float64() < t.mode.FailureRate {
 		o.failureStatus = cmp.Or(t.mode.FailureStatus, http.StatusInternalServerError)
 	}
@@ -255,6 +258,10 @@
 	size, _ := strconv.Atoi(r.URL.Query().Get("bytes"))
 	body := Body(id, size)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if o.spoilt {
+		respondSpoilt(w, id, body)
+		return
+	}
 	if o.cut {
 		_, _ = w.Write(body[:len(body)/2])
 		panic(http.ErrAbortHandler)
@@ -262,3 +269,15 @@
 	// An error means that the caller has disconnected and needs no response.
 	_, _ = w.Write(body)
 }
+
+// respondSpoilt writes a response whose length can't be seen, so that its body gets the end of the connection.
+func respondSpoilt(w http.ResponseWriter, id string, body []byte) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	// An error means that the caller has disconnected.
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length : %d\r\n\r\n%sx",
+		HeaderRequestID, id, HeaderSignature, w.Header().Get(HeaderSignature), len(body), body)
+}
