exchange: a test of invalid headers, those of health checks among them

Health checks, targets and nodes are asked through the same pools; the test sends requests with and without an id.

--- a/internal/adapter/exchange/header_test.go
+++ b/internal/adapter/exchange/header_test.go
@@ -157,3 +157,29 @@
 	_, err := send(pool(), address, "id")
 	assert.ErrorIs(t, err, responsehead.ErrField)
 }
+
+// Guards against an invalid response that is taken for one: a target's or a node's, to a request with an
+// id, and that to a health check, which has none.
+func TestInvalidHeaderIsNoResponse(t *testing.T) {
+	for _, test := range []struct {
+		head string
+		want error
+	}{
+		{"HTTP/1.1 000 OK\r\nId: id\r\n", responsehead.ErrStatusLine},
+		{"HTTP/1.1 200 O\x01K\r\nId: id\r\n", responsehead.ErrStatusLine},
+		{"HTTP/1.1 200 OK\r\nId: id\r\nX Y: z\r\n", responsehead.ErrField},
+		{"HTTP/1.1 200 OK\r\nId: id\r\nX\x01Y: z\r\n", responsehead.ErrField},
+		{"HTTP/1.1 200 OK\r\nId: id\r\nContent-Length : 2\r\n", responsehead.ErrField},
+		{"HTTP/1.0 200 OK\r\nId: id\r\nTransfer-Encoding: chunked\r\n", responsehead.ErrCoding},
+	} {
+		for _, idHeader := range []string{"Id", ""} {
+			address, _ := server(t, func(c net.Conn, _ *http.Request, _ int) {
+				_, _ = io.WriteString(c, test.head+"Content-Length: 0\r\n\r\n")
+			})
+			_, err := pool().Do(context.Background(), address, &Request{Method: "GET", URI: "/health", Host: "h", Header: http.Header{}, IDHeader: idHeader, ID: "id"})
+			var failure *Failure
+			assert.Assert(t, errors.As(err, &failure) && failure.Sent, "%q: %v", test.head, err)
+			assert.ErrorIs(t, err, test.want)
+		}
+	}
+}
