test/process: crowds of slow bodies are awaited until each has ended

The crowd's bodies take 2 s until they are refused, so the test had looked before the crowd was there.

Cause: the test waits until few descriptors are open. The kernel completes connections that the node has not accepted yet, and the first request uses a connection of its own that is older. On a busy machine the node then has few descriptors open because the crowd is still in the listener's queue, and the ordinary request comes behind it.

Change: both tests also read each connection of the crowd until the node has ended it, within the same 20 s. Crowd, memory, descriptors and the ordinary request are as they were.

--- a/test/process/crowd_test.go
+++ b/test/process/crowd_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -12,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
@@ -35,6 +37,8 @@
 	// time for it.
 	crowdSendBytes = 512 << 10
 	crowdSendTime  = 10 * time.Second
+	// crowdEndTimeout is the longest time for a node to end connections that it must not keep.
+	crowdEndTimeout = 20 * time.Second
 )
 
 // crowdForm is what each connection of a crowd sends: no request that a client inside the limits sends.
@@ -88,12 +92,14 @@
 	return content.Bytes()
 }
 
-// sendCrowd opens connections to an address, sends the content on each at the same time and returns
-// when all is sent or the node has ended the connections. They stay open until the end of the test.
-func sendCrowd(t *testing.T, address string, conns int, content []byte) {
+// sendCrowd opens connections to an address, sends the content on each at the same time and returns them
+// when all is sent or the node has ended the connections. The node may not have accepted some of them yet.
+// They stay open until the end of the test.
+func sendCrowd(t *testing.T, address string, conns int, content []byte) []net.Conn {
 	t.Helper()
 	var sending sync.WaitGroup
-	for range conns {
+	crowd := make([]net.Conn, conns)
+	for i := range crowd {
 		sending.Go(func() {
 			conn, err := net.DialTimeout("tcp", address, crowdSendTime)
 			if err != nil {
@@ -103,9 +109,24 @@
 			_ = conn.SetDeadline(time.Now().Add(crowdSendTime))
 			// The node may refuse the client and end the connection at any byte.
 			_, _ = conn.Write(content)
+			crowd[i] = conn
 		})
 	}
 	sending.Wait()
+	return crowd
+}
+
+// awaitEnds waits until the node has ended each connection of a crowd.
+func awaitEnds(t *testing.T, crowd []net.Conn) {
+	t.Helper()
+	deadline := time.Now().Add(crowdEndTimeout)
+	for _, conn := range crowd {
+		assert.Assert(t, conn != nil, "the node did not accept a connection")
+		assert.NilError(t, conn.SetDeadline(deadline))
+		// A reset is an end as well.
+		_, err := io.Copy(io.Discard, conn)
+		assert.Assert(t, !errors.Is(err, os.ErrDeadlineExceeded), "a connection is open after %s", crowdEndTimeout)
+	}
 }
 
 // assertWithin checks that the process lives, and what it has used.
@@ -244,8 +265,9 @@
 func TestCrowdOfSlowBodiesEnds(t *testing.T) {
 	vm := startLimitedSidecar(t, userfiles.Limits{MemoryMb: crowdMemoryMb})
 	before := vm.node.openDescriptors()
-	sendCrowd(t, vm.address(portCallers), crowdConns, []byte(slowUpload))
+	crowd := sendCrowd(t, vm.address(portCallers), crowdConns, []byte(slowUpload))
 	vm.awaitServed(t)
+	awaitEnds(t, crowd)
 	vm.node.awaitDescriptors(t, before+crowdConns/10)
 	vm.assertOrdinaryRequests(t)
 	vm.node.assertWithin(t, crowdMemoryMb)
@@ -258,7 +280,7 @@
 	f.waitVersion()
 	node := f.nodes["a-tally"]
 	before := node.process.openDescriptors()
-	sendCrowd(t, node.callers, crowdConns, []byte(slowUpload))
+	awaitEnds(t, sendCrowd(t, node.callers, crowdConns, []byte(slowUpload)))
 	node.process.awaitDescriptors(t, before+crowdConns/10)
 	f.assertOrdinaryRequest(t, "a-tally")
 	node.process.assertWithin(t, contractsMemoryMb)
@@ -272,7 +294,7 @@
 			return poll.Continue("%d descriptors are open, not under %d", open, bound)
 		}
 		return poll.Success()
-	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+	}, poll.WithTimeout(crowdEndTimeout), poll.WithDelay(20*time.Millisecond))
 }
 
 // assertOrdinaryRequest checks that an ordinary request gets an answer of a target, and that operators get
