feedws, membudget: feeds leave connections for requests

Cause: a feed is a response without an end. Its connection is always in use, so the listener, which ends connections that wait for their clients, could end none of them and refused each new connection.

Change: feeds take at most half of the listener's connections. Beyond that, the oldest feed of the host with the most feeds ends, at once and without a close frame, which its client may not read. So a host that opens feeds without end displaces its own; a node whose feed ends opens it again. The decision is pure (membudget.Streams). Counted and logged like other ended clients, as listener "feeds".

Crowds of many hosts with one feed each are not played.

--- a/cmd/tamarackd/clients.go
+++ b/cmd/tamarackd/clients.go
@@ -16,6 +16,9 @@
 	// minQueryBytes is the least memory for the latter, in bytes.
 	minQueryBytes = 512 << 10
 
+	// feedDivisor is the part of the peers' connections that feeds may use. The rest is for requests.
+	feedDivisor = 2
+
 	connDivisor      = 4
 	queryConnDivisor = 32
 )
--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -208,13 +208,24 @@
 	ended    atomic.Int64
 }
 
+// end counts a client that was ended.
+func (l *listenerClients) end() { l.ended.Add(1) }
+
 // limitClients limits what the clients of a listener may use. The function limits divides the memory for
 // clients and the descriptors.
 func (c *sidecar) limitClients(server *httpserver.Server, listener string, limits func(memory int64, descriptors int) httpserver.ClientLimits) {
-	share := limits(accountLimit(c.settings.MemoryBytes), descriptorLimit(c.settings.MaxDescriptors))
+	server.LimitClients(c.proxy.NewClients, c.shareOf(limits), c.newListenerClients(listener).end)
+}
+
+// shareOf applies limits to the node's memory for clients and its descriptors.
+func (c *sidecar) shareOf(limits func(memory int64, descriptors int) httpserver.ClientLimits) httpserver.ClientLimits {
+	return limits(accountLimit(c.settings.MemoryBytes), descriptorLimit(c.settings.MaxDescriptors))
+}
+
+func (c *sidecar) newListenerClients(listener string) *listenerClients {
 	clients := &listenerClients{listener: listener}
 	c.listeners = append(c.listeners, clients)
-	server.LimitClients(c.proxy.NewClients, share, func() { clients.ended.Add(1) })
+	return clients
 }
 
 // reportEndedClients counts and logs the clients that were ended.
--- a/cmd/tamarackd/sidecar_listen.go
+++ b/cmd/tamarackd/sidecar_listen.go
@@ -34,7 +34,8 @@
 			return next(context)
 		}
 	})
-	e.GET(feedws.Path, echo.WrapHandler(feedws.NewHandler(c.follower, c.crashes, c.proxy.CountSent)))
+	feeds := feedws.Limit{Feeds: c.shareOf(clientLimits).MaxConns() / feedDivisor, Ended: c.newListenerClients("feeds").end}
+	e.GET(feedws.Path, echo.WrapHandler(feedws.NewHandler(c.follower, c.crashes, c.proxy.CountSent, feeds)))
 	e.GET(proxy.PingPath, func(context echo.Context) error {
 		hint(context.Request())
 		return context.NoContent(http.StatusNoContent)
--- a/internal/adapter/feedws/feedws.go
+++ b/internal/adapter/feedws/feedws.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"tamarackquay/internal/follow"
+	"tamarackquay/internal/membudget"
 	"tamarackquay/internal/mesh"
 	"tamarackquay/internal/quarantine"
 	"tamarackquay/internal/wait"
@@ -54,10 +55,19 @@
 	Serve(ctx context.Context, host string, checkpoint mesh.Checkpoint, send func(*mesh.Update) error) error
 }
 
+// Limit limits the feeds of a handler. Anybody who reaches the listener can open feeds.
+type Limit struct {
+	// Feeds is how many feeds are served at a time. Zero means no limit.
+	Feeds int
+	// Ended is called for each feed that was ended for a new one. It may be nil without a limit.
+	Ended func()
+}
+
 // NewHandler returns a handler that serves the source's updates to followers and exchanges
 // notices with them. It calls countSent with the size of each sent message.
-func NewHandler(source Source, notices follow.Notices, countSent func(bytes int)) http.Handler {
+func NewHandler(source Source, notices follow.Notices, countSent func(bytes int), limit Limit) http.Handler {
 	encoder := &encoder{}
+	served := membudget.NewStreams[*websocket.Conn](limit.Feeds)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		checkpoint, err := decodeCheckpoint(r.URL.Query())
 		if err != nil {
@@ -69,6 +79,14 @@
 			return
 		}
 		defer conn.CloseNow()
+		host := follow.HostOf(r.RemoteAddr)
+		stream, end := served.Open(host, conn)
+		defer served.Close(stream)
+		if end != nil {
+			// Without a close frame: its client may not read. The error is of a connection that is closed already.
+			_ = end.Owner.CloseNow()
+			limit.Ended()
+		}
 		conn.SetReadLimit(maxNotice)
 		feed := notices.NewFeed()
 		// receiveNotices returns when the follower has disconnected.
@@ -79,7 +97,7 @@
 			receiveNotices(ctx, conn, notices, feed)
 		}()
 		go sendNotices(ctx, conn, notices, feed, countSent)
-		err = source.Serve(ctx, follow.HostOf(r.RemoteAddr), checkpoint, func(update *mesh.Update) error {
+		err = source.Serve(ctx, host, checkpoint, func(update *mesh.Update) error {
 			raw, err := encoder.encode(update)
 			if err != nil {
 				return err
--- a/internal/adapter/feedws/feedws_test.go
+++ b/internal/adapter/feedws/feedws_test.go
@@ -162,7 +162,7 @@
 
 func serveFeed(t *testing.T, listener net.Listener, source Source, countSent func(int)) {
 	t.Helper()
-	server := httptest.NewUnstartedServer(NewHandler(source, quarantine.NewSharedLedger(wallClock{}), countSent))
+	server := httptest.NewUnstartedServer(NewHandler(source, quarantine.NewSharedLedger(wallClock{}), countSent, Limit{}))
 	server.Listener = listener
 	server.Start()
 	t.Cleanup(server.Close)
@@ -185,7 +185,7 @@
 		listener := newSlowListener()
 		sent := 0
 		update := &mesh.Update{Config: mesh.Diff(nil, &mesh.Config{Version: 3, Routes: makeRoutes(2500)})}
-		server := &http.Server{Handler: NewHandler(singleUpdateSource{update}, quarantine.NewSharedLedger(wallClock{}), func(bytes int) { sent += bytes })}
+		server := &http.Server{Handler: NewHandler(singleUpdateSource{update}, quarantine.NewSharedLedger(wallClock{}), func(bytes int) { sent += bytes }, Limit{})}
 		go func() { _ = server.Serve(listener) }()
 		client := NewClient(&http.Transport{DialContext: listener.dial}, quarantine.NewSharedLedger(wallClock{}), func(int) {})
 		begin := time.Now()
--- a/internal/adapter/feedws/notices_test.go
+++ b/internal/adapter/feedws/notices_test.go
@@ -37,7 +37,7 @@
 		defer mu.Unlock()
 		bytes += count
 	}
-	server := NewHandler(singleUpdateSource{&mesh.Update{}}, serverLedger, func(int) {})
+	server := NewHandler(singleUpdateSource{&mesh.Update{}}, serverLedger, func(int) {}, Limit{})
 	go http.Serve(listener, server)
 	defer listener.Close()
 	ctx, stop := context.WithCancel(context.Background())
@@ -64,7 +64,7 @@
 func TestNoticesAreForwardedBetweenFollowers(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	go http.Serve(listener, NewHandler(singleUpdateSource{&mesh.Update{}}, quarantine.NewSharedLedger(wallClock{}), func(int) {}))
+	go http.Serve(listener, NewHandler(singleUpdateSource{&mesh.Update{}}, quarantine.NewSharedLedger(wallClock{}), func(int) {}, Limit{}))
 	defer listener.Close()
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/internal/adapter/httpserver/clients.go
+++ b/internal/adapter/httpserver/clients.go
@@ -38,6 +38,18 @@
 	Conns int
 }
 
+// MaxConns returns the most connections without TLS within the limits; 0 means no limit.
+func (l ClientLimits) MaxConns() int {
+	if l.Bytes == 0 {
+		return l.Conns
+	}
+	within := int(l.Bytes / connBytes)
+	if l.Conns == 0 {
+		return within
+	}
+	return min(l.Conns, within)
+}
+
 // NewClients returns the clients of a listener in the account of a node's memory.
 type NewClients func(limits membudget.ClientLimits) *membudget.Clients
 
--- a/test/process/crowd_test.go
+++ b/test/process/crowd_test.go
@@ -96,6 +96,12 @@
 // when all is sent or the node has ended the connections. The node may not have accepted some of them yet.
 // They stay open until the end of the test.
 func sendCrowd(t *testing.T, address string, conns int, content []byte) []net.Conn {
+	t.Helper()
+	return sendCrowdOf(t, address, conns, func(int) []byte { return content })
+}
+
+// sendCrowdOf is sendCrowd for connections with different contents, which it gets by their numbers.
+func sendCrowdOf(t *testing.T, address string, conns int, content func(i int) []byte) []net.Conn {
 	t.Helper()
 	var sending sync.WaitGroup
 	crowd := make([]net.Conn, conns)
@@ -108,7 +114,7 @@
 			t.Cleanup(func() { _ = conn.Close() })
 			_ = conn.SetDeadline(time.Now().Add(crowdSendTime))
 			// The node may refuse the client and end the connection at any byte.
-			_, _ = conn.Write(content)
+			_, _ = conn.Write(content(i))
 			crowd[i] = conn
 		})
 	}
@@ -118,14 +124,31 @@
 
 // awaitEnds waits until the node has ended each connection of a crowd.
 func awaitEnds(t *testing.T, crowd []net.Conn) {
+	t.Helper()
+	readCrowd(t, crowd, func(conn net.Conn) error {
+		_, err := io.Copy(io.Discard, conn)
+		return err
+	})
+}
+
+// awaitAnswers waits until the node has answered or ended each connection of a crowd.
+func awaitAnswers(t *testing.T, crowd []net.Conn) {
+	t.Helper()
+	readCrowd(t, crowd, func(conn net.Conn) error {
+		_, err := conn.Read(make([]byte, 1))
+		return err
+	})
+}
+
+func readCrowd(t *testing.T, crowd []net.Conn, read func(conn net.Conn) error) {
 	t.Helper()
 	deadline := time.Now().Add(crowdEndTimeout)
 	for _, conn := range crowd {
 		assert.Assert(t, conn != nil, "the node did not accept a connection")
 		assert.NilError(t, conn.SetDeadline(deadline))
 		// A reset is an end as well.
-		_, err := io.Copy(io.Discard, conn)
-		assert.Assert(t, !errors.Is(err, os.ErrDeadlineExceeded), "a connection is open after %s", crowdEndTimeout)
+		err := read(conn)
+		assert.Assert(t, !errors.Is(err, os.ErrDeadlineExceeded), "a connection still waits after %s", crowdEndTimeout)
 	}
 }
 
@@ -273,6 +296,32 @@
 	vm.node.assertWithin(t, crowdMemoryMb)
 }
 
+// feedRequest opens a feed of the configuration, which has no end.
+const feedRequest = "GET /peer/feed?version=0&revision=0 HTTP/1.1\r\nHost: node\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n" +
+	"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n"
+
+// Guards against clients that use up the peers' listener of a node by requests without end: other nodes
+// could send it nothing more.
+func TestCrowdAtPeersLeavesRoomForNodes(t *testing.T) {
+	for _, form := range []struct {
+		desc    string
+		content func(i int) []byte
+	}{
+		{"feeds", func(int) []byte { return []byte(feedRequest) }},
+	} {
+		t.Run(form.desc, func(t *testing.T) {
+			owner := startLimitedSidecar(t, userfiles.Limits{MemoryMb: crowdMemoryMb})
+			awaitAnswers(t, sendCrowdOf(t, owner.address(portPeers), crowdConns, form.content))
+			entry := owner.fleet.addVM()
+			entry.startNode()
+			entry.waitReady()
+			entry.awaitServed(t)
+			owner.assertOrdinaryRequests(t)
+			owner.node.assertWithin(t, crowdMemoryMb)
+		})
+	}
+}
+
 // Guards against the same of nodes that serve contracts.
 func TestCrowdOfSlowBodiesEndsOfContracts(t *testing.T) {
 	f := newFleet(t, spec{"a-tally", "a-1", "a", "tally"})
