proxy: the time that another node states for a request is limited

Cause: the owner's node took the time left from the request as it stood, and nothing else ends such a request.

Change: at most twice the longest timeout of the node's own configuration. The sender's configuration may be newer, with longer timeouts; a change that more than doubles the longest one is the only case in which a proper request can meet this, until the owner has the change too.

--- a/internal/mesh/table.go
+++ b/internal/mesh/table.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Table maps requests to routes. It is immutable.
@@ -16,6 +17,10 @@
 	restricted map[string]*Route
 	// names holds the names of all routes.
 	names map[string]struct{}
+	// longestTimeout is the longest timeout that a route sets, and unsetTimeout is true if a route
+	// sets none.
+	longestTimeout time.Duration
+	unsetTimeout   bool
 }
 
 // NewTable indexes a configuration.
@@ -29,6 +34,8 @@
 		host := strings.ToLower(route.Host)
 		t.hosts[host] = append(t.hosts[host], route)
 		t.names[route.Name] = struct{}{}
+		t.longestTimeout = max(t.longestTimeout, route.Timeout)
+		t.unsetTimeout = t.unsetTimeout || route.Timeout == 0
 		if len(route.Regions) > 0 {
 			t.restricted[route.Name] = route
 		}
@@ -79,6 +86,18 @@
 	return ok
 }
 
+// LongestTimeout returns the longest timeout of all routes. The argument is the timeout of routes that set
+// none, which is also returned without routes, and for a nil table.
+func (t *Table) LongestTimeout(unset time.Duration) time.Duration {
+	if t == nil || len(t.names) == 0 {
+		return unset
+	}
+	if t.unsetTimeout {
+		return max(t.longestTimeout, unset)
+	}
+	return t.longestTimeout
+}
+
 // Restricted returns the named route if it has allowed regions, or nil. A nil table has none.
 func (t *Table) Restricted(name string) *Route {
 	if t == nil {
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -13,6 +13,7 @@
 	"tamarackquay/internal/adapter/exchange"
 	"tamarackquay/internal/admission"
 	"tamarackquay/internal/link"
+	"tamarackquay/internal/mesh"
 	"tamarackquay/internal/placement"
 	"tamarackquay/internal/port"
 	"tamarackquay/internal/targetreport"
@@ -44,6 +45,9 @@
 	retryStopping = 500 * time.Millisecond
 	// minBudget is the minimum remaining time with which a request is started.
 	minBudget = 5 * time.Millisecond
+	// maxBudgetFactor limits the time left that another node may state, as a multiple of the longest timeout
+	// of the configuration. The other node's configuration may be newer, with longer timeouts.
+	maxBudgetFactor = 2
 )
 
 // runLocal runs a request on the local target. The error is a *port.Refusal if the target
@@ -259,6 +263,7 @@
 		return
 	}
 	meta.fromPeer = true
+	meta.budget = min(meta.budget, p.maxBudget())
 	request := &exchange.Request{
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: http.Header{},
 		Body: r.Body, ContentLength: r.ContentLength,
@@ -323,6 +328,16 @@
 	complete = true
 }
 
+// maxBudget returns the longest time for which a request of another node is handled. Anybody who reaches the
+// listener can state any time.
+func (p *Proxy) maxBudget() time.Duration {
+	var table *mesh.Table
+	if snapshot := p.snapshot.Load(); snapshot != nil {
+		table = snapshot.Table
+	}
+	return maxBudgetFactor * table.LongestTimeout(defaultTimeout)
+}
+
 // runAdmitted runs a request for which this node has memory.
 func (p *Proxy) runAdmitted(ctx context.Context, meta *attemptMeta, r *exchange.Request, received time.Time, hold *memoryHold) (*exchange.Response, loadReport, error) {
 	if refusal := hold.admit(ctx, "owner", heldToRelay(r.ContentLength)); refusal != nil {
--- a/test/process/crowd_test.go
+++ b/test/process/crowd_test.go
@@ -300,6 +300,13 @@
 const feedRequest = "GET /peer/feed?version=0&revision=0 HTTP/1.1\r\nHost: node\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n" +
 	"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n"
 
+// forwardedUpload begins a body that doesn't come, of a request that another node could have sent if its
+// deadline were not in a year.
+func forwardedUpload(i int) []byte {
+	return fmt.Appendf(nil, "POST /once/x HTTP/1.1\r\nHost: %s\r\nTamarack-Terms: attempt-%d;once;0;31536000000;31536000000;0;0;0;31536000000;0.00;0\r\n"+
+		"Content-Length: 20000\r\n\r\nb", userfiles.Host, i)
+}
+
 // Guards against clients that use up the peers' listener of a node by requests without end: other nodes
 // could send it nothing more.
 func TestCrowdAtPeersLeavesRoomForNodes(t *testing.T) {
@@ -308,6 +315,7 @@
 		content func(i int) []byte
 	}{
 		{"feeds", func(int) []byte { return []byte(feedRequest) }},
+		{"bodies of forwarded requests", forwardedUpload},
 	} {
 		t.Run(form.desc, func(t *testing.T) {
 			owner := startLimitedSidecar(t, userfiles.Limits{MemoryMb: crowdMemoryMb})
