test/process: crowd tests ask the peers' listener too, and notice a process whose descriptors can't be read

After a crowd, an ordinary request was checked on three of the four listeners; the peers' one was left out. The count of descriptors was 0 if it could not be read, which passed every bound. Both are checked now, in all tests of crowds of the sidecar.

--- a/test/process/crowd_test.go
+++ b/test/process/crowd_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -177,14 +178,14 @@
 	return kilobytes << 10
 }
 
-// openDescriptors returns how many descriptors the process has open; 0 if it has ended.
-func (p *process) openDescriptors() int {
-	entries, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
-	return len(entries)
+// openDescriptors returns how many descriptors the process has open; the error is of a process that has ended.
+func (p *process) openDescriptors() (int, error) {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	return len(entries), err
 }
 
 // watchDescriptors returns a function that returns the most descriptors that the process has had open
-// since.
+// since; more than any limit if it has ended.
 func (p *process) watchDescriptors() (most func() int) {
 	stop, result := make(chan struct{}), make(chan int)
 	go func() {
@@ -192,7 +193,11 @@
 		ticker := time.NewTicker(5 * time.Millisecond)
 		defer ticker.Stop()
 		for {
-			most = max(most, p.openDescriptors())
+			open, err := p.openDescriptors()
+			if err != nil {
+				open = math.MaxInt
+			}
+			most = max(most, open)
 			select {
 			case <-ticker.C:
 			case <-stop:
@@ -232,16 +237,20 @@
 }
 
 // assertOrdinaryRequests checks that an ordinary request gets an answer of a target, on a connection of
-// its own, and that readiness and metrics answer.
+// its own, and that the node answers other nodes, and for readiness and metrics.
 func (v *sidecarVM) assertOrdinaryRequests(t *testing.T) {
 	t.Helper()
 	http.DefaultTransport.(*http.Transport).CloseIdleConnections()
 	assert.Check(t, v.call(t, http.MethodPost, "/once/x", "certificate").StatusCode == http.StatusOK)
-	for _, address := range []string{v.address(portReady) + "/ready", v.address(portMetrics) + "/metrics"} {
-		response, err := http.Get("http://" + address)
-		if assert.Check(t, err, address) {
+	for _, query := range []struct {
+		port   int
+		path   string
+		status int
+	}{{portPeers, "/peer/ping", http.StatusNoContent}, {portReady, "/ready", http.StatusOK}, {portMetrics, "/metrics", http.StatusOK}} {
+		response, err := http.Get("http://" + v.address(query.port) + query.path)
+		if assert.Check(t, err, query.path) {
 			_ = response.Body.Close()
-			assert.Check(t, response.StatusCode == http.StatusOK, "%s: %s", address, response.Status)
+			assert.Check(t, response.StatusCode == query.status, "%s: %s", query.path, response.Status)
 		}
 	}
 }
@@ -287,7 +296,8 @@
 // ever.
 func TestCrowdOfSlowBodiesEnds(t *testing.T) {
 	vm := startLimitedSidecar(t, userfiles.Limits{MemoryMb: crowdMemoryMb})
-	before := vm.node.openDescriptors()
+	before, err := vm.node.openDescriptors()
+	assert.NilError(t, err)
 	crowd := sendCrowd(t, vm.address(portCallers), crowdConns, []byte(slowUpload))
 	vm.awaitServed(t)
 	awaitEnds(t, crowd)
@@ -336,7 +346,8 @@
 	f.publish(strings.ReplaceAll(overloadContracts(), ", b-1 = 1", ""))
 	f.waitVersion()
 	node := f.nodes["a-tally"]
-	before := node.process.openDescriptors()
+	before, err := node.process.openDescriptors()
+	assert.NilError(t, err)
 	awaitEnds(t, sendCrowd(t, node.callers, crowdConns, []byte(slowUpload)))
 	node.process.awaitDescriptors(t, before+crowdConns/10)
 	f.assertOrdinaryRequest(t, "a-tally")
@@ -347,7 +358,11 @@
 func (p *process) awaitDescriptors(t *testing.T, bound int) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if open := p.openDescriptors(); open >= bound {
+		open, err := p.openDescriptors()
+		if err != nil {
+			return poll.Error(err)
+		}
+		if open >= bound {
 			return poll.Continue("%d descriptors are open, not under %d", open, bound)
 		}
 		return poll.Success()
