test/process: spoilt and cut responses of another node

A stand-in in the place of a node sends the 28 spoilt heads, and parts of a response with a reset during an upload. The tests of these forms had spoilt targets only; that a node's response is checked the same way was shown in the pool that both share.

--- a/test/process/spoilt_response_test.go
+++ b/test/process/spoilt_response_test.go
@@ -74,6 +74,19 @@
 	return f
 }
 
+// newRawNodeFleet starts a node and, on another VM, the raw target in the place of a node.
+func newRawNodeFleet(t *testing.T, respond func(conn *net.TCPConn, r *http.Request, head string)) *sidecarFleet {
+	t.Helper()
+	f := newEmptySidecarFleet(t)
+	entry, owner := f.addVM(), f.addVM()
+	node := &rawTarget{id: "i-0", respond: respond}
+	node.serve(t, owner.address(portPeers))
+	f.store.Put(usertarget.Key(node.id), (&sidecarTarget{vm: owner, id: node.id}).entry("ready", time.Now()), 0)
+	entry.startNode()
+	entry.waitReady()
+	return f
+}
+
 // uploadBytes is more than the buffers of a connection hold, so that the upload is being written when
 // the target responds.
 const uploadBytes = 600_000
@@ -82,14 +95,31 @@
 // without a length, and resets the connection after a part of the body.
 func TestResponseResetDuringUploadIsNotComplete(t *testing.T) {
 	t.Parallel()
-	const partBytes, tries = 5000, 12
-	f := newRawTargetFleet(t, func(conn *net.TCPConn, r *http.Request, head string) {
-		version := r.URL.Query().Get("version")
-		_, _ = io.WriteString(conn, "HTTP/"+version+" 200 OK\r\n"+head+"Connection: close\r\n\r\n"+strings.Repeat("b", partBytes))
-		_ = conn.SetLinger(0)
-	})
+	f := newRawTargetFleet(t, respondPart)
+	f.assertNoPartIsComplete(t, f.vms)
+}
+
+// Guards against the same of a response that another node sends.
+func TestResponseOfNodeResetDuringUploadIsNotComplete(t *testing.T) {
+	t.Parallel()
+	f := newRawNodeFleet(t, respondPart)
+	f.assertNoPartIsComplete(t, f.vms[:1])
+}
+
+// respondPart sends a response without a length, and resets the connection after a part of its body.
+func respondPart(conn *net.TCPConn, r *http.Request, head string) {
+	const partBytes = 5000
+	version := r.URL.Query().Get("version")
+	_, _ = io.WriteString(conn, "HTTP/"+version+" 200 OK\r\n"+head+"Connection: close\r\n\r\n"+strings.Repeat("b", partBytes))
+	_ = conn.SetLinger(0)
+}
+
+// assertNoPartIsComplete sends uploads to nodes and checks that no response looks complete.
+func (f *sidecarFleet) assertNoPartIsComplete(t *testing.T, entries []*sidecarVM) {
+	t.Helper()
+	const tries = 12
 	upload := bytes.Repeat([]byte("u"), uploadBytes)
-	for _, vm := range f.vms {
+	for _, vm := range entries {
 		for _, version := range []string{"1.0", "1.1"} {
 			for _, path := range []string{"/once/x", "/x"} {
 				complete := 0
@@ -157,6 +187,27 @@
 	}
 }
 
+// Guards against the same of a response that another node sends.
+func TestSpoiltHeadOfNodeIsNoResponse(t *testing.T) {
+	t.Parallel()
+	f := newRawNodeFleet(t, func(conn *net.TCPConn, r *http.Request, head string) {
+		response := "HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\nok"
+		var index int
+		if _, err := fmt.Sscan(r.URL.Query().Get("spoilt"), &index); err == nil {
+			response = spoiltHeads[index].response
+		}
+		_, _ = fmt.Fprintf(conn, response, head)
+	})
+	entry := f.vms[0]
+	entry.awaitServed(t)
+	for index, spoilt := range spoiltHeads {
+		for _, path := range []string{"/x", "/once/x"} {
+			status := f.statusOf(entry.newRequest(http.MethodPost, fmt.Sprintf("%s?spoilt=%d", path, index), nil))
+			assert.Check(t, status == http.StatusBadGateway, "%s, %s: answered %d", spoilt.desc, path, status)
+		}
+	}
+}
+
 // Guards against the same on the path by contracts, where an answer of an unknown outcome is 502.
 func TestSpoiltHeadIsNoResponseOfContracts(t *testing.T) {
 	f := newIdleFleet(t, spec{"a-tally", "a-1", "a", "tally"}, spec{"b-returns", "b-1", "b", "returns"})
