--- a/internal/adapter/httpserver/clients_test.go
+++ b/internal/adapter/httpserver/clients_test.go
@@ -172,3 +172,19 @@
 	_, reader := s.open(t, get("/x"))
 	assert.Equal(t, statusOf(t, reader), http.StatusOK)
 }
+
+func TestMaxConns(t *testing.T) {
+	for _, test := range []struct {
+		desc   string
+		limits ClientLimits
+		want   int
+	}{
+		{"no limit", ClientLimits{}, 0},
+		{"connections", ClientLimits{Conns: 7}, 7},
+		{"memory", ClientLimits{Bytes: 10*connBytes + 1}, 10},
+		{"less memory than connections", ClientLimits{Bytes: 10 * connBytes, Conns: 11}, 10},
+		{"fewer connections than memory", ClientLimits{Bytes: 10 * connBytes, Conns: 9}, 9},
+	} {
+		t.Run(test.desc, func(t *testing.T) { assert.Equal(t, test.limits.MaxConns(), test.want) })
+	}
+}
