soak: crowds open feeds as well

The crowd of a plan sends to the callers' port only. It now opens 250 feeds at the peers' port too, more than a node serves.

Nodes without the limit on feeds break no promise in them either: the crowd lasts 3 s, and the other targets serve meanwhile.

--- a/internal/soak/crowd.go
+++ b/internal/soak/crowd.go
@@ -16,8 +16,8 @@
 const (
 	// crowdDuration is how long a crowd's connections are opened again when the node has closed them.
 	crowdDuration = 3 * time.Second
-	// crowdConns is the number of a crowd's connections at a time, more than a node keeps for callers by
-	// nodeFds.
+	// crowdConns is the number of a crowd's connections at a time to each listener, more than a node keeps
+	// there by nodeFds.
 	crowdConns = 250
 	// crowdPause limits how often each of them is opened.
 	crowdPause = 100 * time.Millisecond
@@ -55,25 +55,33 @@
 	}
 }
 
-// crowd connects clients that don't end their requests to a node, until the fault is over.
+// feedRequest opens a feed like a node, which has no end.
+const feedRequest = "GET /peer/feed?version=0&revision=0 HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n" +
+	"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n"
+
+// crowd connects clients that don't end their requests, and clients that open feeds, to a node, until the fault
+// is over.
 func (m *machine) crowd(ctx context.Context, fault Fault) {
 	ctx, cancel := context.WithTimeout(ctx, fault.Duration)
 	defer cancel()
-	requests := crowdRequests()
 	var clients sync.WaitGroup
-	for i := range crowdConns {
-		clients.Go(func() {
-			for wait.Sleep(ctx, crowdPause) {
-				m.sendAndWait(ctx, requests[i%len(requests)])
-			}
-		})
+	connect := func(port int, requests []string) {
+		for i := range crowdConns {
+			clients.Go(func() {
+				for wait.Sleep(ctx, crowdPause) {
+					m.sendAndWait(ctx, port, requests[i%len(requests)])
+				}
+			})
+		}
 	}
+	connect(portCallers, crowdRequests())
+	connect(portPeers, []string{feedRequest})
 	clients.Wait()
 }
 
-// sendAndWait sends text on a connection and keeps it until the node closes it or ctx ends.
-func (m *machine) sendAndWait(ctx context.Context, text string) {
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", hostPort(m.private, portCallers))
+// sendAndWait sends text on a connection to a port of the node and keeps it until the node closes it or ctx ends.
+func (m *machine) sendAndWait(ctx context.Context, port int, text string) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", hostPort(m.private, port))
 	if err != nil {
 		// The node may be down for the moment.
 		return
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -61,7 +61,7 @@
 	LateWrite Kind = "late-write"
 	// ClockBehind restarts a target under its name with its clock behind, and drains it.
 	ClockBehind Kind = "clock-behind"
-	// Crowd connects many clients to a node that don't end their requests.
+	// Crowd connects many clients to a node that don't end their requests, or open feeds.
 	Crowd Kind = "crowd"
 	// TargetCrashed is an event only: a target crashed under such a request.
 	TargetCrashed Kind = "target-crashed"
