proxy: the test of inner calls waits for the queue, not for time

Cause, in the test: the call's route gives it 50 ms, of which the queue lets it wait some 25 ms, and the test took three sleeps of 10 and 30 ms for what it wanted to see. Where the sleeps or the requests take 20 ms longer, the call has expired in the queue when the slot gets free, and the next request rightly gets it.

Change: the routes allow waits of seconds, and the test awaits each state that it relies on: all slots taken, two requests waiting, the call waiting. What it demands is the same.

--- a/internal/proxy/reachability_test.go
+++ b/internal/proxy/reachability_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -73,21 +74,20 @@
 }
 
 // A target is full of new requests when a call arrives that another target makes for a
-// request that it is working on. The call must get the next slot.
+// request that it is working on. The call must get the next slot. Both routes allow long
+// waits, so that no request expires in the queue.
 func TestInnerCallsPrecedeNewRequests(t *testing.T) {
 	f := newFleet(t, 1)
-	call := testRoute("/call/", mesh.Idempotent)
-	call.TargetLatency = 50 * time.Millisecond
+	call, request := testRoute("/call/", mesh.Idempotent), testRoute("/idempotent/", mesh.Idempotent)
+	call.TargetLatency, call.Timeout = 5*time.Second, 20*time.Second
+	request.TargetLatency, request.Timeout = 4*call.TargetLatency, 4*call.Timeout
 	snapshot := *f.proxies[0].snapshot.Load()
-	snapshot.Table = mesh.NewTable(&mesh.Config{Version: 2, Routes: append([]mesh.Route{call}, f.table.Config.Routes...)})
+	snapshot.Table = mesh.NewTable(&mesh.Config{Version: 2, Routes: []mesh.Route{call, request}})
 	f.proxies[0].SetSnapshot(&snapshot)
-	var mu sync.Mutex
-	var order []string
+	order := make(chan string, testSlots+3)
 	release := make(chan struct{})
 	f.targets[0].serve = func(w http.ResponseWriter, r *http.Request) {
-		mu.Lock()
-		order = append(order, r.URL.Path)
-		mu.Unlock()
+		order <- r.URL.Path
 		<-release
 		f.targets[0].respond(w, r)
 	}
@@ -96,14 +96,23 @@
 	for range testSlots + 2 {
 		send("/idempotent/x")
 	}
-	time.Sleep(30 * time.Millisecond)
+	for range testSlots {
+		assert.Equal(t, <-order, "/idempotent/x")
+	}
+	f.awaitWaiting(t, 0, 2)
 	send("/call/x")
-	time.Sleep(10 * time.Millisecond)
+	f.awaitWaiting(t, 0, 3)
 	release <- struct{}{}
-	time.Sleep(10 * time.Millisecond)
-	mu.Lock()
-	assert.Equal(t, order[testSlots], "/call/x")
-	mu.Unlock()
+	assert.Equal(t, <-order, "/call/x")
 	close(release)
 	callers.Wait()
 }
+
+// awaitWaiting waits until the given number of requests wait for a slot of a target.
+func (f *fleet) awaitWaiting(t *testing.T, node, want int) {
+	t.Helper()
+	waitFor(t, fmt.Sprint(want, " waiting requests"), func() bool {
+		_, waiting := f.proxies[node].gate.Counts()
+		return waiting == want
+	})
+}
