--- a/internal/proxy/reachability_test.go
+++ b/internal/proxy/reachability_test.go
@@ -81,9 +81,7 @@
 	call, request := testRoute("/call/", mesh.Idempotent), testRoute("/idempotent/", mesh.Idempotent)
 	call.TargetLatency, call.Timeout = 5*time.Second, 20*time.Second
 	request.TargetLatency, request.Timeout = 4*call.TargetLatency, 4*call.Timeout
-	snapshot := *f.proxies[0].snapshot.Load()
-	snapshot.Table = mesh.NewTable(&mesh.Config{Version: 2, Routes: []mesh.Route{call, request}})
-	f.proxies[0].SetSnapshot(&snapshot)
+	f.withRoutes(0, &mesh.Config{Version: 2, Routes: []mesh.Route{call, request}})
 	order := make(chan string, testSlots+3)
 	release := make(chan struct{})
 	f.targets[0].serve = func(w http.ResponseWriter, r *http.Request) {
--- a/internal/proxy/shortage_test.go
+++ b/internal/proxy/shortage_test.go
@@ -12,6 +12,7 @@
 
 	"tamarackquay/internal/adapter/callhttp"
 	"tamarackquay/internal/adapter/metrics"
+	"tamarackquay/internal/mesh"
 	"tamarackquay/internal/placement"
 	"tamarackquay/internal/port"
 )
@@ -79,9 +80,14 @@
 	assert.Equal(t, w.Code, http.StatusOK, "a probe after 250 ms")
 }
 
-// Services whose targets report no work factor are served as without a shortage.
+// Services whose targets report no work factor are served as without a shortage. Timeouts are long: the
+// clock of the test stands still, so a target that fails once stays in backoff.
 func TestOtherServicesAreUnaffectedByShortages(t *testing.T) {
 	f, _ := newShortage(t, false)
+	f.setDialTimeout(time.Minute)
+	route := testRoute("/idempotent/", mesh.Idempotent)
+	route.TargetLatency, route.Timeout = time.Minute, 2*time.Minute
+	f.withRoutes(0, &mesh.Config{Version: 2, Routes: []mesh.Route{route}})
 	for range 20 {
 		assert.Equal(t, f.send(0, "GET", "/idempotent/x", "").Code, http.StatusOK)
 	}
