httpserver: refuse requests whose end is not certain

What clients could do, at the listeners for callers and for nodes: a request of HTTP/1.0 with Transfer-Encoding ran with an empty body, and with keep-alive what followed was read as a further request and ran. A request with a transfer coding and a length ran, and its connection was kept.

Cause: net/http drops the coding of HTTP/1.0 and the length beside a coding, and tells neither the handler.

Change: a scanner follows where the requests of a connection begin and end while net/http reads them (requestframe). The request with such a header is answered 400 bad-request, not run (RFC 9112, sections 5.2, 6.1 and 6.3); what follows on its connection is discarded, and the connection closed after the answers to the requests before it. Chunks that are not valid end the body in the same way (section 7.1). The refusals are logged and counted as others are. Connections with TLS, which are those of nodes with a certificate, are left out.

--- a/cmd/tamarackd/run.go
+++ b/cmd/tamarackd/run.go
@@ -135,7 +135,7 @@
 }
 
 // limitClients limits what the clients of each listener may use of the memory for clients in bytes, and of the
-// descriptors.
+// descriptors, and counts the requests that the listener refuses.
 func (d *daemon) limitClients(memory int64, meter port.Meter) {
 	account, lock := membudget.New(memory), &sync.Mutex{}
 	newClients := func(limits membudget.ClientLimits) *membudget.Clients {
@@ -151,6 +151,9 @@
 		{"peers", d.peerServer, clientLimits(memory, descriptors)},
 		{"operators", d.operators, queryLimits(memory, descriptors)},
 	} {
+		listener.server.Invalid = func(_ *http.Request, refusal *port.Refusal) {
+			meter.Count(port.MetricRefused, string(refusal.Reason), 1)
+		}
 		listener.server.LimitClients(newClients, listener.limits, func() { meter.Count(port.MetricClientsEnded, listener.name, 1) })
 	}
 }
--- a/cmd/tamarackd/sidecar.go
+++ b/cmd/tamarackd/sidecar.go
@@ -211,9 +211,10 @@
 // end counts a client that was ended.
 func (l *listenerClients) end() { l.ended.Add(1) }
 
-// limitClients limits what the clients of a listener may use. The function limits divides the memory for
-// clients and the descriptors.
+// limitClients limits what the clients of a listener may use, and records the requests that it refuses. The
+// function limits divides the memory for clients and the descriptors.
 func (c *sidecar) limitClients(server *httpserver.Server, listener string, limits func(memory int64, descriptors int) httpserver.ClientLimits) {
+	server.Invalid = c.proxy.RecordInvalid
 	server.LimitClients(c.proxy.NewClients, c.shareOf(limits), c.newListenerClients(listener).end)
 }
 
--- a/internal/adapter/httpserver/clients.go
+++ b/internal/adapter/httpserver/clients.go
@@ -149,7 +149,7 @@
 // CloseWrite closes the sending side. http.Server calls it before it keeps a connection for half a second,
 // so that its client can read the last response. If there are many clients, the connection ends at once.
 func (c *conn) CloseWrite() error {
-	if c.server.clients != nil && c.server.clients.Crowded() {
+	if c.isCrowded() {
 		panic(http.ErrAbortHandler)
 	}
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
@@ -158,6 +158,8 @@
 	return nil
 }
 
+func (c *conn) isCrowded() bool { return c.server.clients != nil && c.server.clients.Crowded() }
+
 // growHeader counts bytes of a header that were read. It reports whether there is room for them.
 func (c *conn) growHeader(p []byte) bool {
 	clients := c.server.clients
--- a/internal/adapter/httpserver/conn.go
+++ b/internal/adapter/httpserver/conn.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"tamarackquay/internal/adapter/requestframe"
 	"tamarackquay/internal/membudget"
 )
 
@@ -32,8 +33,16 @@
 	// headerCost is the memory granted for it. They are used only by the goroutine that reads headers.
 	headerBytes, headerLines int
 	headerCost               int64
+	// frames follows the requests. It is used only by the goroutine that reads.
+	frames requestframe.Scanner
 
 	mu sync.Mutex
+	// handled is the number of requests that the handler got. invalid is the error of the framing of the
+	// last request that is read, whose number is invalidAt.
+	handled, invalidAt int
+	invalid            error
+	// hijacked is true once the connection carries another protocol.
+	hijacked bool
 	// fresh is true until the first byte is received. A caller that has just connected is
 	// about to send its request, and would treat a response that arrives first as a
 	// connection error. Its request is answered instead.
@@ -69,6 +78,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.active = state == http.StateActive || state == http.StateHijacked
+	c.hijacked = state == http.StateHijacked
 	c.draining = false
 	switch state {
 	case http.StateActive, http.StateHijacked:
@@ -86,6 +96,9 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	if c.isInvalid() && !c.isCrowded() {
+		c.linger(time.Now().Add(finalResponseTimeout))
+	}
 	if c.server.clients != nil {
 		c.server.clients.Remove(&c.client)
 	}
@@ -130,10 +143,14 @@
 	if c.endIfClosing() {
 		return 0, errClosed
 	}
+	if invalid, err := c.passInvalid(p); invalid {
+		return 0, err
+	}
 	count, err := c.Conn.Read(p)
 	if c.endIfClosing() {
 		return 0, errClosed
 	}
+	count, err = c.follow(p[:count], err)
 	if count > 0 && c.isHeader() && !c.growHeader(p[:count]) {
 		c.refuse()
 		return 0, errClosed
@@ -196,11 +213,15 @@
 	if !c.writeFinal(final) {
 		return
 	}
+	c.linger(deadline)
+}
+
+// linger ends the sending side and discards what the caller still sends, until a deadline. Closing the
+// connection with unread data would reset it, and the caller could lose the last response.
+func (c *conn) linger(deadline time.Time) {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
 	}
-	// Received data is read and discarded. Closing the connection with unread data
-	// would reset it, and the caller could lose the final response.
 	_ = c.Conn.SetReadDeadline(deadline)
 	buf := make([]byte, 4096)
 	for {
--- a/internal/adapter/httpserver/server.go
+++ b/internal/adapter/httpserver/server.go
@@ -32,7 +32,7 @@
 func New(handler http.Handler, headerBytes int) *Server {
 	s := &Server{acceptDone: make(chan struct{}), conns: map[*conn]struct{}{}}
 	s.Server = &http.Server{
-		Handler:           drainBodies(handler),
+		Handler:           s.refuseInvalid(drainBodies(handler)),
 		MaxHeaderBytes:    headerBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 		ConnContext:       connContext,
@@ -72,6 +72,10 @@
 	// it may be nil. It must be set before Run.
 	HeaderTimedOut func(caller string)
 
+	// Invalid is called with the refusal of a request whose end is not certain; it may be nil. It must be
+	// set before Run.
+	Invalid func(r *http.Request, refusal *port.Refusal)
+
 	// SendBytes is the size of each connection's send buffer; 0 leaves it to the kernel. It must be set
 	// before Run.
 	SendBytes int
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -208,6 +208,12 @@
 	callhttp.WriteError(w, err)
 }
 
+// RecordInvalid counts and logs a request that a listener refused before a handler got it.
+func (p *Proxy) RecordInvalid(r *http.Request, refusal *port.Refusal) {
+	p.countError(nil, refusal)
+	p.requestLog.failed(p.ports.Clock.Now(), r.Header.Get(p.config.Headers.RequestID), nil, false, refusal)
+}
+
 func (p *Proxy) countError(f *forwarder, err error) {
 	var refusal *port.Refusal
 	if errors.As(err, &refusal) {
