proxy: refuse a body that can't be read before it is sent on

What callers got for malformed chunks, as a bare line feed, a size over 64 bits or long trailers: 502 with an unknown outcome, or 503 after the deadline.

Cause: any error of the body counted as unknown, also within the first 64 KiB, which are read before an attempt.

Change: such an error is a refusal: 400 bad-request, or 413 if the body without a length is over the limit. It is true, since no byte has been sent to a target. Errors of the rest of a larger body stay unknown.

--- a/internal/proxy/framing_test.go
+++ b/internal/proxy/framing_test.go
@@ -157,3 +157,25 @@
 			[]int{200, 200, 200}, []string{"POST /once/x a body", "POST /once/y b two", "GET /idempotent/z c "}, false},
 	})
 }
+
+// Guards against an unknown outcome of a request of which no byte has been sent to a target.
+func TestMalformedChunksAreRefused(t *testing.T) {
+	var forms []rawForm
+	for _, chunks := range []struct{ desc, text string }{
+		{"bare line feed after the size", "4\nbody\r\n0\r\n\r\n"},
+		{"bare line feed after the data", "4\r\nbody\n0\r\n\r\n"},
+		{"no digits", "\r\nbody\r\n0\r\n\r\n"},
+		{"size of 64 bits", "ffffffffffffffff\r\nbody\r\n0\r\n\r\n"},
+		{"size over 64 bits", "10000000000000004\r\nbody\r\n0\r\n\r\n"},
+		{"signed size", "+4\r\nbody\r\n0\r\n\r\n"},
+		{"prefix of hexadecimal numbers", "0x4\r\nbody\r\n0\r\n\r\n"},
+		{"more data than the size says", "3\r\nbody\r\n0\r\n\r\n"},
+		{"control byte in an extension", "4;a\x00\r\nbody\r\n0\r\n\r\n"},
+		{"long extension", "4;" + strings.Repeat("e", 8<<10) + "\r\nbody\r\n0\r\n\r\n"},
+		{"long trailers", "4\r\nbody\r\n0\r\n" + strings.Repeat("Trailer: t\r\n", 1<<10) + "\r\n"},
+		{"bare line feed in the trailers", "4\r\nbody\r\n0\r\nTrailer: t\n\r\n"},
+	} {
+		forms = append(forms, rawForm{chunks.desc, rawRequest("POST", "/once/x", "a", coded) + chunks.text + smuggled, []int{http.StatusBadRequest}, nil, true})
+	}
+	checkRaw(t, forms)
+}
--- a/internal/proxy/request_body.go
+++ b/internal/proxy/request_body.go
@@ -34,7 +34,12 @@
 		return nil, 0, port.Refuse(port.ReasonDeadline, 0, "the body did not arrive before the deadline")
 	}
 	if err != nil {
-		return nil, 0, &port.UnknownOutcome{Stage: "body", Cause: err}
+		// No byte has been sent to a target.
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return nil, 0, port.Refuse(port.ReasonBodyTooLarge, 0, "the body is over %d bytes", tooLarge.Limit)
+		}
+		return nil, 0, port.Refuse(port.ReasonBadRequest, 0, "%v", err)
 	}
 	if body.IsBuffered() {
 		_ = control.SetReadDeadline(time.Time{})
