proxy: refuse Connection headers that name headers of the platform

What callers could do: "Connection: X-Id" took the id away from the request, which its target then got without one; likewise the deadline. What targets could do: the same with the proof or the id of a response. The caller then got a 200 without a proof from its own node's target, and one without an id from another's.

Cause: CopyHeader drops the headers that Connection names, as an intermediary must (RFC 9110, section 7.6.1). That section also forbids senders to name headers that are for all recipients.

Change: such a request is refused with 400 bad-request. Such a response is no answer: the outcome is unknown, and a request that may run again is sent to another target.

Measured: TestConnectionOptionsKeepHeadersOfMesh was red before for all three forms that name a header of the platform, TestConnectionOptionsOfTarget for the proof at the node's own target and for the id at another's.

--- a/internal/adapter/callhttp/callhttp.go
+++ b/internal/adapter/callhttp/callhttp.go
@@ -57,7 +57,7 @@
 // CopyHeader copies the end-to-end headers; hop-by-hop headers and headers reserved for
 // nodes are omitted. The values are shared and must not be changed in place.
 func CopyHeader(to, from http.Header) {
-	listed := connectionHeaders(from["Connection"])
+	listed := ConnectionOptions(from)
 	for name, values := range from {
 		if !hopHeaders[name] && !strings.HasPrefix(name, HeaderPrefix) && !slices.Contains(listed, name) {
 			to[name] = slices.Clip(values)
@@ -65,16 +65,16 @@
 	}
 }
 
-// connectionHeaders returns the names that the Connection header lists as hop-by-hop
-// headers.
-func connectionHeaders(values []string) []string {
-	var listed []string
-	for _, value := range values {
-		for name := range strings.SplitSeq(value, ",") {
-			listed = append(listed, textproto.CanonicalMIMEHeaderKey(textproto.TrimString(name)))
+// ConnectionOptions returns the options of the Connection header in canonical form. Those that name
+// headers make them hop-by-hop headers.
+func ConnectionOptions(header http.Header) []string {
+	var options []string
+	for _, value := range header["Connection"] {
+		for option := range strings.SplitSeq(value, ",") {
+			options = append(options, textproto.CanonicalMIMEHeaderKey(textproto.TrimString(option)))
 		}
 	}
-	return listed
+	return options
 }
 
 // KeepBody leaves the rest of the request's body to the handler, and closes the connection
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -75,6 +75,9 @@
 	if limits.BodyBytes > 0 && r.ContentLength > limits.BodyBytes {
 		return nil, port.Refuse(port.ReasonBodyTooLarge, 0, "the body is over %d bytes", limits.BodyBytes)
 	}
+	if err := p.config.Headers.checkOptions(r.Header); err != nil {
+		return nil, port.Refuse(port.ReasonBadRequest, 0, "%v", err)
+	}
 	left := p.timeLeft(r, route)
 	if refusal := p.checkEntryStop(now, route, left); refusal != nil {
 		return nil, refusal
--- a/internal/proxy/framing_test.go
+++ b/internal/proxy/framing_test.go
@@ -179,3 +179,31 @@
 	}
 	checkRaw(t, forms)
 }
+
+// Guards against a request without the headers that the mesh needs: its sender names them as belonging to
+// the connection.
+func TestConnectionOptionsKeepHeadersOfMesh(t *testing.T) {
+	checkRaw(t, []rawForm{
+		{"id", rawRequest("GET", "/idempotent/x", "a", "Connection: X-Id\r\n"), []int{400}, nil, false},
+		{"id among others", rawRequest("GET", "/idempotent/x", "a", "Connection: keep-alive, x-id\r\n"), []int{400}, nil, false},
+		{"deadline", rawRequest("GET", "/idempotent/x", "a", "Connection: X-Deadline-Ms\r\n"), []int{400}, nil, false},
+		{"another header", rawRequest("GET", "/idempotent/x", "a", "Connection: X-Other\r\n"), []int{200}, []string{"GET /idempotent/x a "}, false},
+	})
+}
+
+// Guards against an answer of a target that loses its id or its proof on the way.
+func TestConnectionOptionsOfTarget(t *testing.T) {
+	eachHop(t, func(t *testing.T, f *fleet) {
+		address := f.callerAddress(t, 0)
+		for option, status := range map[string]int{headers.Signature: 502, "keep-alive, " + headers.RequestID: 502, "X-Other, keep-alive": 200} {
+			for _, target := range f.targets {
+				target.serve = func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set("Connection", option)
+					target.respond(w, r)
+				}
+			}
+			got := sendRaw(t, address, "POST", rawRequest("POST", "/once/x", "a", "Content-Length: 0\r\n"), 1, false)
+			assert.Equal(t, got.statuses[0], status, option)
+		}
+	})
+}
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -185,6 +185,11 @@
 		cancel()
 		return nil, p.classifyError(err)
 	}
+	if err := p.config.Headers.checkOptions(response.Header); err != nil {
+		p.discard(response.Body)
+		cancel()
+		return nil, &port.UnknownOutcome{Stage: "target", Cause: err}
+	}
 	load := p.recordTargetReport(now, response)
 	if response.Status == http.StatusMisdirectedRequest {
 		p.doubtWarmup()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -11,13 +11,16 @@
 	"encoding/binary"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/pkg/errors"
 
+	"tamarackquay/internal/adapter/callhttp"
 	"tamarackquay/internal/adapter/exchange"
 	"tamarackquay/internal/admission"
 	"tamarackquay/internal/gate"
@@ -69,6 +72,17 @@
 	return false
 }
 
+// checkOptions returns an error if the Connection header of a message names one of the headers. They are
+// for all recipients, and must not be named there (RFC 9110, section 7.6.1).
+func (h *Headers) checkOptions(header http.Header) error {
+	for _, option := range callhttp.ConnectionOptions(header) {
+		if option != "" && h.includes(option) {
+			return errors.Errorf("the Connection header names %s", option)
+		}
+	}
+	return nil
+}
+
 // Config holds the settings of a proxy.
 type Config struct {
 	Headers Headers
