callerhttp: pass all methods to the entry; no success for OPTIONS *

What callers got: 405 of the node's own for PURGE, QUERY, MKCOL and others, though no route restricts methods and targets get them unchanged; and an empty 200, without a proof, for OPTIONS *, which no target ran.

Cause: echo's Any registers the methods that it knows. net/http answers OPTIONS * itself.

Change: the callers' listener hands each request to the entry, and net/http's own answer is turned off. OPTIONS * and CONNECT get 404 unknown-route, with the outcome: no route covers them (RFC 9110, sections 9.3.6 and 9.3.7).

Measured: TestMethodsReachTarget was red before for PURGE, QUERY, MKCOL, X-1 and OPTIONS *, at each hop.

--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -35,9 +35,12 @@
 // NewServer returns the server for callers. The caller of NewServer provides the listener.
 func NewServer(entry Entry, limits Limits) *httpserver.Server {
 	e := callhttp.NewRouter()
-	e.Any("/*", func(c echo.Context) error {
-		serve(entry, limits, c.Response(), c.Request())
-		return nil
+	// Routes of echo would limit methods and forms of the request target.
+	e.Pre(func(echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			serve(entry, limits, c.Response(), c.Request())
+			return nil
+		}
 	})
 	s := httpserver.New(e, hardHeaderFactor*limits.HeaderBytes)
 	s.SendBytes = limits.SendBytes
--- a/internal/adapter/httpserver/server.go
+++ b/internal/adapter/httpserver/server.go
@@ -35,8 +35,10 @@
 		Handler:           s.refuseInvalid(drainBodies(handler)),
 		MaxHeaderBytes:    headerBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
-		ConnContext:       connContext,
-		ConnState:         s.track,
+		// Without this, net/http itself would answer "OPTIONS *" with success.
+		DisableGeneralOptionsHandler: true,
+		ConnContext:                  connContext,
+		ConnState:                    s.track,
 	}
 	return s
 }
--- a/internal/proxy/framing_test.go
+++ b/internal/proxy/framing_test.go
@@ -207,3 +207,16 @@
 		}
 	})
 }
+
+// Guards against answers of the node's own in place of the target's: success for a request that no target
+// ran, and refusals of methods that routes don't restrict.
+func TestMethodsReachTarget(t *testing.T) {
+	var forms []rawForm
+	for _, method := range []string{"PURGE", "QUERY", "MKCOL", "OPTIONS", "TRACE", "X-1"} {
+		forms = append(forms, rawForm{method, rawRequest(method, "/idempotent/x", "a"), []int{200}, []string{method + " /idempotent/x a "}, false})
+	}
+	checkRaw(t, append(forms,
+		rawForm{"OPTIONS *", rawRequest("OPTIONS", "*", "a"), []int{404}, nil, false},
+		rawForm{"CONNECT", rawRequest("CONNECT", "h:80", "a"), []int{404}, nil, false},
+	))
+}
