proxy: keep the length of a response to HEAD

What callers got: Content-Length: 0 for HEAD, whatever length the target gave.

Cause: a node sets the length of a response whose body it has read completely. One to HEAD has no body; its length is that of the response to GET (RFC 9110, section 8.6).

Change: the length of a response to HEAD stays, at the entry node and at the target's.

Measured: TestLengthOfHead was red before, at each hop.

--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -168,9 +168,8 @@
 	now := p.ports.Clock.Now()
 	p.ports.Meter.Observe(port.MetricRequestTime, f.route.Name, now.Sub(f.began))
 	p.requestLog.served(now, f, resp)
-	if resp.rest == nil {
-		resp.response.ContentLength = int64(len(resp.body))
-	} else {
+	resp.setLength(f.method)
+	if resp.rest != nil {
 		resp.startReadAhead()
 		defer resp.closeRest()
 	}
@@ -321,6 +320,14 @@
 	return append(make([]byte, 0, int64(cap(body))+granted), body...)
 }
 
+// setLength sets the length of a response to a method whose body is buffered completely. One to HEAD
+// keeps its length, which is that of the response to GET (RFC 9110, section 8.6).
+func (resp *bufferedResponse) setLength(method string) {
+	if resp.rest == nil && method != http.MethodHead {
+		resp.response.ContentLength = int64(len(resp.body))
+	}
+}
+
 // size returns the size of the body in bytes as far as it is known, at most maxBuffered.
 func (resp *bufferedResponse) size() int {
 	if resp.rest == nil {
--- a/internal/proxy/framing_test.go
+++ b/internal/proxy/framing_test.go
@@ -220,3 +220,23 @@
 		rawForm{"CONNECT", rawRequest("CONNECT", "h:80", "a"), []int{404}, nil, false},
 	))
 }
+
+// Guards against a length of a response to HEAD that a GET would not get (RFC 9110, section 8.6).
+func TestLengthOfHead(t *testing.T) {
+	eachHop(t, func(t *testing.T, f *fleet) {
+		address := f.callerAddress(t, 0)
+		for _, length := range []string{"12345", "0", "99999999999", ""} {
+			for _, target := range f.targets {
+				target.serve = func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set(headers.Signature, "proof")
+					if length != "" {
+						w.Header().Set("Content-Length", length)
+					}
+				}
+			}
+			got := sendRaw(t, address, "HEAD", rawRequest("HEAD", "/idempotent/x", "a"), 1, false)
+			assert.DeepEqual(t, got.statuses, []int{200})
+			assert.Equal(t, got.headers[0].Get("Content-Length"), length)
+		}
+	})
+}
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -313,6 +313,7 @@
 		return
 	}
 	p.correctLink(&meta, transfer, resp.size())
+	resp.setLength(r.Method)
 	resp.cancel = response.Cancel
 	uploading := !response.IsBodySent()
 	if uploading {
@@ -363,9 +364,7 @@
 // sendResponse sends a response, the buffered part followed by the rest. The transfer is nil
 // if the link's speed is unknown.
 func (p *Proxy) sendResponse(ctx context.Context, w http.ResponseWriter, resp *bufferedResponse, transfer *link.Transfer) error {
-	if resp.rest == nil {
-		resp.response.ContentLength = int64(len(resp.body))
-	} else {
+	if resp.rest != nil {
 		resp.startReadAhead()
 		defer resp.closeRest()
 	}
