--- a/internal/proxy/memory_test.go
+++ b/internal/proxy/memory_test.go
@@ -77,7 +77,7 @@
 }
 
 // callerAddress starts a node's listener for callers.
-func (f *fleet) callerAddress(t *testing.T, node int) string {
+func (f *fleet) callerAddress(t testing.TB, node int) string {
 	server := callerhttp.NewServer(f.proxies[node], callerhttp.Limits{HeaderBytes: 1 << 14, BodyBytes: 1 << 30, SendBytes: 64 << 10})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
