--- a/test/process/crowd_test.go
+++ b/test/process/crowd_test.go
@@ -71,6 +71,7 @@
 		{"many names before a body that doesn't come", crowdUpload + manyNames(14<<10) + "Content-Length: 20000\r\n\r\n", nil},
 		{"chunk extension without end", crowdUpload + "Transfer-Encoding: chunked\r\n\r\n1;", func(int) string { return "eeeeeeeeeeeeeeee" }},
 		{"trailers without end", crowdUpload + "Transfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\n", func(i int) string { return fmt.Sprintf("x%d:y\r\n", i) }},
+		{"requests without end after one whose end is not certain", strings.Replace(crowdUpload, "1.1", "1.0", 1) + "Transfer-Encoding: chunked\r\n\r\n", func(int) string { return crowdRequestLine + "\r\n" }},
 		{"nothing", "", nil},
 	}
 }
