--- a/internal/proxy/framing_test.go
+++ b/internal/proxy/framing_test.go
@@ -78,7 +78,7 @@
 			if err != nil {
 				panic(http.ErrAbortHandler)
 			}
-			runs.add(fmt.Sprint(r.Method, " ", r.URL.Path, " ", r.Header.Get(headers.RequestID), " ", string(body)))
+			runs.add(fmt.Sprint(r.Method, " ", r.RequestURI, " ", r.Header.Get(headers.RequestID), " ", string(body)))
 			w.Header().Set(headers.Signature, "proof")
 			_, _ = io.WriteString(w, "ran")
 		}
