--- a/test/process/framing_test.go
+++ b/test/process/framing_test.go
@@ -27,17 +27,17 @@
 	ran := ranOf(targets)
 	fields := fmt.Sprintf("Host: %s\r\nAuthorization: Bearer modest\r\n", userfiles.Host)
 	const coded = "Transfer-Encoding: chunked\r\n"
-	for _, listener := range []struct{ desc, address, path, fields string }{
-		{"callers", fleet.vms[0].address(portCallers), "/once/x", fields},
-		{"nodes", fleet.vms[0].address(portPeers), "/once/x", fields + "Tamarack-Terms: attempt-1;once;0;1000;1000;0;0;0;1000;0.00;0\r\n"},
-		{"readiness", fleet.vms[0].address(portReady), "/ready", fields},
-		{"metrics", fleet.vms[0].address(portMetrics), "/metrics", fields},
-		{"callers with contracts", contracts.nodes["a-tally"].callers, "/tallies/x", fields},
+	for _, listener := range []struct{ desc, address, method, path, fields string }{
+		{"callers", fleet.vms[0].address(portCallers), "POST", "/once/x", fields},
+		{"nodes", fleet.vms[0].address(portPeers), "POST", "/once/x", fields + "Tamarack-Terms: attempt-1;once;0;1000;1000;0;0;0;1000;0.00;0\r\n"},
+		{"readiness", fleet.vms[0].address(portReady), "GET", "/ready", fields},
+		{"metrics", fleet.vms[0].address(portMetrics), "GET", "/metrics", fields},
+		{"callers with contracts", contracts.nodes["a-tally"].callers, "GET", "/tallies/x", fields},
 	} {
-		follows := "0\r\n\r\nPOST " + listener.path + " HTTP/1.1\r\n" + listener.fields + "Content-Length: 0\r\n\r\n"
+		follows := "0\r\n\r\n" + listener.method + " " + listener.path + " HTTP/1.1\r\n" + listener.fields + "Content-Length: 0\r\n\r\n"
 		for _, form := range []string{
-			"POST " + listener.path + " HTTP/1.0\r\nConnection: keep-alive\r\n" + coded + listener.fields + "\r\n",
-			"POST " + listener.path + " HTTP/1.1\r\nContent-Length: 4\r\n" + coded + listener.fields + "\r\n",
+			listener.method + " " + listener.path + " HTTP/1.0\r\nConnection: keep-alive\r\n" + coded + listener.fields + "\r\n",
+			listener.method + " " + listener.path + " HTTP/1.1\r\nContent-Length: 4\r\n" + coded + listener.fields + "\r\n",
 		} {
 			conn, err := net.Dial("tcp", listener.address)
 			assert.NilError(t, err)
